--- /dev/null
+++ b/internal/relay/output.go
@@ -0,0 +1,76 @@
+package relay
+
+import (
+	"clementinelink.example/clementinelink/internal/errs"
+)
+
+// OutputKind tells what an output carries.
+type OutputKind uint8
+
+// The kinds of output. Done and Failed are the last output of a response.
+const (
+	// Chunk carries the text of one token.
+	Chunk OutputKind = iota
+	// Done ends a complete response.
+	Done
+	// Failed ends a response with a problem.
+	Failed
+)
+
+// Output is one message from the dispatcher to the duty of a caller.
+type Output struct {
+	kind OutputKind
+	text string
+	// at is the position after this output, for the cursor.
+	at      *Resume
+	finish  string
+	prompt  int
+	problem *errs.Problem
+}
+
+// NewChunk returns the output for one token; at is the position after it.
+func NewChunk(text string, at *Resume) Output {
+	return Output{
+		kind: Chunk,
+		text: text,
+		at:   at,
+	}
+}
+
+// NewDone returns the last output of a complete response.
+func NewDone(finish string, prompt int, at *Resume) Output {
+	return Output{
+		kind:   Done,
+		finish: finish,
+		prompt: prompt,
+		at:     at,
+	}
+}
+
+// NewFailed returns the last output of a failed response; at is nil before
+// the first token.
+func NewFailed(p *errs.Problem, at *Resume) Output {
+	return Output{
+		kind:    Failed,
+		problem: p,
+		at:      at,
+	}
+}
+
+// Kind returns what the output carries.
+func (o Output) Kind() OutputKind { return o.kind }
+
+// Text returns the token's text; it may be empty.
+func (o Output) Text() string { return o.text }
+
+// At returns the position after this output, or nil before the first token.
+func (o Output) At() *Resume { return o.at }
+
+// Finish returns "stop" or "length" for Done.
+func (o Output) Finish() string { return o.finish }
+
+// PromptTokens returns the engine's count of prompt tokens for Done.
+func (o Output) PromptTokens() int { return o.prompt }
+
+// Problem returns the problem for Failed.
+func (o Output) Problem() *errs.Problem { return o.problem }
--- /dev/null
+++ b/internal/relay/request.go
@@ -0,0 +1,182 @@
+package relay
+
+import (
+	"encoding/json"
+	"time"
+
+	"clementinelink.example/clementinelink/internal/world"
+)
+
+// Sampling holds the settings that every attempt of a generation repeats.
+type Sampling struct {
+	temperature float64
+	topP        float64
+	stop        []string
+}
+
+// NewSampling returns sampling settings. A negative temperature or topP means
+// the engine's default.
+func NewSampling(temperature, topP float64, stop []string) Sampling {
+	return Sampling{
+		temperature: temperature,
+		topP:        topP,
+		stop:        stop,
+	}
+}
+
+// Temperature returns the temperature, negative for the engine's default.
+func (s Sampling) Temperature() float64 { return s.temperature }
+
+// TopP returns the nucleus mass, negative for the engine's default.
+func (s Sampling) TopP() float64 { return s.topP }
+
+// Stop returns the stop sequences. The caller must not change them.
+func (s Sampling) Stop() []string { return s.stop }
+
+// Request is one generation that a caller asks for. It does not change once
+// it is handed to the dispatcher.
+type Request struct {
+	id        string
+	service   string
+	workspace string
+	class     world.Class
+	// prompt or messages is set, never both.
+	prompt   string
+	messages json.RawMessage
+	// prefix is a hash of the start of the prompt, for cache locality.
+	prefix   uint64
+	limit    int
+	seed     uint64
+	sampling Sampling
+	deadline time.Time
+	trace    string
+	resume   *Resume
+}
+
+// NewRequest returns a request; id is unique across all VMs.
+func NewRequest(id, service, workspace string, class world.Class, deadline time.Time) *Request {
+	return &Request{
+		id:        id,
+		service:   service,
+		workspace: workspace,
+		class:     class,
+		deadline:  deadline,
+		sampling:  NewSampling(-1, -1, nil),
+	}
+}
+
+// WithPrompt sets the prompt text and its prefix hash.
+func (r *Request) WithPrompt(prompt string, prefix uint64) *Request {
+	r.prompt = prompt
+	r.prefix = prefix
+	return r
+}
+
+// WithMessages sets the chat messages as JSON and their prefix hash.
+func (r *Request) WithMessages(messages json.RawMessage, prefix uint64) *Request {
+	r.messages = messages
+	r.prefix = prefix
+	return r
+}
+
+// WithSampling sets the token limit, seed and sampling settings.
+func (r *Request) WithSampling(limit int, seed uint64, sampling Sampling) *Request {
+	r.limit = limit
+	r.seed = seed
+	r.sampling = sampling
+	return r
+}
+
+// WithTrace sets the W3C traceparent to pass on.
+func (r *Request) WithTrace(trace string) *Request {
+	r.trace = trace
+	return r
+}
+
+// WithResume makes the request continue an earlier one after a reconnect.
+func (r *Request) WithResume(s *Resume) *Request {
+	r.resume = s
+	return r
+}
+
+// ID returns the request's unique id.
+func (r *Request) ID() string { return r.id }
+
+// Service returns the model service's name.
+func (r *Request) Service() string { return r.service }
+
+// Workspace returns the caller's workspace.
+func (r *Request) Workspace() string { return r.workspace }
+
+// Class returns the admission class.
+func (r *Request) Class() world.Class { return r.class }
+
+// Prompt returns the prompt text, or "" for a chat.
+func (r *Request) Prompt() string { return r.prompt }
+
+// Messages returns the chat messages as JSON, or nil.
+func (r *Request) Messages() json.RawMessage { return r.messages }
+
+// Prefix returns the hash of the prompt's start.
+func (r *Request) Prefix() uint64 { return r.prefix }
+
+// Limit returns the largest number of tokens to generate.
+func (r *Request) Limit() int { return r.limit }
+
+// Seed returns the sampling seed.
+func (r *Request) Seed() uint64 { return r.seed }
+
+// Sampling returns the sampling settings.
+func (r *Request) Sampling() Sampling { return r.sampling }
+
+// Deadline returns the time by which the response must be complete.
+func (r *Request) Deadline() time.Time { return r.deadline }
+
+// Trace returns the W3C traceparent, or "".
+func (r *Request) Trace() string { return r.trace }
+
+// Resume returns where an earlier response stopped, or nil.
+func (r *Request) Resume() *Resume { return r.resume }
+
+// Resume is the position of a response whose caller reconnects. It is the
+// content of the cursor that the caller sends back.
+type Resume struct {
+	version string
+	engine  string
+	address string
+	attempt uint32
+	// offset is the number of tokens that the caller has received.
+	offset int
+	// digest is the rolling hash of those tokens.
+	digest uint64
+}
+
+// NewResume returns a position; offset counts the tokens received.
+func NewResume(version, engine, address string, attempt uint32, offset int, digest uint64) *Resume {
+	return &Resume{
+		version: version,
+		engine:  engine,
+		address: address,
+		attempt: attempt,
+		offset:  offset,
+		digest:  digest,
+	}
+}
+
+// Version returns the version that generated the response.
+func (s *Resume) Version() string { return s.version }
+
+// Engine returns the name of the engine's VM.
+func (s *Resume) Engine() string { return s.engine }
+
+// Address returns the engine's host:port.
+func (s *Resume) Address() string { return s.address }
+
+// Attempt returns the number of the attempt that delivered last.
+func (s *Resume) Attempt() uint32 { return s.attempt }
+
+// Offset returns the number of tokens that the caller has received.
+func (s *Resume) Offset() int { return s.offset }
+
+// Digest returns the rolling hash of the received tokens.
+func (s *Resume) Digest() uint64 { return s.digest }
--- /dev/null
+++ b/internal/ring/doc.go
@@ -0,0 +1,2 @@
+// Package ring provides the bounded queue that joins two duties.
+package ring
--- /dev/null
+++ b/internal/world/map.go
@@ -0,0 +1,119 @@
+package world
+
+import "strings"
+
+// Workspace is a customer's account.
+type Workspace struct {
+	name string
+	// key is the hex SHA-256 digest of the workspace's bearer token.
+	key string
+	// weight is the workspace's share relative to others; at least 1.
+	weight int
+	class  Class
+}
+
+// NewWorkspace returns a workspace; key is the hex SHA-256 digest of its
+// bearer token.
+func NewWorkspace(name, key string, weight int, class Class) *Workspace {
+	return &Workspace{
+		name:   name,
+		key:    key,
+		weight: max(weight, 1),
+		class:  class,
+	}
+}
+
+// Name returns the workspace's name.
+func (w *Workspace) Name() string { return w.name }
+
+// Key returns the hex SHA-256 digest of the bearer token.
+func (w *Workspace) Key() string { return w.key }
+
+// Weight returns the workspace's relative share.
+func (w *Workspace) Weight() int { return w.weight }
+
+// Class returns the admission class of the workspace's generations.
+func (w *Workspace) Class() Class { return w.class }
+
+// Map is the configuration in force at one revision.
+type Map struct {
+	revision   uint64
+	domains    map[string]*Domain
+	links      []*Link
+	services   map[string]*Service
+	workspaces map[string]*Workspace
+	// keys indexes workspaces by key digest.
+	keys map[string]*Workspace
+}
+
+// NewMap returns the configuration of a revision.
+func NewMap(revision uint64, domains []*Domain, links []*Link, services []*Service, workspaces []*Workspace) *Map {
+	m := &Map{
+		revision:   revision,
+		domains:    make(map[string]*Domain, len(domains)),
+		links:      links,
+		services:   make(map[string]*Service, len(services)),
+		workspaces: make(map[string]*Workspace, len(workspaces)),
+		keys:       make(map[string]*Workspace, len(workspaces)),
+	}
+	for _, d := range domains {
+		m.domains[d.Name()] = d
+	}
+	for _, s := range services {
+		m.services[s.Name()] = s
+	}
+	for _, w := range workspaces {
+		m.workspaces[w.Name()] = w
+		m.keys[w.Key()] = w
+	}
+	return m
+}
+
+// Revision returns the configuration's revision; 0 means none yet.
+func (m *Map) Revision() uint64 { return m.revision }
+
+// Domain returns the failure domain, or nil.
+func (m *Map) Domain(name string) *Domain { return m.domains[name] }
+
+// Service returns the service, or nil.
+func (m *Map) Service(name string) *Service { return m.services[name] }
+
+// Services returns all services by name. The caller must not change it.
+func (m *Map) Services() map[string]*Service { return m.services }
+
+// Workspace returns the workspace, or nil.
+func (m *Map) Workspace(name string) *Workspace { return m.workspaces[name] }
+
+// Workspaces returns all workspaces by name. The caller must not change it.
+func (m *Map) Workspaces() map[string]*Workspace { return m.workspaces }
+
+// Owner returns the workspace whose token has the hex SHA-256 digest, or nil.
+func (m *Map) Owner(digest string) *Workspace { return m.keys[digest] }
+
+// Link returns the link between two regions, or nil.
+func (m *Map) Link(a, b string) *Link {
+	for _, l := range m.links {
+		if l.Joins(a, b) {
+			return l
+		}
+	}
+	return nil
+}
+
+// Route returns the plain service and route for a request. The longest
+// matching path prefix wins; both are nil when none matches.
+func (m *Map) Route(method, path string) (*Service, *Route) {
+	var found *Service
+	var best *Route
+	for _, s := range m.services {
+		for _, r := range s.routes {
+			if r.method != method || !strings.HasPrefix(path, r.path) {
+				continue
+			}
+			if best == nil || len(r.path) > len(best.path) {
+				found, best = s, r
+			}
+		}
+	}
+	return found, best
+}
--- /dev/null
+++ b/internal/world/vm.go
@@ -0,0 +1,84 @@
+package world
+
+// Kind tells what a VM runs.
+type Kind uint8
+
+// The kinds of VM.
+const (
+	// Entry is a VM of this system.
+	Entry Kind = iota
+	// Engine is an upstream VM with a model engine.
+	Engine
+	// Plain is an upstream VM with a plain service.
+	Plain
+)
+
+// String returns the kind's name in the VM list.
+func (k Kind) String() string {
+	switch k {
+	case Engine:
+		return "engine"
+	case Plain:
+		return "plain"
+	default:
+		return "entry"
+	}
+}
+
+// VM is a machine named by the platform's list.
+type VM struct {
+	name    string
+	kind    Kind
+	address string
+	domain  string
+	region  string
+	// service is empty for an entry VM.
+	service string
+	leaving bool
+}
+
+// NewVM returns a machine; address is host:port.
+func NewVM(name string, kind Kind, address, domain, region string) *VM {
+	return &VM{
+		name:    name,
+		kind:    kind,
+		address: address,
+		domain:  domain,
+		region:  region,
+	}
+}
+
+// Serving returns a copy of v that serves as an upstream of the service.
+func (v *VM) Serving(service string) *VM {
+	w := *v
+	w.service = service
+	return &w
+}
+
+// Leave returns a copy of v that the platform lists as leaving.
+func (v *VM) Leave() *VM {
+	w := *v
+	w.leaving = true
+	return &w
+}
+
+// Name returns the VM's unique name.
+func (v *VM) Name() string { return v.name }
+
+// Kind returns what the VM runs.
+func (v *VM) Kind() Kind { return v.kind }
+
+// Address returns the VM's host:port.
+func (v *VM) Address() string { return v.address }
+
+// Domain returns the name of the VM's failure domain.
+func (v *VM) Domain() string { return v.domain }
+
+// Region returns the name of the VM's region.
+func (v *VM) Region() string { return v.region }
+
+// Service returns the service of an upstream VM, or "".
+func (v *VM) Service() string { return v.service }
+
+// Leaving reports whether the platform lists the VM as leaving.
+func (v *VM) Leaving() bool { return v.leaving }
