--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,249 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"clementinelink.example/clementinelink/internal/fleet"
+	"clementinelink.example/clementinelink/internal/relay"
+	"clementinelink.example/clementinelink/internal/router"
+	"clementinelink.example/clementinelink/internal/world"
+)
+
+const (
+	// dialTimeout is several round trips between regions; a host that does not
+	// answer by then is treated as unreachable.
+	dialTimeout = 300 * time.Millisecond
+	// maxLine bounds one event of a stream.
+	maxLine = 64 << 10
+	// maxIdle is the number of idle connections kept to one engine.
+	maxIdle = 32
+	// idleFor is shorter than the usual keep-alive limit of a server, so that
+	// a reused connection is seldom already closed.
+	idleFor = 20 * time.Second
+)
+
+// Client talks to model engines. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+	// emit hands an event to the dispatcher; it waits while its ring is full.
+	emit func(ctx context.Context, ev router.Event)
+}
+
+// NewClient returns a client whose streams end up in emit.
+func NewClient(emit func(ctx context.Context, ev router.Event)) *Client {
+	d := &net.Dialer{Timeout: dialTimeout}
+	return &Client{
+		http: &http.Client{
+			Transport: &http.Transport{
+				DialContext:         d.DialContext,
+				MaxIdleConnsPerHost: maxIdle,
+				IdleConnTimeout:     idleFor,
+				DisableCompression:  true,
+			},
+		},
+		emit: emit,
+	}
+}
+
+// Open runs a new attempt until its stream ends or ctx is cancelled.
+func (c *Client) Open(ctx context.Context, a relay.Action) {
+	body, err := json.Marshal(newOpenBody(a))
+	if err != nil {
+		c.lost(ctx, a, relay.Bad)
+		return
+	}
+	url := "http://" + a.Engine().VM().Address() + "/v1/completions"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		c.lost(ctx, a, relay.Bad)
+		return
+	}
+	req.Header.Set("Content-Type", "application/json")
+	c.run(ctx, req, a)
+}
+
+// Attach continues the stream that the engine retains for an earlier attempt.
+// The engine renames it, so that the earlier attempt is fenced there too.
+func (c *Client) Attach(ctx context.Context, a relay.Action) {
+	url := fmt.Sprintf("http://%s/v1/streams/%s/%d?offset=%d&as=%d",
+		a.Engine().VM().Address(), a.Request().ID(), a.Source(), a.Offset(), a.Attempt())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		c.lost(ctx, a, relay.Bad)
+		return
+	}
+	c.run(ctx, req, a)
+}
+
+// Cancel stops an attempt on its engine. It returns nil once the engine has
+// confirmed that it doesn't run.
+func (c *Client) Cancel(ctx context.Context, address, id string, attempt uint32) error {
+	url := fmt.Sprintf("http://%s/v1/streams/%s/%d", address, id, attempt)
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, url, nil)
+	if err != nil {
+		return errors.Wrap(err, "engine: cancel")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "engine: cancel")
+	}
+	defer drain(resp)
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusNotFound {
+		return errors.Newf("engine: cancel: status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+// Load fetches the engine's load report.
+func (c *Client) Load(ctx context.Context, vm *world.VM) (fleet.Load, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+vm.Address()+"/load", nil)
+	if err != nil {
+		return fleet.Load{}, errors.Wrap(err, "engine: load")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fleet.Load{}, errors.Wrap(err, "engine: load")
+	}
+	defer drain(resp)
+	if resp.StatusCode != http.StatusOK {
+		return fleet.Load{}, errors.Newf("engine: load: status %d", resp.StatusCode)
+	}
+	var b loadBody
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLine)).Decode(&b); err != nil {
+		return fleet.Load{}, errors.Wrap(err, "engine: load")
+	}
+	age := time.Duration(b.AgeMS) * time.Millisecond
+	return fleet.NewLoad(b.Incarnation, b.Running, b.Waiting, b.Slots, b.Versions, b.Leaving, age), nil
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// run sends the request and turns the event stream into events.
+func (c *Client) run(ctx context.Context, req *http.Request, a relay.Action) {
+	if t := a.Request().Trace(); t != "" {
+		req.Header.Set("Traceparent", t)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		c.lost(ctx, a, dialCause(err))
+		return
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		c.lost(ctx, a, statusCause(resp))
+		return
+	}
+	c.read(ctx, resp.Body, a)
+}
+
+// read passes on the events of a stream until its finish.
+func (c *Client) read(ctx context.Context, body io.Reader, a relay.Action) {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 1024), maxLine)
+	prefix := []byte("data:")
+	for lines.Scan() {
+		data, ok := bytes.CutPrefix(lines.Bytes(), prefix)
+		if !ok {
+			continue
+		}
+		var k chunk
+		if err := json.Unmarshal(data, &k); err != nil {
+			c.lost(ctx, a, relay.Bad)
+			return
+		}
+		// A mismatched message belongs to another request on this connection.
+		if k.Request != a.Request().ID() || k.Attempt != a.Attempt() {
+			c.lost(ctx, a, relay.Bad)
+			return
+		}
+		if k.Finish != "" {
+			c.emit(ctx, router.NewFinish(k.Request, k.Attempt, k.Index, k.Finish, k.Prompt))
+			return
+		}
+		c.emit(ctx, router.NewToken(k.Request, k.Attempt, k.Index, k.Token, k.Text))
+	}
+	c.lost(ctx, a, relay.Reset)
+}
+
+// lost reports the end of an attempt, unless it was cancelled here.
+func (c *Client) lost(ctx context.Context, a relay.Action, cause relay.Cause) {
+	if ctx.Err() != nil {
+		return
+	}
+	c.emit(ctx, router.NewLost(a.Request().ID(), a.Attempt(), cause))
+}
+
+func newOpenBody(a relay.Action) *openBody {
+	q := a.Request()
+	b := &openBody{
+		Request:   q.ID(),
+		Attempt:   a.Attempt(),
+		Model:     q.Service(),
+		Version:   a.Version(),
+		Prompt:    q.Prompt(),
+		Messages:  q.Messages(),
+		Prefix:    a.Prefix(),
+		MaxTokens: q.Limit(),
+		Seed:      q.Seed(),
+		Stop:      q.Sampling().Stop(),
+		Priority:  priority(q, len(a.Prefix()) > 0),
+		Stream:    true,
+	}
+	if t := q.Sampling().Temperature(); t >= 0 {
+		b.Temperature = &t
+	}
+	if p := q.Sampling().TopP(); p >= 0 {
+		b.TopP = &p
+	}
+	return b
+}
+
+// priority orders requests on the engine: resumes first, then by class.
+func priority(q *relay.Request, resume bool) int {
+	p := 2 * int(world.Classes-q.Class())
+	if resume {
+		p++
+	}
+	return p
+}
+
+// dialCause tells a host that can't be reached from a broken connection.
+func dialCause(err error) relay.Cause {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return relay.Unreachable
+	}
+	return relay.Reset
+}
+
+func statusCause(resp *http.Response) relay.Cause {
+	switch resp.StatusCode {
+	case http.StatusTooManyRequests:
+		return relay.Refused
+	case http.StatusConflict, http.StatusNotFound:
+		return relay.Absent
+	case http.StatusServiceUnavailable:
+		var r refusal
+		if err := json.NewDecoder(io.LimitReader(resp.Body, maxLine)).Decode(&r); err == nil && r.Leaving {
+			return relay.Departing
+		}
+	}
+	return relay.Bad
+}
+
+// drain reads the rest of a short body, so that its connection can be reused.
+func drain(resp *http.Response) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxLine))
+	_ = resp.Body.Close()
+}
--- /dev/null
+++ b/internal/engine/wire.go
@@ -0,0 +1,48 @@
+package engine
+
+import "encoding/json"
+
+// openBody is the body of POST /v1/completions.
+type openBody struct {
+	Request     string          `json:"request"`
+	Attempt     uint32          `json:"attempt"`
+	Model       string          `json:"model"`
+	Version     string          `json:"version"`
+	Prompt      string          `json:"prompt,omitempty"`
+	Messages    json.RawMessage `json:"messages,omitempty"`
+	Prefix      []uint32        `json:"prefix,omitempty"`
+	MaxTokens   int             `json:"max_tokens"`
+	Seed        uint64          `json:"seed"`
+	Temperature *float64        `json:"temperature,omitempty"`
+	TopP        *float64        `json:"top_p,omitempty"`
+	Stop        []string        `json:"stop,omitempty"`
+	Priority    int             `json:"priority"`
+	Stream      bool            `json:"stream"`
+}
+
+// chunk is one event of an engine's stream.
+type chunk struct {
+	Request string `json:"request"`
+	Attempt uint32 `json:"attempt"`
+	Index   int    `json:"index"`
+	Token   uint32 `json:"token"`
+	Text    string `json:"text"`
+	Finish  string `json:"finish"`
+	Prompt  int    `json:"prompt_tokens"`
+}
+
+// refusal is the body of an engine's 503.
+type refusal struct {
+	Leaving bool `json:"leaving"`
+}
+
+// loadBody is the body of GET /load.
+type loadBody struct {
+	Incarnation string   `json:"incarnation"`
+	AgeMS       int64    `json:"age_ms"`
+	Running     int      `json:"running"`
+	Waiting     int      `json:"waiting"`
+	Slots       int      `json:"slots"`
+	Versions    []string `json:"versions"`
+	Leaving     bool     `json:"leaving"`
+}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -50,7 +50,10 @@
 	sampling Sampling
 	deadline time.Time
 	trace    string
-	resume   *Resume
+	// grace is how long the generation goes on after its caller disconnects,
+	// so that a reconnect finds it; zero for a caller without a cursor.
+	grace  time.Duration
+	resume *Resume
 }
 
 // NewRequest returns a request; id is unique across all VMs.
@@ -93,6 +96,13 @@
 	return r
 }
 
+// WithGrace sets how long the generation goes on after its caller
+// disconnects.
+func (r *Request) WithGrace(d time.Duration) *Request {
+	r.grace = d
+	return r
+}
+
 // WithResume makes the request continue an earlier one after a reconnect.
 func (r *Request) WithResume(s *Resume) *Request {
 	r.resume = s
@@ -135,6 +145,9 @@
 // Trace returns the W3C traceparent, or "".
 func (r *Request) Trace() string { return r.trace }
 
+// Grace returns how long the generation goes on without its caller.
+func (r *Request) Grace() time.Duration { return r.grace }
+
 // Resume returns where an earlier response stopped, or nil.
 func (r *Request) Resume() *Resume { return r.resume }
 
--- /dev/null
+++ b/internal/relay/response.go
@@ -0,0 +1,529 @@
+package relay
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"clementinelink.example/clementinelink/internal/errs"
+	"clementinelink.example/clementinelink/internal/fleet"
+)
+
+const (
+	// maxLive is the number of attempts that may work on a response at once:
+	// a suspect one and its hedge.
+	maxLive = 2
+	// avoidLast is the number of engines that failed this response last and
+	// are not chosen for it again while others accept.
+	avoidLast = 3
+	// maxRefusals bounds attempts that end before a token for other reasons
+	// than the loss of an engine.
+	maxRefusals = 8
+)
+
+// Policy holds the choices that a response leaves to its surroundings.
+type Policy struct {
+	// choose returns the engine for an attempt, or nil when none accepts it.
+	choose func(now time.Time, r *Response, avoid []*fleet.Engine) *fleet.Engine
+	// find returns an engine by name, or one that is reached at the address.
+	find func(name, address string) *fleet.Engine
+	// retry reports whether the retry budget allows another attempt.
+	retry func(now time.Time) bool
+}
+
+// NewPolicy returns a policy of the three functions.
+func NewPolicy(
+	choose func(now time.Time, r *Response, avoid []*fleet.Engine) *fleet.Engine,
+	find func(name, address string) *fleet.Engine,
+	retry func(now time.Time) bool,
+) *Policy {
+	return &Policy{
+		choose: choose,
+		find:   find,
+		retry:  retry,
+	}
+}
+
+// Response is the state of one caller's generation. It is owned by one duty.
+type Response struct {
+	request *Request
+	policy  *Policy
+	version string
+	// tokens holds every accepted token id in order; index equals position.
+	tokens []uint32
+	// digest is the rolling hash of tokens.
+	digest uint64
+	// from is the number of tokens that the caller had before it reconnected.
+	// Tokens below it are accepted but not emitted.
+	from int
+	// live holds at most maxLive attempts, the oldest first.
+	live []*attempt
+	// next is the number of the next attempt; numbers are never reused.
+	next uint32
+	// source is the attempt that gave the latest token.
+	source   *attempt
+	avoid    []*fleet.Engine
+	refusals int
+	opened   bool
+	// waiting is true while no engine accepts the next attempt.
+	waiting bool
+	// gone is the time at which the caller disconnected, or zero.
+	gone  time.Time
+	ended bool
+	stats Stats
+}
+
+// NewResponse returns the response to a request on a version. A request that
+// resumes keeps the version of its cursor.
+func NewResponse(request *Request, version string, policy *Policy) *Response {
+	r := &Response{
+		request: request,
+		policy:  policy,
+		version: version,
+		next:    1,
+	}
+	if s := request.Resume(); s != nil {
+		r.version = s.Version()
+		r.from = s.Offset()
+		r.next = (s.Attempt()>>epochShift+1)<<epochShift + 1
+	}
+	return r
+}
+
+// Request returns the request.
+func (r *Response) Request() *Request { return r.request }
+
+// Version returns the version that generates the response.
+func (r *Response) Version() string { return r.version }
+
+// Delivered returns the number of accepted tokens.
+func (r *Response) Delivered() int { return len(r.tokens) }
+
+// Continues reports whether the next attempt continues delivered output.
+func (r *Response) Continues() bool { return len(r.tokens) > 0 || r.from > 0 }
+
+// Started returns the time at which the response was admitted, or now before
+// that.
+func (r *Response) Started(now time.Time) time.Time {
+	if r.stats.started.IsZero() {
+		return now
+	}
+	return r.stats.started
+}
+
+// Waiting reports whether the response waits for an engine.
+func (r *Response) Waiting() bool { return r.waiting && !r.ended }
+
+// On returns the number of the attempt that runs on the named engine, or 0.
+func (r *Response) On(engine string) uint32 {
+	for _, a := range r.live {
+		if a.engine.Name() == engine {
+			return a.number
+		}
+	}
+	return 0
+}
+
+// Ended reports whether the response is over.
+func (r *Response) Ended() bool { return r.ended }
+
+// Stats returns the response's measurements.
+func (r *Response) Stats() *Stats { return &r.stats }
+
+// Rebind moves a response that has no token yet to another version.
+func (r *Response) Rebind(version string) {
+	if !r.Continues() && len(r.live) == 0 {
+		r.version = version
+	}
+}
+
+// Start begins the first attempt: for a reconnect on the stream that the
+// cursor names, else on a chosen engine.
+func (r *Response) Start(now time.Time, out []Action) []Action {
+	r.stats.started = now
+	s := r.request.Resume()
+	if s == nil {
+		return r.open(now, out)
+	}
+	if e := r.policy.find(s.Engine(), s.Address()); e != nil && e.State() != fleet.Dead {
+		return r.attach(now, e, s.Attempt(), out)
+	}
+	return r.open(now, out)
+}
+
+// Token handles a token of an attempt.
+func (r *Response) Token(now time.Time, number uint32, index int, id uint32, text string, out []Action) []Action {
+	a := r.find(number)
+	if a == nil {
+		r.stats.extra++
+		return out
+	}
+	a.observe(now)
+	switch {
+	case index < len(r.tokens):
+		r.stats.extra++
+		return out
+	case index > len(r.tokens):
+		return r.Lost(now, number, Bad, out)
+	}
+	r.tokens = append(r.tokens, id)
+	r.digest = roll(r.digest, id)
+	out = r.fence(a, out)
+	r.source = a
+	r.stats.token(now)
+	return r.emit(now, text, out)
+}
+
+// Finish handles the end of an attempt. A finish at another index than the
+// next one belongs to a stream with a gap or a truncated one.
+func (r *Response) Finish(now time.Time, number uint32, index int, reason string, prompt int, out []Action) []Action {
+	a := r.find(number)
+	if a == nil {
+		return out
+	}
+	if index != len(r.tokens) || index < r.from {
+		return r.Lost(now, number, Bad, out)
+	}
+	a.observe(now)
+	out = r.fence(a, out)
+	a.release()
+	r.live = nil
+	r.source = a
+	r.stats.finish(now)
+	out = append(out, Action{
+		kind:    Emit,
+		request: r.request,
+		output:  NewDone(reason, prompt, r.position()),
+	})
+	return r.end(out)
+}
+
+// Lost handles an attempt that ended without a finish.
+func (r *Response) Lost(now time.Time, number uint32, cause Cause, out []Action) []Action {
+	a := r.find(number)
+	if a == nil {
+		return out
+	}
+	if cause == Bad || cause == Silent {
+		out = r.cancel(a, out)
+	}
+	r.drop(a)
+	r.note(now, a, cause)
+	if r.healthy() {
+		return out
+	}
+	if cause == Reset && !a.attached && !a.last.IsZero() && a.engine.State() == fleet.Live {
+		return r.attach(now, a.engine, a.number, out)
+	}
+	r.shun(a.engine)
+	if cause == Bad || cause == Refused || cause == Absent && !a.attached {
+		r.refusals++
+		if r.refusals > maxRefusals || !r.policy.retry(now) {
+			return r.fail(now, errs.New(errs.Unavailable, r.outcome(), "engines keep failing this request: %s", cause), out)
+		}
+	}
+	return r.open(now, out)
+}
+
+// Gone handles the caller's disconnect. The generation goes on for the
+// request's grace, so that a reconnect can take it over.
+func (r *Response) Gone(now time.Time, out []Action) []Action {
+	r.gone = now
+	if r.request.Grace() > 0 {
+		return out
+	}
+	return r.abandon(out)
+}
+
+// Stop ends the response with a problem.
+func (r *Response) Stop(now time.Time, p *errs.Problem, out []Action) []Action {
+	return r.fail(now, p, out)
+}
+
+// Retry looks for an engine again while the response waits for one.
+func (r *Response) Retry(now time.Time, out []Action) []Action {
+	if !r.Waiting() {
+		return out
+	}
+	return r.open(now, out)
+}
+
+// Tick handles the passing of time: the deadline, silence and abandonment.
+func (r *Response) Tick(now time.Time, out []Action) []Action {
+	if r.ended {
+		return out
+	}
+	if !r.gone.IsZero() && !now.Before(r.gone.Add(r.request.Grace())) {
+		return r.abandon(out)
+	}
+	if !now.Before(r.request.Deadline()) {
+		return r.expire(now, out)
+	}
+	for _, a := range slices.Clone(r.live) {
+		if !a.suspect && !now.Before(a.due(now)) {
+			out = r.suspect(now, a, out)
+		}
+	}
+	return out
+}
+
+// Wake returns the time at which Tick is due next.
+func (r *Response) Wake(now time.Time) time.Time {
+	at := r.request.Deadline()
+	if !r.gone.IsZero() {
+		at = earlier(at, r.gone.Add(r.request.Grace()))
+	}
+	for _, a := range r.live {
+		if !a.suspect {
+			at = earlier(at, a.check(now))
+		}
+	}
+	return at
+}
+
+// suspect starts a hedge beside a silent attempt. The attempt stays live, so
+// that the first to give the next token wins.
+func (r *Response) suspect(now time.Time, a *attempt, out []Action) []Action {
+	a.suspect = true
+	if now.Sub(a.engine.Cadence().Last()) >= a.engine.Cadence().Silence(now) {
+		a.engine.Doubt(now)
+	}
+	r.stats.suspicions++
+	r.stats.lose(now)
+	if len(r.live) >= maxLive {
+		oldest := r.live[0]
+		out = r.cancel(oldest, out)
+		r.drop(oldest)
+	}
+	r.shun(a.engine)
+	return r.open(now, out)
+}
+
+// open starts an attempt on a chosen engine, or waits for one.
+func (r *Response) open(now time.Time, out []Action) []Action {
+	e := r.policy.choose(now, r, r.avoid)
+	r.waiting = e == nil && !r.healthy()
+	if e == nil {
+		return out
+	}
+	a := r.begin(now, e)
+	r.opened = true
+	return append(out, Action{
+		kind:    Open,
+		request: r.request,
+		engine:  e,
+		version: r.version,
+		attempt: a.number,
+		prefix:  r.tokens[:len(r.tokens):len(r.tokens)],
+	})
+}
+
+// attach takes over the stream that the engine retains.
+func (r *Response) attach(now time.Time, e *fleet.Engine, source uint32, out []Action) []Action {
+	a := r.begin(now, e)
+	a.attached = true
+	r.opened = true
+	return append(out, Action{
+		kind:    Attach,
+		request: r.request,
+		engine:  e,
+		version: r.version,
+		attempt: a.number,
+		source:  source,
+		offset:  len(r.tokens),
+	})
+}
+
+func (r *Response) begin(now time.Time, e *fleet.Engine) *attempt {
+	a := &attempt{
+		number:  r.next,
+		engine:  e,
+		started: now,
+		resume:  r.Continues(),
+	}
+	r.next++
+	r.stats.attempts++
+	r.live = append(r.live, a)
+	e.Begin(a.resume)
+	r.waiting = false
+	return a
+}
+
+// fence cancels every attempt but the one that gave the accepted token. A
+// stream that was opened with a shorter prefix must never continue this one.
+func (r *Response) fence(winner *attempt, out []Action) []Action {
+	if winner.suspect {
+		r.stats.falseAlarms++
+		winner.suspect = false
+	}
+	winner.engine.Trust()
+	r.waiting = false
+	if len(r.live) == 1 {
+		return out
+	}
+	for _, a := range slices.Clone(r.live) {
+		if a != winner {
+			out = r.cancel(a, out)
+			r.drop(a)
+		}
+	}
+	return out
+}
+
+// emit delivers the newest token unless the caller already has it.
+func (r *Response) emit(now time.Time, text string, out []Action) []Action {
+	n := len(r.tokens)
+	if n == r.from && r.digest != r.request.Resume().Digest() {
+		return r.fail(now, errs.New(errs.Lost, errs.Ran, "the first %d tokens could not be reproduced", n), out)
+	}
+	if n <= r.from {
+		return out
+	}
+	r.avoid = nil
+	return append(out, Action{
+		kind:    Emit,
+		request: r.request,
+		output:  NewChunk(text, r.position()),
+	})
+}
+
+// note records why an attempt ended, for membership and statistics.
+func (r *Response) note(now time.Time, a *attempt, cause Cause) {
+	switch cause {
+	case Unreachable:
+		a.engine.Fell()
+	case Departing:
+		a.engine.Left()
+	case Bad:
+		r.stats.errors++
+	}
+	if cause != Refused && cause != Departing {
+		r.stats.lose(now)
+	}
+}
+
+func (r *Response) fail(now time.Time, p *errs.Problem, out []Action) []Action {
+	if r.ended {
+		return out
+	}
+	for _, a := range r.live {
+		out = r.cancel(a, out)
+		a.release()
+	}
+	r.live = nil
+	r.stats.fail(now, p)
+	out = append(out, Action{
+		kind:    Emit,
+		request: r.request,
+		output:  NewFailed(p, r.position()),
+	})
+	return r.end(out)
+}
+
+// expire ends a response whose deadline passed. One that no engine ever took
+// is refused as not run.
+func (r *Response) expire(now time.Time, out []Action) []Action {
+	if r.outcome() == errs.NotRun {
+		p := errs.New(errs.Overload, errs.NotRun, "no engine became free before the deadline").WithRetry(time.Second)
+		return r.fail(now, p, out)
+	}
+	return r.fail(now, errs.New(errs.Expired, r.outcome(), "deadline passed after %d tokens", len(r.tokens)), out)
+}
+
+// abandon ends the response of a caller that did not come back.
+func (r *Response) abandon(out []Action) []Action {
+	for _, a := range r.live {
+		out = r.cancel(a, out)
+		a.release()
+	}
+	r.live = nil
+	r.stats.abandoned = true
+	return r.end(out)
+}
+
+func (r *Response) end(out []Action) []Action {
+	r.ended = true
+	r.waiting = false
+	return append(out, Action{
+		kind:    End,
+		request: r.request,
+	})
+}
+
+func (r *Response) cancel(a *attempt, out []Action) []Action {
+	return append(out, Action{
+		kind:    Cancel,
+		request: r.request,
+		engine:  a.engine,
+		attempt: a.number,
+	})
+}
+
+// outcome tells what is known of the work so far.
+func (r *Response) outcome() errs.Outcome {
+	switch {
+	case r.Continues():
+		return errs.Ran
+	case r.opened:
+		return errs.Unknown
+	default:
+		return errs.NotRun
+	}
+}
+
+// position returns the cursor content after the newest token, or nil.
+func (r *Response) position() *Resume {
+	if r.source == nil || len(r.tokens) < r.from {
+		return r.request.Resume()
+	}
+	vm := r.source.engine.VM()
+	return NewResume(r.version, vm.Name(), vm.Address(), r.source.number, len(r.tokens), r.digest)
+}
+
+// shun avoids the engine for the next attempts of this response.
+func (r *Response) shun(e *fleet.Engine) {
+	if slices.Contains(r.avoid, e) {
+		return
+	}
+	r.avoid = append(r.avoid, e)
+	if len(r.avoid) > avoidLast {
+		r.avoid = slices.Clone(r.avoid[1:])
+	}
+}
+
+func (r *Response) drop(a *attempt) {
+	a.release()
+	r.live = slices.DeleteFunc(r.live, func(b *attempt) bool { return a == b })
+}
+
+// healthy reports whether an attempt that is not suspect works on the
+// response.
+func (r *Response) healthy() bool {
+	return slices.ContainsFunc(r.live, func(a *attempt) bool { return !a.suspect })
+}
+
+func (r *Response) find(number uint32) *attempt {
+	for _, a := range r.live {
+		if a.number == number {
+			return a
+		}
+	}
+	return nil
+}
+
+// roll extends the hash of the delivered tokens by one id.
+func roll(digest uint64, id uint32) uint64 {
+	var b [12]byte
+	binary.LittleEndian.PutUint64(b[:], digest)
+	binary.LittleEndian.PutUint32(b[8:], id)
+	return xxhash.Sum64(b[:])
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -45,7 +45,7 @@
 	}
 	switch r.policy {
 	case Wait:
-		return r.wait(ctx, v)
+		return r.PutWait(ctx, v)
 	case DropOldest:
 		return r.replace(v)
 	default:
@@ -69,7 +69,8 @@
 // Refused returns the number of values rejected by Refuse.
 func (r *Ring[T]) Refused() uint64 { return r.refused.Load() }
 
-func (r *Ring[T]) wait(ctx context.Context, v T) bool {
+// PutWait adds v whatever the policy, and waits for room until ctx ends.
+func (r *Ring[T]) PutWait(ctx context.Context, v T) bool {
 	select {
 	case r.slots <- v:
 		return true
--- /dev/null
+++ b/internal/router/doc.go
@@ -0,0 +1,5 @@
+// Package router is the decision core of one entry VM for all generations. It
+// takes the present time and one event and returns actions; it reads no clock,
+// opens no socket and starts no goroutine, so that the same seed and events
+// give the same actions.
+package router
--- /dev/null
+++ b/internal/router/event.go
@@ -0,0 +1,186 @@
+package router
+
+import (
+	"clementinelink.example/clementinelink/internal/errs"
+	"clementinelink.example/clementinelink/internal/fleet"
+	"clementinelink.example/clementinelink/internal/relay"
+	"clementinelink.example/clementinelink/internal/world"
+)
+
+// EventKind tells what happened.
+type EventKind uint8
+
+// The kinds of event.
+const (
+	// Arrive is a caller's new or resumed request.
+	Arrive EventKind = iota
+	// Token is a token of an attempt.
+	Token
+	// Finish is the end of an attempt's stream.
+	Finish
+	// Lost is an attempt that ended without a finish.
+	Lost
+	// Gone is a caller that disconnected.
+	Gone
+	// Stall is a caller that does not read its response.
+	Stall
+	// Load is a load report.
+	Load
+	// Members is the platform's list of VMs.
+	Members
+	// Config is a new configuration.
+	Config
+	// Shares are the traffic shares of a service's versions.
+	Shares
+	// Tick is the passing of time.
+	Tick
+)
+
+// Event is one thing that happened. The zero value is not an event.
+type Event struct {
+	kind    EventKind
+	request *relay.Request
+	id      string
+	attempt uint32
+	index   int
+	token   uint32
+	text    string
+	prompt  int
+	cause   relay.Cause
+	load    fleet.Load
+	vms     []*world.VM
+	config  *world.Map
+	shares  Split
+}
+
+// NewArrive returns the event of a caller's request.
+func NewArrive(r *relay.Request) Event {
+	return Event{
+		kind:    Arrive,
+		request: r,
+		id:      r.ID(),
+	}
+}
+
+// NewToken returns the event of a token; index counts from the start of the
+// response.
+func NewToken(id string, attempt uint32, index int, token uint32, text string) Event {
+	return Event{
+		kind:    Token,
+		id:      id,
+		attempt: attempt,
+		index:   index,
+		token:   token,
+		text:    text,
+	}
+}
+
+// NewFinish returns the event of a stream's end; index is the number of tokens
+// and reason is "stop" or "length".
+func NewFinish(id string, attempt uint32, index int, reason string, prompt int) Event {
+	return Event{
+		kind:    Finish,
+		id:      id,
+		attempt: attempt,
+		index:   index,
+		text:    reason,
+		prompt:  prompt,
+	}
+}
+
+// NewLost returns the event of an attempt that ended without a finish.
+func NewLost(id string, attempt uint32, cause relay.Cause) Event {
+	return Event{
+		kind:    Lost,
+		id:      id,
+		attempt: attempt,
+		cause:   cause,
+	}
+}
+
+// NewGone returns the event of a caller's disconnect.
+func NewGone(id string) Event {
+	return Event{
+		kind: Gone,
+		id:   id,
+	}
+}
+
+// NewStall returns the event of a caller whose output ring is full.
+func NewStall(id string) Event {
+	return Event{
+		kind: Stall,
+		id:   id,
+	}
+}
+
+// NewLoad returns the event of an engine's load report.
+func NewLoad(engine string, l fleet.Load) Event {
+	return Event{
+		kind: Load,
+		id:   engine,
+		load: l,
+	}
+}
+
+// NewMembers returns the event of a VM list.
+func NewMembers(vms []*world.VM) Event {
+	return Event{
+		kind: Members,
+		vms:  vms,
+	}
+}
+
+// NewConfig returns the event of a configuration.
+func NewConfig(m *world.Map) Event {
+	return Event{
+		kind:   Config,
+		config: m,
+	}
+}
+
+// NewShares returns the event of a service's new traffic split.
+func NewShares(service string, s Split) Event {
+	return Event{
+		kind:   Shares,
+		id:     service,
+		shares: s,
+	}
+}
+
+// NewTick returns the event of passing time.
+func NewTick() Event { return Event{kind: Tick} }
+
+// Kind returns what happened.
+func (e Event) Kind() EventKind { return e.kind }
+
+// ID returns the id of the request, engine or service that the event is about.
+func (e Event) ID() string { return e.id }
+
+// Split is the traffic split of a service during a move. The zero value sends
+// everything to the stable version.
+type Split struct {
+	to string
+	// share is the part of new requests that go to the version, from 0 to 1.
+	share float64
+	// banned is a version that gets no new work, or "".
+	banned string
+}
+
+// NewSplit returns a split that sends the share of new requests to a version.
+func NewSplit(to string, share float64) Split {
+	return Split{
+		to:    to,
+		share: share,
+	}
+}
+
+// Ban returns a split in which the version gets no new work.
+func Ban(version string) Split {
+	return Split{banned: version}
+}
+
+// refusal is the problem of a request that names what is not declared.
+func refusal(service string) *errs.Problem {
+	return errs.New(errs.NotFound, errs.NotRun, "no model service is named %q", service)
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,425 @@
+package router
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"clementinelink.example/clementinelink/internal/admit"
+	"clementinelink.example/clementinelink/internal/errs"
+	"clementinelink.example/clementinelink/internal/fleet"
+	"clementinelink.example/clementinelink/internal/relay"
+	"clementinelink.example/clementinelink/internal/world"
+)
+
+const (
+	// durationWeight is the weight of a new observation in the average
+	// duration of a service's responses.
+	durationWeight = 0.1
+	// defaultDuration is assumed until a response has ended.
+	defaultDuration = 2 * time.Second
+	// maxReserve is the largest part of a deadline that is kept free for the
+	// work itself when a request waits.
+	maxReserve = 0.5
+	// stalledPerPump bounds the waiting responses that one event looks at.
+	stalledPerPump = 64
+	// pumpEvery is the time between two looks at waiting responses when no
+	// event frees capacity.
+	pumpEvery = 50 * time.Millisecond
+)
+
+// Router is the decision core for all generations of one entry VM. It is owned
+// by the dispatcher.
+type Router struct {
+	config *world.Map
+	estate *estate
+	// services holds the queue and waiting responses of each model service.
+	services  map[string]*desk
+	responses map[string]*relay.Response
+	// queued holds the requests that are not admitted yet.
+	queued map[string]*entry
+	alarms *alarms
+	rng    *rand.Rand
+	policy *relay.Policy
+	// retry reports whether the retry budget allows another attempt.
+	retry func(now time.Time) bool
+	// report is called with each response that ended.
+	report func(now time.Time, r *relay.Response)
+	// pumped is the time of the last look at waiting responses.
+	pumped  time.Time
+	actions []relay.Action
+}
+
+// entry is a request in a queue.
+type entry struct {
+	request *relay.Request
+	item    *admit.Item
+}
+
+// desk is the admission state of one service.
+type desk struct {
+	service *world.Service
+	queue   *admit.Queue
+	// stalled holds admitted responses that no engine accepts now.
+	stalled  []*relay.Response
+	split    Split
+	duration time.Duration
+}
+
+// New returns a router of a VM in the region. The functions retry and report
+// may be nil.
+func New(region string, seed uint64, retry func(now time.Time) bool, report func(now time.Time, r *relay.Response)) *Router {
+	rt := &Router{
+		config:    world.NewMap(0, nil, nil, nil, nil),
+		estate:    newEstate(region),
+		services:  make(map[string]*desk),
+		responses: make(map[string]*relay.Response),
+		queued:    make(map[string]*entry),
+		alarms:    newAlarms(),
+		rng:       rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		retry:     retry,
+		report:    report,
+	}
+	if rt.retry == nil {
+		rt.retry = func(time.Time) bool { return true }
+	}
+	if rt.report == nil {
+		rt.report = func(time.Time, *relay.Response) {}
+	}
+	rt.policy = relay.NewPolicy(rt.choose, rt.estate.find, rt.retry)
+	return rt
+}
+
+// Step applies one event and returns the actions that follow from it. The
+// slice is valid until the next call.
+func (rt *Router) Step(now time.Time, ev Event) []relay.Action {
+	rt.actions = rt.actions[:0]
+	switch ev.kind {
+	case Arrive:
+		rt.arrive(now, ev.request)
+	case Token, Finish, Lost, Gone, Stall:
+		rt.advance(now, ev)
+	case Load:
+		if rt.estate.report(now, ev.id, ev.load) {
+			rt.estate.rebuild()
+		}
+		rt.pump(now)
+	case Members:
+		rt.estate.list(ev.vms)
+		rt.estate.rebuild()
+		rt.pump(now)
+	case Config:
+		rt.configure(now, ev.config)
+	case Shares:
+		rt.divide(now, ev.id, ev.shares)
+	}
+	rt.ring(now)
+	return rt.actions
+}
+
+// Next returns the time at which a Tick is due and whether there is one.
+func (rt *Router) Next() (time.Time, bool) {
+	at, ok := rt.alarms.next()
+	if rt.anyStalled() {
+		if p := rt.pumped.Add(pumpEvery); !ok || p.Before(at) {
+			return p, true
+		}
+	}
+	return at, ok
+}
+
+// Config returns the configuration in force.
+func (rt *Router) Config() *world.Map { return rt.config }
+
+// Engines returns the engines known to this VM, sorted by name.
+func (rt *Router) Engines() []*fleet.Engine { return rt.estate.all() }
+
+// Live returns the number of responses that are admitted and not ended.
+func (rt *Router) Live() int { return len(rt.responses) }
+
+// Queued returns the number of requests that wait for admission.
+func (rt *Router) Queued() int { return len(rt.queued) }
+
+// arrive admits, queues or refuses a request.
+func (rt *Router) arrive(now time.Time, q *relay.Request) {
+	if rt.config.Revision() == 0 {
+		rt.refuse(q, errs.New(errs.Unavailable, errs.NotRun, "no configuration is known yet").WithRetry(time.Second))
+		return
+	}
+	d, ok := rt.services[q.Service()]
+	if !ok {
+		rt.refuse(q, refusal(q.Service()))
+		return
+	}
+	if q.Resume() != nil {
+		rt.admit(now, d, q)
+		return
+	}
+	weight := 1
+	if w := rt.config.Workspace(q.Workspace()); w != nil {
+		weight = w.Weight()
+	}
+	i := admit.NewItem(q.ID(), q.Workspace(), weight, q.Class(), q.Limit(), q.Deadline())
+	if p := d.queue.Push(now, i); p != nil {
+		rt.refuse(q, p)
+		return
+	}
+	rt.queued[q.ID()] = &entry{
+		request: q,
+		item:    i,
+	}
+	rt.alarms.set(q.ID(), q.Deadline().Add(-d.reserve(i)))
+	rt.pump(now)
+}
+
+// advance applies an event of one response.
+func (rt *Router) advance(now time.Time, ev Event) {
+	r, ok := rt.responses[ev.id]
+	if !ok {
+		if e, ok := rt.queued[ev.id]; ok && ev.kind != Token {
+			rt.unqueue(e)
+		}
+		return
+	}
+	switch ev.kind {
+	case Token:
+		rt.actions = r.Token(now, ev.attempt, ev.index, ev.token, ev.text, rt.actions)
+	case Finish:
+		rt.actions = r.Finish(now, ev.attempt, ev.index, ev.text, ev.prompt, rt.actions)
+	case Lost:
+		rt.actions = r.Lost(now, ev.attempt, ev.cause, rt.actions)
+	case Gone:
+		rt.actions = r.Gone(now, rt.actions)
+	case Stall:
+		rt.actions = r.Stop(now, errs.New(errs.Slow, errs.Ran, "the response was not read in time"), rt.actions)
+	}
+	rt.settle(now, r)
+	if ev.kind != Token || r.Ended() {
+		rt.pump(now)
+	}
+}
+
+// settle updates the bookkeeping after a response changed.
+func (rt *Router) settle(now time.Time, r *relay.Response) {
+	id := r.Request().ID()
+	if r.Ended() {
+		rt.finish(now, r)
+		return
+	}
+	if r.Waiting() {
+		rt.stall(r)
+	}
+	rt.alarms.set(id, r.Wake(now))
+}
+
+func (rt *Router) finish(now time.Time, r *relay.Response) {
+	id := r.Request().ID()
+	delete(rt.responses, id)
+	rt.alarms.clear(id)
+	if d, ok := rt.services[r.Request().Service()]; ok {
+		d.stalled = slices.DeleteFunc(d.stalled, func(o *relay.Response) bool { return o == r })
+		if s := r.Stats(); s.Problem() == nil && !s.Abandoned() {
+			d.duration += time.Duration(durationWeight * float64(s.Total()-d.duration))
+		}
+	}
+	rt.report(now, r)
+}
+
+// ring handles every alarm that is due.
+func (rt *Router) ring(now time.Time) {
+	for {
+		id, ok := rt.alarms.due(now)
+		if !ok {
+			break
+		}
+		if r, ok := rt.responses[id]; ok {
+			rt.actions = r.Tick(now, rt.actions)
+			rt.settle(now, r)
+		} else if e, ok := rt.queued[id]; ok {
+			rt.unqueue(e)
+			rt.refuse(e.request, errs.New(errs.Overload, errs.NotRun, "no engine became free before the deadline").WithRetry(time.Second))
+		}
+	}
+	if rt.anyStalled() && !now.Before(rt.pumped.Add(pumpEvery)) {
+		rt.pump(now)
+	}
+}
+
+// pump gives free engines to waiting responses, then to queued requests.
+func (rt *Router) pump(now time.Time) {
+	rt.pumped = now
+	for _, name := range rt.names() {
+		d := rt.services[name]
+		if rt.resume(now, d) {
+			continue
+		}
+		for {
+			i := d.queue.Pop(now)
+			if i == nil {
+				break
+			}
+			e := rt.queued[i.ID()]
+			delete(rt.queued, i.ID())
+			if rt.admit(now, d, e.request) {
+				break
+			}
+		}
+	}
+}
+
+// resume retries the waiting responses of a service, those that continue
+// delivered output first, then by deadline. It reports whether a new request
+// still waits.
+func (rt *Router) resume(now time.Time, d *desk) bool {
+	slices.SortStableFunc(d.stalled, func(a, b *relay.Response) int {
+		if a.Continues() != b.Continues() {
+			if a.Continues() {
+				return -1
+			}
+			return 1
+		}
+		return a.Request().Deadline().Compare(b.Request().Deadline())
+	})
+	for _, r := range slices.Clone(d.stalled[:min(len(d.stalled), stalledPerPump)]) {
+		rt.actions = r.Retry(now, rt.actions)
+		if !r.Waiting() {
+			d.stalled = slices.DeleteFunc(d.stalled, func(o *relay.Response) bool { return o == r })
+			rt.settle(now, r)
+		}
+	}
+	return slices.ContainsFunc(d.stalled, func(r *relay.Response) bool { return !r.Continues() })
+}
+
+// admit starts the response to a request and reports whether it has to wait
+// for an engine.
+func (rt *Router) admit(now time.Time, d *desk, q *relay.Request) bool {
+	r := relay.NewResponse(q, rt.version(d), rt.policy)
+	rt.responses[q.ID()] = r
+	rt.actions = r.Start(now, rt.actions)
+	if r.Waiting() && r.Version() != d.service.Stable() {
+		r.Rebind(d.service.Stable())
+		rt.actions = r.Retry(now, rt.actions)
+	}
+	rt.settle(now, r)
+	return r.Waiting()
+}
+
+// version draws the version of a new request.
+func (rt *Router) version(d *desk) string {
+	s := d.split
+	if s.to != "" && s.share > 0 && rt.rng.Float64() < s.share {
+		return s.to
+	}
+	if s.banned == d.service.Stable() && d.service.Move() != nil {
+		return d.service.Move().From()
+	}
+	return d.service.Stable()
+}
+
+// choose returns the engine for an attempt, in the local region if it can. A
+// response without a token leaves a version that gets no new work.
+func (rt *Router) choose(now time.Time, r *relay.Response, avoid []*fleet.Engine) *fleet.Engine {
+	if d, ok := rt.services[r.Request().Service()]; ok && d.split.banned == r.Version() {
+		r.Rebind(rt.version(d))
+	}
+	return rt.estate.choose(now, rt.rng, r, avoid)
+}
+
+// configure puts a higher revision in force.
+func (rt *Router) configure(now time.Time, m *world.Map) {
+	if m.Revision() <= rt.config.Revision() {
+		return
+	}
+	rt.config = m
+	for name, s := range m.Services() {
+		if s.Kind() != world.Engine {
+			continue
+		}
+		d, ok := rt.services[name]
+		if !ok {
+			d = rt.open()
+			rt.services[name] = d
+		}
+		d.service = s
+	}
+	for name, d := range rt.services {
+		if m.Service(name) == nil {
+			d.split = Split{}
+		}
+	}
+	rt.estate.configure(now, m)
+	rt.pump(now)
+}
+
+// divide applies a traffic split. Responses without a token leave a version
+// that got no more work.
+func (rt *Router) divide(now time.Time, service string, s Split) {
+	d, ok := rt.services[service]
+	if !ok {
+		return
+	}
+	d.split = s
+	if s.banned == "" {
+		return
+	}
+	for _, r := range d.stalled {
+		if r.Version() == s.banned {
+			r.Rebind(rt.version(d))
+		}
+	}
+	rt.pump(now)
+}
+
+// open returns the admission state of a new service.
+func (rt *Router) open() *desk {
+	d := &desk{duration: defaultDuration}
+	d.queue = admit.NewQueue(d.reserve, func() time.Duration {
+		return d.duration / time.Duration(rt.estate.places(d.service.Name()))
+	})
+	return d
+}
+
+// reserve returns the part of a request's deadline that its work needs.
+func (d *desk) reserve(i *admit.Item) time.Duration {
+	return min(d.duration, time.Duration(maxReserve*float64(i.Deadline().Sub(i.Arrived()))))
+}
+
+func (rt *Router) stall(r *relay.Response) {
+	d, ok := rt.services[r.Request().Service()]
+	if ok && !slices.Contains(d.stalled, r) {
+		d.stalled = append(d.stalled, r)
+	}
+}
+
+func (rt *Router) anyStalled() bool {
+	for _, d := range rt.services {
+		if len(d.stalled) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (rt *Router) unqueue(e *entry) {
+	id := e.request.ID()
+	delete(rt.queued, id)
+	rt.alarms.clear(id)
+	if d, ok := rt.services[e.request.Service()]; ok {
+		d.queue.Drop(id)
+	}
+}
+
+func (rt *Router) refuse(q *relay.Request, p *errs.Problem) {
+	rt.actions = append(rt.actions, relay.Refuse(q, p)...)
+}
+
+// names returns the services in a fixed order, so that traces repeat.
+func (rt *Router) names() []string {
+	names := make([]string, 0, len(rt.services))
+	for name := range rt.services {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, cmp.Compare[string])
+	return names
+}
--- /dev/null
+++ b/internal/router/script_test.go
@@ -0,0 +1,309 @@
+package router
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"clementinelink.example/clementinelink/internal/fleet"
+	"clementinelink.example/clementinelink/internal/relay"
+	"clementinelink.example/clementinelink/internal/world"
+)
+
+// epoch is the time at which every script starts.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// script drives a router from the commands of one data file.
+type script struct {
+	router *Router
+	now    time.Time
+	vms    []*world.VM
+	// ends holds the report of each response that ended.
+	ends []string
+}
+
+func newScript(seed uint64) *script {
+	s := &script{now: epoch}
+	s.router = New("gabrovo", seed, nil, func(_ time.Time, r *relay.Response) {
+		st := r.Stats()
+		s.ends = append(s.ends, fmt.Sprintf("report %s attempts=%d resume=%s extra=%d suspicions=%d",
+			r.Request().ID(), st.Attempts(), st.Resume(), st.Extra(), st.Suspicions()))
+	})
+	return s
+}
+
+// TestScripts guards the decisions for a generation under loss, silence,
+// mismatched and late output, overload and moves: each script states the
+// events and the exact actions.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := newScript(1)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			return s.run(t, d)
+		})
+	})
+}
+
+// TestTraceRepeats guards the promise that the same seed and events give the
+// same trace.
+func TestTraceRepeats(t *testing.T) {
+	trace := func() string {
+		var b strings.Builder
+		s := newScript(7)
+		datadriven.RunTestFromString(t, replay, func(t *testing.T, d *datadriven.TestData) string {
+			b.WriteString(s.run(t, d))
+			return d.Expected
+		})
+		return b.String()
+	}
+	if first, second := trace(), trace(); first != second || first == "" {
+		t.Errorf("traces differ:\n%s\nand\n%s", first, second)
+	}
+}
+
+const replay = `
+config service=draft
+----
+
+engines count=20 slots=2
+----
+
+arrive count=60 service=draft
+----
+
+lost engine=e3 cause=reset
+----
+
+after d=1s
+----
+`
+
+func (s *script) run(t *testing.T, d *datadriven.TestData) string {
+	var b strings.Builder
+	step := func(ev Event) {
+		for _, a := range s.router.Step(s.now, ev) {
+			b.WriteString(show(a))
+		}
+		for _, e := range s.ends {
+			b.WriteString(e + "\n")
+		}
+		s.ends = nil
+	}
+	switch d.Cmd {
+	case "config":
+		step(NewConfig(s.config(t, d)))
+	case "engines":
+		s.engines(t, d, step)
+	case "arrive":
+		s.arrive(t, d, step)
+	case "load":
+		step(NewLoad(text(t, d, "engine", ""), s.load(t, d)))
+	case "tokens":
+		s.tokens(t, d, step)
+	case "finish":
+		step(NewFinish(text(t, d, "id", "r1"), attempt(t, d), number(t, d, "index", 0), "length", 3))
+	case "lost":
+		s.lost(t, d, step)
+	case "gone":
+		step(NewGone(text(t, d, "id", "r1")))
+	case "stall":
+		step(NewStall(text(t, d, "id", "r1")))
+	case "ban":
+		step(NewShares(text(t, d, "service", "draft"), Ban(text(t, d, "version", ""))))
+	case "share":
+		step(NewShares(text(t, d, "service", "draft"), NewSplit(text(t, d, "version", ""), float64(number(t, d, "percent", 0))/100)))
+	case "after":
+		s.after(span(t, d, "d", 0), step)
+	case "state":
+		for _, e := range s.router.Engines() {
+			fmt.Fprintf(&b, "%s %s outstanding=%d\n", e.Name(), e.State(), e.Outstanding())
+		}
+		fmt.Fprintf(&b, "live=%d queued=%d\n", s.router.Live(), s.router.Queued())
+	default:
+		t.Fatalf("%s: unknown command %q", d.Pos, d.Cmd)
+	}
+	return b.String()
+}
+
+func (s *script) config(t *testing.T, d *datadriven.TestData) *world.Map {
+	m := world.NewModel(text(t, d, "service", "draft"), text(t, d, "version", "v1"), world.NewContract(time.Minute))
+	ws := []*world.Workspace{
+		world.NewWorkspace("small", "k1", 1, world.Interactive),
+		world.NewWorkspace("large", "k2", 1, world.Interactive),
+	}
+	link := world.NewLink("gabrovo", "plovdiv", int64(number(t, d, "link", 3_750_000)))
+	return world.NewMap(s.router.Config().Revision()+1, nil, []*world.Link{link}, []*world.Service{m}, ws)
+}
+
+// engines lists engines e1, e2, ... and gives each a load report.
+func (s *script) engines(t *testing.T, d *datadriven.TestData, step func(Event)) {
+	first := number(t, d, "first", 1)
+	n := number(t, d, "count", 1)
+	for i := first; i < first+n; i++ {
+		vm := world.NewVM(fmt.Sprintf("e%d", i), world.Engine, fmt.Sprintf("10.0.0.%d:80", i), "gab-mill", text(t, d, "region", "gabrovo"))
+		s.vms = append(s.vms, vm.Serving("draft"))
+	}
+	step(NewMembers(s.vms))
+	for i := first; i < first+n; i++ {
+		step(NewLoad(fmt.Sprintf("e%d", i), s.load(t, d)))
+	}
+}
+
+func (s *script) load(t *testing.T, d *datadriven.TestData) fleet.Load {
+	return fleet.NewLoad(text(t, d, "incarnation", "a"), number(t, d, "running", 0), number(t, d, "waiting", 0),
+		number(t, d, "slots", 4), []string{text(t, d, "version", "v1")}, d.HasArg("leaving"), span(t, d, "age", 0))
+}
+
+func (s *script) arrive(t *testing.T, d *datadriven.TestData, step func(Event)) {
+	n := number(t, d, "count", 1)
+	for i := range n {
+		id := text(t, d, "id", "r1")
+		if n > 1 {
+			id = fmt.Sprintf("r%d", i+1)
+		}
+		q := relay.NewRequest(id, text(t, d, "service", "draft"), text(t, d, "workspace", "small"),
+			world.Interactive, s.now.Add(span(t, d, "deadline", time.Minute))).
+			WithPrompt("p", uint64(i)<<60).
+			WithSampling(number(t, d, "limit", 10), 1, relay.NewSampling(-1, -1, nil)).
+			WithGrace(span(t, d, "grace", 0))
+		if d.HasArg("resume") {
+			q.WithResume(relay.NewResume("v1", text(t, d, "resume", ""), "10.0.0.9:80", 1, number(t, d, "offset", 0), s.digest(number(t, d, "offset", 0), number(t, d, "salt", 0))))
+		}
+		step(NewArrive(q))
+	}
+}
+
+// digest returns the digest of the tokens that the tokens command makes.
+func (s *script) digest(n, salt int) uint64 {
+	r := relay.NewResponse(relay.NewRequest("d", "draft", "small", world.Batch, s.now.Add(time.Hour)).WithSampling(n, 1, relay.NewSampling(-1, -1, nil)), "v1",
+		relay.NewPolicy(
+			func(time.Time, *relay.Response, []*fleet.Engine) *fleet.Engine {
+				return fleet.NewEngine(world.NewVM("d", world.Engine, "", "", ""))
+			},
+			nil, nil))
+	out := r.Start(s.now, nil)
+	for i := range n {
+		out = r.Token(s.now, 1, i, uint32(100+i+salt), "", nil)
+	}
+	if n == 0 {
+		return 0
+	}
+	return out[0].Output().At().Digest()
+}
+
+// tokens gives the tokens from..to of an attempt, gap apart.
+func (s *script) tokens(t *testing.T, d *datadriven.TestData, step func(Event)) {
+	from := number(t, d, "from", 0)
+	for i := from; i <= number(t, d, "to", from); i++ {
+		s.now = s.now.Add(span(t, d, "gap", 40*time.Millisecond))
+		step(NewToken(text(t, d, "id", "r1"), attempt(t, d), i, uint32(100+i+number(t, d, "salt", 0)), fmt.Sprintf("t%d", i)))
+	}
+}
+
+var causes = map[string]relay.Cause{
+	"reset":       relay.Reset,
+	"refused":     relay.Refused,
+	"unreachable": relay.Unreachable,
+	"departing":   relay.Departing,
+	"absent":      relay.Absent,
+	"bad":         relay.Bad,
+}
+
+// lost ends one attempt, or every attempt on an engine.
+func (s *script) lost(t *testing.T, d *datadriven.TestData, step func(Event)) {
+	cause, ok := causes[text(t, d, "cause", "reset")]
+	if !ok {
+		t.Fatalf("%s: unknown cause", d.Pos)
+	}
+	if !d.HasArg("engine") {
+		step(NewLost(text(t, d, "id", "r1"), attempt(t, d), cause))
+		return
+	}
+	for i := range 100 {
+		id := fmt.Sprintf("r%d", i+1)
+		if r := s.router.responses[id]; r != nil && r.On(text(t, d, "engine", "")) != 0 {
+			step(NewLost(id, r.On(text(t, d, "engine", "")), cause))
+		}
+	}
+}
+
+// after lets time pass and rings every timer at its own time.
+func (s *script) after(d time.Duration, step func(Event)) {
+	end := s.now.Add(d)
+	for {
+		at, ok := s.router.Next()
+		if !ok || at.After(end) {
+			break
+		}
+		if at.After(s.now) {
+			s.now = at
+		}
+		step(NewTick())
+	}
+	s.now = end
+}
+
+func show(a relay.Action) string {
+	id := a.Request().ID()
+	switch a.Kind() {
+	case relay.Open:
+		return fmt.Sprintf("open %s/%d on %s version=%s prefix=%d\n", id, a.Attempt(), a.Engine().Name(), a.Version(), len(a.Prefix()))
+	case relay.Attach:
+		return fmt.Sprintf("attach %s/%d on %s source=%d offset=%d\n", id, a.Attempt(), a.Engine().Name(), a.Source(), a.Offset())
+	case relay.Cancel:
+		return fmt.Sprintf("cancel %s/%d on %s\n", id, a.Attempt(), a.Engine().Name())
+	case relay.Emit:
+		return fmt.Sprintf("emit %s %s\n", id, showOutput(a.Output()))
+	default:
+		return fmt.Sprintf("end %s\n", id)
+	}
+}
+
+func showOutput(o relay.Output) string {
+	at := "-"
+	if o.At() != nil {
+		at = fmt.Sprintf("%s/%d@%d", o.At().Engine(), o.At().Attempt(), o.At().Offset())
+	}
+	switch o.Kind() {
+	case relay.Chunk:
+		return o.Text() + " " + at
+	case relay.Done:
+		return "done " + o.Finish() + " " + at
+	default:
+		return fmt.Sprintf("failed %s outcome=%s retry=%s %s", o.Problem(), o.Problem().Outcome(), o.Problem().Retry(), at)
+	}
+}
+
+func attempt(t *testing.T, d *datadriven.TestData) uint32 {
+	return uint32(number(t, d, "attempt", 1))
+}
+
+func text(t *testing.T, d *datadriven.TestData, key, def string) string {
+	if d.HasArg(key) {
+		d.ScanArgs(t, key, &def)
+	}
+	return def
+}
+
+func number(t *testing.T, d *datadriven.TestData, key string, def int) int {
+	if d.HasArg(key) {
+		d.ScanArgs(t, key, &def)
+	}
+	return def
+}
+
+func span(t *testing.T, d *datadriven.TestData, key string, def time.Duration) time.Duration {
+	if !d.HasArg(key) {
+		return def
+	}
+	var s string
+	d.ScanArgs(t, key, &s)
+	v, err := time.ParseDuration(s)
+	if err != nil {
+		t.Fatalf("%s: %v", d.Pos, err)
+	}
+	return v
+}
