--- /dev/null
+++ b/internal/build/build.go
@@ -0,0 +1,73 @@
+package build
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"clementinelink.example/clementinelink/internal/world"
+	"clementinelink.example/clementinelink/pkg/decl"
+)
+
+// Map returns the configuration of a revision from all parts of its
+// declaration. The error of an invalid declaration joins its *decl.Faults.
+func Map(revision uint64, parts map[string][]byte) (*world.Map, error) {
+	d, err := decl.Join(parts)
+	if err != nil {
+		return nil, errors.Wrapf(err, "configuration revision %d", revision)
+	}
+	return World(revision, d), nil
+}
+
+// World returns the configuration of a valid declaration.
+func World(revision uint64, d *decl.Declaration) *world.Map {
+	var domains []*world.Domain
+	for _, r := range d.Regions() {
+		region := world.NewRegion(r.Name())
+		for _, name := range r.Domains() {
+			domains = append(domains, world.NewDomain(name, region))
+		}
+	}
+	var links []*world.Link
+	for _, l := range d.Links() {
+		links = append(links, world.NewLink(l.From(), l.To(), l.Rate()))
+	}
+	var workspaces []*world.Workspace
+	for _, w := range d.Workspaces() {
+		workspaces = append(workspaces, world.NewWorkspace(w.Name(), w.Key(), w.Weight(), class(w.Class())))
+	}
+	return world.NewMap(revision, domains, links, services(d), workspaces)
+}
+
+func services(d *decl.Declaration) []*world.Service {
+	moves := make(map[string]*world.Move)
+	for _, m := range d.Moves() {
+		moves[m.Service()] = world.NewMove(m.Name(), m.From(), m.To(), m.Start(), m.Deadline(), m.Trial()/100)
+	}
+	var list []*world.Service
+	for _, m := range d.Models() {
+		s := world.NewModel(m.Name(), m.Stable(), contract(m.Contract()))
+		list = append(list, s.WithFencing(m.Fenced()).WithMove(moves[m.Name()]))
+	}
+	for _, p := range d.Plains() {
+		var routes []*world.Route
+		for _, r := range p.Routes() {
+			routes = append(routes, world.NewRoute(r.Name(), r.Method(), r.Path(), r.Idempotent(), r.Deadline()))
+		}
+		list = append(list, world.NewPlain(p.Name(), contract(p.Contract()), routes...))
+	}
+	return list
+}
+
+func contract(c *decl.Contract) *world.Contract {
+	return world.NewContract(c.Deadline()).WithObjectives(c.FirstToken(), c.TokenGap(), c.Resume(), c.Target()/100)
+}
+
+func class(c decl.Class) world.Class {
+	switch c {
+	case decl.Lookup:
+		return world.Lookup
+	case decl.Batch:
+		return world.Batch
+	default:
+		return world.Interactive
+	}
+}
