Add the store client, the VM list client and the platform stand-ins

Cause: configuration, claims, leases and moves are kept in the platform's key-value store, and no part of the project could reach it or test against its faults. Change: simkv serves compare-and-swap, lists, watches, leases, rate limits and faults (outage, hang, slow, lost answers, seeded partial loss, dropped, reordered and compacted events); simvms serves a lagging VM list; simwts a rate-limited weight store. store.Client sends each write once, repeats reads with jittered backoff, keeps to a local budget and tells writes that did not happen from writes whose answer was lost; PutConfirmed reads back. One scripted contract covers outage, lost answer, conflict, lease expiry, watch loss, compaction and rates.

--- /dev/null
+++ b/internal/simwts/server.go
@@ -0,0 +1,99 @@
+package simwts
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-chi/chi/v5"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// DefaultRate is the number of fetches a second.
+	DefaultRate = 2
+	// DefaultBurst is the number of fetches that may come at once.
+	DefaultBurst = 4
+)
+
+// Server is the simulated weight store. It has every version of every model.
+type Server struct {
+	limit   *rate.Limiter
+	served  atomic.Uint64
+	refused atomic.Uint64
+	// delay is the time of one fetch in nanoseconds.
+	delay atomic.Int64
+}
+
+// New returns a weight store that serves rate fetches a second.
+func New(perSecond float64, burst int) *Server {
+	return &Server{
+		limit: rate.NewLimiter(rate.Limit(perSecond), burst),
+	}
+}
+
+// Run serves a weight store with the default rate at address until ctx ends.
+func Run(ctx context.Context, address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "simwts: listen")
+	}
+	return New(DefaultRate, DefaultBurst).Serve(ctx, listener)
+}
+
+// Serve serves the store until ctx ends.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	r := chi.NewRouter()
+	r.Get("/weights/{model}/{version}", s.fetch)
+	server := &http.Server{
+		Handler:           r,
+		ReadHeaderTimeout: 5 * time.Second,
+	}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "simwts: serve")
+	}
+	return nil
+}
+
+// SetDelay sets the time that each later fetch takes.
+func (s *Server) SetDelay(d time.Duration) { s.delay.Store(int64(d)) }
+
+// SetRate changes the number of fetches a second.
+func (s *Server) SetRate(perSecond float64) { s.limit.SetLimit(rate.Limit(perSecond)) }
+
+// Served returns the number of fetches that were let through.
+func (s *Server) Served() uint64 { return s.served.Load() }
+
+// Refused returns the number of fetches that got 429.
+func (s *Server) Refused() uint64 { return s.refused.Load() }
+
+func (s *Server) fetch(w http.ResponseWriter, r *http.Request) {
+	if !s.limit.Allow() {
+		s.refused.Add(1)
+		seconds := math.Ceil(1 / max(float64(s.limit.Limit()), 0.001))
+		w.Header().Set("Retry-After", strconv.Itoa(int(seconds)))
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	timer := time.NewTimer(time.Duration(s.delay.Load()))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.Context().Done():
+		return
+	}
+	s.served.Add(1)
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]string{
+		"model":   chi.URLParam(r, "model"),
+		"version": chi.URLParam(r, "version"),
+	})
+}
--- /dev/null
+++ b/internal/store/client.go
@@ -0,0 +1,297 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// MaxValue is the largest value in bytes.
+	MaxValue = 1 << 20
+	// deadline bounds a call, a watch's waiting time excepted. The store answers
+	// in milliseconds, so a longer wait only delays the detection of an outage.
+	deadline = 2 * time.Second
+	// tries is the number of times that a read is sent.
+	tries = 3
+	// backoff is the mean delay before the second try; it doubles.
+	backoff = 50 * time.Millisecond
+	// idle is how long an unused connection is kept. It is short because a
+	// write on a connection that the store has closed has an unknown outcome.
+	idle = 15 * time.Second
+	// maxAnswer bounds an answer in bytes: a list may hold many values.
+	maxAnswer = 64 << 20
+)
+
+// Client calls the store. It is safe for concurrent use. All calls return the
+// package's errors; a write that is not ErrUnknown or nil did not happen.
+type Client struct {
+	base     string
+	deadline time.Duration
+	reads    *rate.Limiter
+	writes   *rate.Limiter
+	seed     uint64
+	// drawn counts the random numbers taken from seed.
+	drawn atomic.Uint64
+
+	// send performs one HTTP exchange and must not repeat a request.
+	send func(*http.Request) (*http.Response, error)
+	// sleep waits for a time and returns ctx's error if that ends first.
+	sleep func(ctx context.Context, d time.Duration) error
+}
+
+// New returns a client of the store at base, such as http://127.0.0.1:7000.
+// Backoff draws its jitter from seed. The budget is 30 writes and 200 reads a
+// second; see WithBudget.
+func New(base string, seed uint64) *Client {
+	transport := &http.Transport{
+		IdleConnTimeout:     idle,
+		MaxIdleConnsPerHost: 16,
+	}
+	c := &Client{
+		base:     base,
+		deadline: deadline,
+		seed:     seed,
+		send:     transport.RoundTrip,
+		sleep:    sleep,
+	}
+	return c.WithBudget(200, 30)
+}
+
+// WithBudget limits the client to a number of calls a second, which all VMs
+// together must keep below the platform's limits. Call it before any other
+// method.
+func (c *Client) WithBudget(reads, writes float64) *Client {
+	c.reads = rate.NewLimiter(rate.Limit(reads), max(1, int(reads/10)))
+	c.writes = rate.NewLimiter(rate.Limit(writes), max(1, int(writes/10)))
+	return c
+}
+
+// WithDeadline sets the longest time of a call. Call it before any other
+// method.
+func (c *Client) WithDeadline(d time.Duration) *Client {
+	c.deadline = d
+	return c
+}
+
+// WithSend replaces the HTTP exchange. send must not repeat a request.
+func (c *Client) WithSend(send func(*http.Request) (*http.Response, error)) *Client {
+	c.send = send
+	return c
+}
+
+// Get returns the entry of a key; an absent key is the zero Entry.
+func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
+	var b entryBody
+	err := c.read(ctx, "/kv/"+key, nil, &b)
+	if errors.Is(err, ErrExpired) {
+		return Entry{}, nil
+	}
+	return b.entry(), err
+}
+
+// List returns the entries below a prefix in key order, and the store's
+// revision, after which to watch for changes of the list.
+func (c *Client) List(ctx context.Context, prefix string) ([]Entry, uint64, error) {
+	var b struct {
+		Entries  []entryBody `json:"entries"`
+		Revision uint64      `json:"revision"`
+	}
+	q := url.Values{}
+	q.Set("prefix", prefix)
+	if err := c.read(ctx, "/kv", q, &b); err != nil {
+		return nil, 0, err
+	}
+	found := make([]Entry, 0, len(b.Entries))
+	for _, e := range b.Entries {
+		found = append(found, e.entry())
+	}
+	return found, b.Revision, nil
+}
+
+// Put stores a value if the key's revision is expect, 0 for an absent key, and
+// returns the new revision. The key expires with the lease, unless that is "".
+// Put is sent once.
+func (c *Client) Put(ctx context.Context, key string, value []byte, expect uint64, lease string) (uint64, error) {
+	if len(value) > MaxValue {
+		return 0, errors.Wrapf(ErrTooLarge, "%s: %d bytes", key, len(value))
+	}
+	h := matching(expect)
+	if lease != "" {
+		h.Set("Lease", lease)
+	}
+	var b entryBody
+	err := c.write(ctx, http.MethodPut, "/kv/"+key, h, value, &b)
+	return b.Revision, err
+}
+
+// Delete removes a key if its revision is expect. It is sent once.
+func (c *Client) Delete(ctx context.Context, key string, expect uint64) error {
+	return c.write(ctx, http.MethodDelete, "/kv/"+key, matching(expect), nil, nil)
+}
+
+// Grant returns the id of a new lease that ends ttl after some instant during
+// the call. It is sent once; a lease whose id is lost ends by itself.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (string, error) {
+	body, err := json.Marshal(map[string]int64{
+		"ttl": ttl.Milliseconds(),
+	})
+	if err != nil {
+		return "", errors.Wrap(err, "store: encode lease")
+	}
+	var b struct {
+		ID string `json:"id"`
+	}
+	err = c.write(ctx, http.MethodPost, "/leases", http.Header{}, body, &b)
+	return b.ID, err
+}
+
+// Renew makes a lease end its time to live after some instant during the call.
+// It returns ErrExpired for a lease that has ended. It is sent once.
+func (c *Client) Renew(ctx context.Context, lease string) error {
+	return c.write(ctx, http.MethodPost, "/leases/"+lease+"/renew", http.Header{}, nil, nil)
+}
+
+// Revoke ends a lease and deletes its keys. It is sent once.
+func (c *Client) Revoke(ctx context.Context, lease string) error {
+	return c.write(ctx, http.MethodDelete, "/leases/"+lease, http.Header{}, nil, nil)
+}
+
+func matching(expect uint64) http.Header {
+	h := http.Header{}
+	h.Set("If-Match", formatRevision(expect))
+	return h
+}
+
+// read sends a GET until it succeeds, fails for good or has had its tries.
+func (c *Client) read(ctx context.Context, path string, query url.Values, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.deadline)
+	defer cancel()
+	for try := 0; ; try++ {
+		err := c.reads.Wait(ctx)
+		if err != nil {
+			return errors.Mark(errors.Wrap(err, "store: read budget"), ErrUnavailable)
+		}
+		err = c.exchange(ctx, http.MethodGet, path, query, http.Header{}, nil, into)
+		if errors.Is(err, ErrUnknown) {
+			err = errors.Mark(errors.Newf("store: read %s: %v", path, err), ErrUnavailable)
+		}
+		if !errors.Is(err, ErrUnavailable) || try+1 == tries {
+			return err
+		}
+		delay := max(c.delay(try), RetryAfter(err))
+		if end, ok := ctx.Deadline(); ok && time.Until(end) < delay {
+			return err
+		}
+		if c.sleep(ctx, delay) != nil {
+			return err
+		}
+	}
+}
+
+// write sends a request that changes the store, once.
+func (c *Client) write(ctx context.Context, method, path string, header http.Header, body []byte, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.deadline)
+	defer cancel()
+	if err := c.writes.Wait(ctx); err != nil {
+		return errors.Mark(errors.Wrap(err, "store: write budget"), ErrUnavailable)
+	}
+	return c.exchange(ctx, method, path, nil, header, body, into)
+}
+
+// exchange sends one request. Without a connection nothing was sent, so the
+// error is ErrUnavailable; after that, any failure to read the answer is
+// ErrUnknown.
+func (c *Client) exchange(ctx context.Context, method, path string, query url.Values, header http.Header, body []byte, into any) error {
+	connected := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	})
+	req, err := c.request(ctx, method, path, query, body)
+	if err != nil {
+		return err
+	}
+	req.Header = header
+	resp, err := c.send(req)
+	if err != nil {
+		if !connected {
+			return errors.Mark(errors.Wrap(err, "store: connect"), ErrUnavailable)
+		}
+		return errors.Mark(errors.Wrap(err, "store: no answer"), ErrUnknown)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := failure(resp.StatusCode, resp.Header); err != nil {
+		_, _ = io.CopyN(io.Discard, resp.Body, 4096)
+		return errors.Wrapf(err, "%s %s", method, path)
+	}
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "store: read answer"), ErrUnknown)
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.Unmarshal(answer, into); err != nil {
+		return errors.Mark(errors.Wrap(err, "store: decode answer"), ErrUnknown)
+	}
+	return nil
+}
+
+// request returns a request whose body can't be rewound, so that net/http's
+// Transport does not send it again on a broken connection.
+func (c *Client) request(ctx context.Context, method, path string, query url.Values, body []byte) (*http.Request, error) {
+	u, err := url.Parse(c.base)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "store: address"), ErrRejected)
+	}
+	u.Path = path
+	u.RawQuery = query.Encode()
+	var r io.Reader
+	if method != http.MethodGet {
+		r = io.NopCloser(bytes.NewReader(body))
+	}
+	req, err := http.NewRequestWithContext(ctx, method, u.String(), r)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "store: request"), ErrRejected)
+	}
+	if method != http.MethodGet {
+		req.ContentLength = int64(len(body))
+	}
+	return req, nil
+}
+
+// delay returns the backoff after a try, between half and one and a half of
+// its mean.
+func (c *Client) delay(try int) time.Duration {
+	mean := backoff << try
+	return mean/2 + time.Duration(c.draw()*float64(mean))
+}
+
+// draw returns the next number from 0 to 1 of the seeded sequence (splitmix64,
+// which needs no state but a counter).
+func (c *Client) draw() float64 {
+	x := c.seed + c.drawn.Add(1)*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return float64((x^x>>31)>>11) / (1 << 53)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/vmlist/client_test.go
@@ -0,0 +1,59 @@
+package vmlist_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/cockroachdb/errors"
+
+	"clementinelink.example/clementinelink/internal/simvms"
+	"clementinelink.example/clementinelink/internal/vmlist"
+	"clementinelink.example/clementinelink/internal/world"
+)
+
+// TestList guards against a list whose changes, lag or failure are misread.
+func TestList(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := simvms.New(0, world.NewVM("vm-1", world.Entry, "127.0.0.1:1", "gab-mill", "gabrovo"))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(ctx, listener) }()
+	base := "http://" + listener.Addr().String()
+	client := vmlist.New(base)
+	datadriven.RunTest(t, "testdata/list", func(_ *testing.T, td *datadriven.TestData) string {
+		switch td.Cmd {
+		case "post":
+			resp, err := http.Post(base+"/vms", "application/json", strings.NewReader(td.Input))
+			if err != nil {
+				return err.Error()
+			}
+			_ = resp.Body.Close()
+			return resp.Status + "\n"
+		case "sleep":
+			time.Sleep(300 * time.Millisecond)
+			return ""
+		}
+		vms, err := client.List(ctx)
+		if errors.Is(err, vmlist.ErrUnavailable) {
+			return "unavailable\n"
+		}
+		var b strings.Builder
+		for _, v := range vms {
+			fmt.Fprintf(&b, "%s %s %q %s %s/%s leaving=%t\n", v.Name(), v.Kind(), v.Service(), v.Address(), v.Region(), v.Domain(), v.Leaving())
+		}
+		return b.String()
+	})
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/vmlist/doc.go
@@ -0,0 +1,2 @@
+// Package vmlist is the client of the platform's list of VMs.
+package vmlist
