Predict the wait by fair order, take over responses on reconnect

Cause: the predicted wait counted the backlog of other workspaces, so a small workspace was refused beside a large one; a caller that reconnected to the same VM started a second response beside the one still running.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -106,16 +106,16 @@
 func (q *Queue) Push(now time.Time, i *Item) *errs.Problem {
 	i.arrived = now
 	l := &q.classes[i.class]
+	i.tag = max(l.clock, l.last[i.workspace]) + float64(i.cost)/float64(i.weight)
+	wait := q.wait(i)
 	if l.count[i.workspace] >= perWorkspace {
 		return errs.New(errs.Overload, errs.NotRun, "workspace %s has %d requests waiting", i.workspace, perWorkspace).
-			WithRetry(q.Wait(i.class))
+			WithRetry(wait)
 	}
-	wait := q.Wait(i.class)
 	if now.Add(wait + q.reserve(i)).After(i.deadline) {
 		return errs.New(errs.Overload, errs.NotRun, "expected wait %s leaves too little of the deadline", wait.Round(time.Millisecond)).
 			WithRetry(wait)
 	}
-	i.tag = max(l.clock, l.last[i.workspace]) + float64(i.cost)/float64(i.weight)
 	l.last[i.workspace] = i.tag
 	q.insert(l, i)
 	return nil
@@ -156,12 +156,18 @@
 // Len returns the number of waiting items.
 func (q *Queue) Len() int { return len(q.waiting) }
 
-// Wait returns the expected wait of a new item of the class.
-func (q *Queue) Wait(class world.Class) time.Duration {
+// wait returns the expected wait of an item that has its tag: the departures
+// of the higher classes and of the items that go before it in its own.
+func (q *Queue) wait(i *Item) time.Duration {
 	ahead := 0
-	for c := world.Class(0); c <= class; c++ {
+	for c := range i.class {
 		ahead += q.classes[c].heap.Len()
 	}
+	for _, o := range q.classes[i.class].heap {
+		if o.tag <= i.tag {
+			ahead++
+		}
+	}
 	if q.spacing == 0 {
 		return time.Duration(ahead) * q.estimate()
 	}
--- a/internal/detect/detect.go
+++ b/internal/detect/detect.go
@@ -19,6 +19,9 @@
 	maxFirst = 5 * time.Second
 	// firstFactor scales the average first-token time to a timeout.
 	firstFactor = 4
+	// minGap is shorter than any engine's token gap; tokens closer together come
+	// from a buffer.
+	minGap = time.Millisecond
 	// weight is that of a new observation in the moving averages.
 	weight = 0.1
 )
@@ -35,10 +38,11 @@
 }
 
 // Token records a token that came gap after the previous one of its stream.
-// Gaps beyond the silence timeout belong to a stall and are not averaged.
+// Gaps beyond the silence timeout belong to a stall and gaps under 1 ms to a
+// buffer; neither is averaged.
 func (c *Cadence) Token(now time.Time, gap time.Duration) {
 	c.last = now
-	if gap <= 0 || gap > maxSilence {
+	if gap < minGap || gap > maxSilence {
 		return
 	}
 	c.gap = average(c.gap, gap)
--- a/internal/relay/action.go
+++ b/internal/relay/action.go
@@ -16,6 +16,9 @@
 	Attach
 	// Cancel stops an attempt on its engine; its output no longer counts.
 	Cancel
+	// Detach stops reading an attempt without stopping its engine stream,
+	// which another response takes over.
+	Detach
 	// Emit gives an output to the caller.
 	Emit
 	// End forgets the response.
@@ -24,7 +27,7 @@
 
 // String returns the kind's name in traces.
 func (k ActionKind) String() string {
-	return [...]string{"open", "attach", "cancel", "emit", "end"}[k]
+	return [...]string{"open", "attach", "cancel", "detach", "emit", "end"}[k]
 }
 
 // Action is one thing to do for a response.
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -63,7 +63,9 @@
 	// next is the number of the next attempt; numbers are never reused.
 	next uint32
 	// source is the attempt that gave the latest token.
-	source   *attempt
+	source *attempt
+	// heir is the attempt of an earlier response that this one takes over.
+	heir     *attempt
 	avoid    []*fleet.Engine
 	refusals int
 	opened   bool
@@ -92,6 +94,36 @@
 	return r
 }
 
+// Takeover returns the response to a caller that reconnects while the earlier
+// response old still runs on this VM. It knows the delivered tokens, and goes
+// on with the stream that gave the newest one.
+func Takeover(old *Response, request *Request, out []Action) (*Response, []Action) {
+	r := NewResponse(request, old.version, old.policy)
+	s := request.Resume()
+	if s.Offset() <= len(old.tokens) {
+		r.tokens = old.tokens[:s.Offset():s.Offset()]
+		r.digest = s.Digest()
+	}
+	for _, a := range old.live {
+		if a == old.source {
+			out = append(out, Action{
+				kind:    Detach,
+				request: request,
+				engine:  a.engine,
+				attempt: a.number,
+			})
+			r.heir = a
+		} else {
+			out = r.cancel(a, out)
+		}
+		a.release()
+	}
+	r.next = max(r.next, (old.next>>epochShift+1)<<epochShift+1)
+	old.live = nil
+	old.ended = true
+	return r, out
+}
+
 // Request returns the request.
 func (r *Response) Request() *Request { return r.request }
 
@@ -147,6 +179,9 @@
 	if s == nil {
 		return r.open(now, out)
 	}
+	if r.heir != nil {
+		return r.attach(now, r.heir.engine, r.heir.number, out)
+	}
 	if e := r.policy.find(s.Engine(), s.Address()); e != nil && e.State() != fleet.Dead {
 		return r.attach(now, e, s.Attempt(), out)
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -153,7 +153,7 @@
 		return
 	}
 	if q.Resume() != nil {
-		rt.admit(now, d, q)
+		rt.reconnect(now, d, q)
 		return
 	}
 	weight := 1
@@ -173,6 +173,22 @@
 	rt.pump(now)
 }
 
+// reconnect continues a response on this VM, from an earlier response that
+// still runs here or from the caller's cursor alone.
+func (rt *Router) reconnect(now time.Time, d *desk, q *relay.Request) {
+	old, ok := rt.responses[q.ID()]
+	if !ok {
+		rt.admit(now, d, q)
+		return
+	}
+	d.stalled = slices.DeleteFunc(d.stalled, func(o *relay.Response) bool { return o == old })
+	var r *relay.Response
+	r, rt.actions = relay.Takeover(old, q, rt.actions)
+	rt.responses[q.ID()] = r
+	rt.actions = r.Start(now, rt.actions)
+	rt.settle(now, r)
+}
+
 // advance applies an event of one response.
 func (rt *Router) advance(now time.Time, ev Event) {
 	r, ok := rt.responses[ev.id]
--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -255,6 +255,8 @@
 		return fmt.Sprintf("attach %s/%d on %s source=%d offset=%d\n", id, a.Attempt(), a.Engine().Name(), a.Source(), a.Offset())
 	case relay.Cancel:
 		return fmt.Sprintf("cancel %s/%d on %s\n", id, a.Attempt(), a.Engine().Name())
+	case relay.Detach:
+		return fmt.Sprintf("detach %s/%d on %s\n", id, a.Attempt(), a.Engine().Name())
 	case relay.Emit:
 		return fmt.Sprintf("emit %s %s\n", id, showOutput(a.Output()))
 	default:
