--- /dev/null
+++ b/internal/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer connects the entry VMs with each other over twirp.
+package peer
