Let an attach rename the engine stream

Cause: a VM whose caller reconnected elsewhere could cancel the stream that the other VM had taken over, and an attach from index 0 failed when the attempt had been opened with a prefix. Result: go test ./internal/simeng passes.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -123,7 +124,7 @@
 		return fleet.Load{}, errors.Wrap(err, "engine: load")
 	}
 	age := time.Duration(b.AgeMS) * time.Millisecond
-	return fleet.NewLoad(b.Incarnation, b.Running, b.Waiting, b.Slots, b.Versions, b.Leaving, age), nil
+	return fleet.NewLoad(strconv.FormatUint(b.Incarnation, 10), b.Running, b.Waiting, b.Slots, b.Versions, b.Leaving, age), nil
 }
 
 // Close closes idle connections.
--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -38,7 +38,7 @@
 
 // loadBody is the body of GET /load.
 type loadBody struct {
-	Incarnation string   `json:"incarnation"`
+	Incarnation uint64   `json:"incarnation"`
 	AgeMS       int64    `json:"age_ms"`
 	Running     int      `json:"running"`
 	Waiting     int      `json:"waiting"`
--- a/internal/simeng/batch.go
+++ b/internal/simeng/batch.go
@@ -202,12 +202,25 @@
 	return 0
 }
 
-// attach returns a reader of a known stream from offset on.
-func (b *batch) attach(k key, offset int) (*stream, *reader) {
+// attach returns a reader of a known stream from offset on. The stream becomes
+// the attempt as, so that the earlier attempt is unknown from then on.
+func (b *batch) attach(k key, offset int, as uint32) (*stream, *reader) {
 	s, ok := b.streams[k]
-	if !ok || offset < s.first || offset > s.limit {
+	if !ok || offset < 0 || offset > s.limit {
 		return nil, nil
 	}
+	if as != k.attempt {
+		next := key{
+			request: k.request,
+			attempt: as,
+		}
+		if b.streams[next] != nil {
+			return nil, nil
+		}
+		delete(b.streams, k)
+		s.key = next
+		b.streams[next] = s
+	}
 	return s, s.attach(offset)
 }
 
--- a/internal/simeng/http.go
+++ b/internal/simeng/http.go
@@ -133,6 +133,8 @@
 	stream *stream
 	reader *reader
 	status int
+	// key is that of the stream when this reader began.
+	key key
 }
 
 func (d *door) open(w http.ResponseWriter, r *http.Request) {
@@ -157,6 +159,7 @@
 			stream: s,
 			reader: reader,
 			status: status,
+			key:    s.key,
 		}
 	})
 	if got.status == http.StatusServiceUnavailable {
@@ -201,11 +204,24 @@
 		refuse(w, http.StatusBadRequest, errors.New("attempt and offset must be numbers"))
 		return
 	}
+	as := k.attempt
+	if text := r.URL.Query().Get("as"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 32)
+		if err != nil {
+			refuse(w, http.StatusBadRequest, errors.New("as must be a number"))
+			return
+		}
+		as = uint32(n)
+	}
 	got := must(d, r, func(b *batch, _ time.Time) opened {
-		s, reader := b.attach(k, offset)
+		s, reader := b.attach(k, offset, as)
 		return opened{
 			stream: s,
 			reader: reader,
+			key: key{
+				request: k.request,
+				attempt: as,
+			},
 		}
 	})
 	if got.reader == nil {
--- a/internal/simeng/stream.go
+++ b/internal/simeng/stream.go
@@ -70,6 +70,7 @@
 	chain    *Chain
 	// first is the number of tokens that the caller gave as prefix.
 	first  int
+	prefix []uint32
 	tokens []uint32
 	// text is the text of prefix and tokens, kept only for stop sequences.
 	text strings.Builder
@@ -96,6 +97,7 @@
 		stop:     o.Stop,
 		chain:    NewChain(prompt, o.Version, o.Seed, o.Prefix),
 		first:    len(o.Prefix),
+		prefix:   o.Prefix,
 	}
 	if len(s.stop) > 0 {
 		for _, id := range o.Prefix {
@@ -162,7 +164,7 @@
 	for i := offset; i < s.index(); i++ {
 		r.send(event{
 			signal: sigToken,
-			token:  s.tokens[i-s.first],
+			token:  s.at(i),
 			index:  i,
 		})
 	}
@@ -172,6 +174,14 @@
 	return r
 }
 
+// at returns the token with the index, from the prefix or generated.
+func (s *stream) at(index int) uint32 {
+	if index < s.first {
+		return s.prefix[index]
+	}
+	return s.tokens[index-s.first]
+}
+
 // drop ends the reader with a signal.
 func (s *stream) drop(g signal, now time.Time) {
 	s.tell(event{
--- a/internal/simeng/write.go
+++ b/internal/simeng/write.go
@@ -41,7 +41,7 @@
 		case <-d.life.ctx.Done():
 			host.Reset(r)
 		case e := <-o.reader.events.Out():
-			if !d.put(w, r, o.stream, e, sent) {
+			if !d.put(w, r, o, e, sent) {
 				return
 			}
 		}
@@ -49,7 +49,7 @@
 }
 
 // put writes one event and reports whether more may follow.
-func (d *door) put(w http.ResponseWriter, r *http.Request, s *stream, e event, sent int) bool {
+func (d *door) put(w http.ResponseWriter, r *http.Request, o opened, e event, sent int) bool {
 	switch e.signal {
 	case sigReset:
 		host.Reset(r)
@@ -60,28 +60,28 @@
 		return false
 	case sigFinish:
 		send(w, finishBody{
-			Request:      s.key.request,
-			Attempt:      s.key.attempt,
+			Request:      o.key.request,
+			Attempt:      o.key.attempt,
 			Index:        e.index,
 			Finish:       e.finish,
-			PromptTokens: promptTokens(s.prompt),
+			PromptTokens: promptTokens(o.stream.prompt),
 		})
 		return false
 	}
-	return d.token(w, s, e, sent)
+	return d.token(w, o, e, sent)
 }
 
 // token writes one token, changed as a Bad fault asks.
-func (d *door) token(w http.ResponseWriter, s *stream, e event, sent int) bool {
+func (d *door) token(w http.ResponseWriter, o opened, e event, sent int) bool {
 	body := tokenBody{
-		Request: s.key.request,
-		Attempt: s.key.attempt,
+		Request: o.key.request,
+		Attempt: o.key.attempt,
 		Index:   e.index,
 		Token:   e.token,
 		Text:    Text(e.token),
 	}
-	if s.bad != "" && sent >= badAfter {
-		switch s.bad {
+	if o.stream.bad != "" && sent >= badAfter {
+		switch o.stream.bad {
 		case BadTruncate:
 			return false
 		case BadSkip:
