--- /dev/null
+++ b/internal/front/problem.go
@@ -0,0 +1,89 @@
+package front
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"clementinelink.example/clementinelink/internal/errs"
+)
+
+// problemBase precedes a kind's slug in the type URI of a problem.
+const problemBase = "https://clementinelink.example/problems/"
+
+// problemBody is a problem as RFC 9457 JSON. Its error member has the shape
+// that OpenAI clients expect.
+type problemBody struct {
+	Type    string      `json:"type"`
+	Title   string      `json:"title"`
+	Status  int         `json:"status"`
+	Detail  string      `json:"detail"`
+	Outcome string      `json:"outcome"`
+	Cursor  string      `json:"cursor,omitempty"`
+	Error   clientError `json:"error"`
+}
+
+type clientError struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+}
+
+func newProblemBody(p *errs.Problem, cursor string) problemBody {
+	return problemBody{
+		Type:    problemBase + p.Kind().Slug(),
+		Title:   p.Title(),
+		Status:  p.Status(),
+		Detail:  p.Detail(),
+		Outcome: p.Outcome().String(),
+		Cursor:  cursor,
+		Error: clientError{
+			Message: p.Title() + ": " + p.Detail() + " (outcome " + p.Outcome().String() + ")",
+			Type:    clientType(p.Status()),
+			Code:    p.Kind().Slug(),
+		},
+	}
+}
+
+// clientType returns the OpenAI error type for a status.
+func clientType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+// WriteProblem answers a request with a problem. It must be called before any
+// other write to w.
+func WriteProblem(w http.ResponseWriter, p *errs.Problem) { writeProblem(w, p, "") }
+
+func writeProblem(w http.ResponseWriter, p *errs.Problem, cursor string) {
+	h := w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	if p.Retry() > 0 {
+		seconds := (p.Retry() + time.Second - 1) / time.Second
+		h.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+	if p.Status() == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
+	if p.Outcome() != errs.NotRun {
+		// OpenAI clients repeat 408, 409, 429 and 5xx by themselves unless this
+		// header forbids it; work that may have run must not be repeated so.
+		h.Set("X-Should-Retry", "false")
+	}
+	w.WriteHeader(p.Status())
+	_ = json.NewEncoder(w).Encode(newProblemBody(p, cursor))
+}
+
+// invalid returns the problem of a request that was rejected unread.
+func invalid(format string, args ...any) *errs.Problem {
+	return errs.New(errs.Invalid, errs.NotRun, format, args...)
+}
