--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -76,6 +76,9 @@
 	if p := in.put(rq, sh); p != nil {
 		return nil, p
 	}
+	if in.Stream {
+		rq.WithGrace(reconnectGrace)
+	}
 	if cur != nil {
 		seed = cur.Seed()
 		rq.WithResume(cur.Resume())
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -26,6 +26,11 @@
 // defaultDeadline applies where neither a contract nor a route states one.
 const defaultDeadline = 10 * time.Minute
 
+// reconnectGrace is how long a generation goes on for a streaming caller that
+// disconnected. A client reconnects within a second; a longer time would cost
+// tokens for callers that do not come back.
+const reconnectGrace = time.Second
+
 // Limits bounds what one caller can take from the process.
 type Limits struct {
 	body   int64
--- /dev/null
+++ b/internal/lab/site.go
@@ -0,0 +1,249 @@
+package lab
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"clementinelink.example/clementinelink/internal/build"
+	"clementinelink.example/clementinelink/internal/node"
+	"clementinelink.example/clementinelink/internal/simeng"
+	"clementinelink.example/clementinelink/internal/simkv"
+	"clementinelink.example/clementinelink/internal/simvms"
+	"clementinelink.example/clementinelink/internal/world"
+	"clementinelink.example/clementinelink/pkg/decl"
+)
+
+const (
+	// cursorKey signs the cursors of a lab deployment.
+	cursorKey = "00112233445566778899aabbccddeeff"
+)
+
+// Zone is a failure domain of a lab deployment.
+type Zone struct {
+	name    string
+	region  string
+	entries int
+	engines int
+}
+
+// NewZone returns a failure domain with numbers of entry VMs and engines.
+func NewZone(name, region string, entries, engines int) Zone {
+	return Zone{
+		name:    name,
+		region:  region,
+		entries: entries,
+		engines: engines,
+	}
+}
+
+// Site is a deployment on loopback: the platform's stand-ins, engines and
+// entry VMs, all in this process and joined by TCP.
+type Site struct {
+	zones   []Zone
+	engines []*simeng.Engine
+	// zoneOf holds the failure domain of each engine and entry VM by name.
+	zoneOf map[string]string
+	nodes  []*node.Node
+	store  *simkv.Server
+	list   *simvms.Server
+	log    zerolog.Logger
+	stop   context.CancelFunc
+	tasks  sync.WaitGroup
+	// options configures each engine.
+	options []simeng.Option
+	storeAt string
+	listAt  string
+}
+
+// NewSite returns a deployment with the failure domains. The options apply to
+// every engine.
+func NewSite(zones []Zone, log zerolog.Logger, options ...simeng.Option) *Site {
+	return &Site{
+		zones:   zones,
+		zoneOf:  make(map[string]string),
+		log:     log,
+		options: options,
+	}
+}
+
+// Start brings everything up.
+func (s *Site) Start(ctx context.Context) error {
+	ctx, s.stop = context.WithCancel(ctx)
+	if err := s.platform(ctx); err != nil {
+		return err
+	}
+	for _, z := range s.zones {
+		for i := range z.engines {
+			if err := s.addEngine(z, i); err != nil {
+				return err
+			}
+		}
+	}
+	for _, z := range s.zones {
+		for i := range z.entries {
+			if err := s.addNode(ctx, z, i); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Close stops everything.
+func (s *Site) Close() {
+	for _, n := range s.nodes {
+		n.Close()
+	}
+	for _, e := range s.engines {
+		e.Close()
+	}
+	s.stop()
+	s.tasks.Wait()
+}
+
+// Engines returns the engines in the order of their failure domains.
+func (s *Site) Engines() []*simeng.Engine { return s.engines }
+
+// Nodes returns the entry VMs in the order of their failure domains.
+func (s *Site) Nodes() []*node.Node { return s.nodes }
+
+// Store returns the key-value service.
+func (s *Site) Store() *simkv.Server { return s.store }
+
+// List returns the VM list.
+func (s *Site) List() *simvms.Server { return s.list }
+
+// Domain returns the failure domain of an engine or entry VM.
+func (s *Site) Domain(name string) string { return s.zoneOf[name] }
+
+// Entries returns the callers' addresses of the entry VMs.
+func (s *Site) Entries() []string {
+	as := make([]string, len(s.nodes))
+	for i, n := range s.nodes {
+		as[i] = n.Addr()
+	}
+	return as
+}
+
+// Generated returns the tokens that all engines generated.
+func (s *Site) Generated() uint64 {
+	var sum uint64
+	for _, e := range s.engines {
+		sum += e.Generated()
+	}
+	return sum
+}
+
+// Configure puts a declaration in force on every entry VM.
+func (s *Site) Configure(ctx context.Context, revision uint64, d *decl.Declaration) {
+	m := build.World(revision, d)
+	for _, n := range s.nodes {
+		n.Configure(ctx, m)
+	}
+}
+
+// Declaration returns the lab's declaration: the model service "draft" on
+// version v1, and workspaces with tokens "key-0", "key-1", and so on.
+func (s *Site) Declaration(deadline time.Duration, workspaces int) *decl.Declaration {
+	d := decl.New()
+	domains := make(map[string][]string)
+	var regions []string
+	for _, z := range s.zones {
+		if domains[z.region] == nil {
+			regions = append(regions, z.region)
+		}
+		domains[z.region] = append(domains[z.region], z.name)
+	}
+	for _, r := range regions {
+		d.Region(r, domains[r]...)
+	}
+	for i := 1; i < len(regions); i++ {
+		d.Link(regions[0], regions[i], linkRate)
+	}
+	d.Model(decl.NewModel("draft", "v1", decl.NewContract(deadline)))
+	for i := range workspaces {
+		d.Workspace(fmt.Sprintf("workspace-%d", i), Digest(Token(i)), 1, decl.Interactive)
+	}
+	return d
+}
+
+// linkRate is that of the links between regions today: 30 Mbit/s.
+const linkRate = 30_000_000 / 8
+
+// Token returns the bearer token of the numbered workspace.
+func Token(i int) string { return fmt.Sprintf("key-%d", i) }
+
+// Digest returns the hex SHA-256 digest of a bearer token.
+func Digest(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// platform starts the stand-ins of the platform.
+func (s *Site) platform(ctx context.Context) error {
+	s.store = simkv.New()
+	s.list = simvms.New(0)
+	kv, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "lab: store")
+	}
+	vms, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "lab: VM list")
+	}
+	s.storeAt = kv.Addr().String()
+	s.listAt = vms.Addr().String()
+	s.tasks.Go(func() { _ = s.store.Serve(ctx, kv) })
+	s.tasks.Go(func() { _ = s.list.Serve(ctx, vms) })
+	return nil
+}
+
+func (s *Site) addEngine(z Zone, i int) error {
+	name := fmt.Sprintf("%s-engine-%d", z.name, i)
+	e := simeng.New(name, s.options...)
+	if err := e.Start(); err != nil {
+		return errors.Wrapf(err, "lab: engine %s", name)
+	}
+	s.engines = append(s.engines, e)
+	s.zoneOf[name] = z.name
+	s.list.Add(world.NewVM(name, world.Engine, e.Address(), z.name, z.region).Serving("draft"))
+	return nil
+}
+
+func (s *Site) addNode(ctx context.Context, z Zone, i int) error {
+	name := fmt.Sprintf("%s-entry-%d", z.name, i)
+	set := &node.Settings{
+		Name:   name,
+		Region: z.region,
+		Domain: z.name,
+		Listen: "127.0.0.1:0",
+		Admin:  "127.0.0.1:0",
+		Peer:   "127.0.0.1:0",
+		Store:  "http://" + s.storeAt,
+		VMs:    "http://" + s.listAt,
+		Keys:   cursorKey,
+		Seed:   uint64(len(s.nodes) + 1),
+	}
+	if err := set.Check(); err != nil {
+		return errors.Wrapf(err, "lab: entry VM %s", name)
+	}
+	n, err := node.New(set, s.log.With().Str("vm", name).Logger())
+	if err != nil {
+		return err
+	}
+	if err := n.Start(ctx); err != nil {
+		return err
+	}
+	s.nodes = append(s.nodes, n)
+	s.zoneOf[name] = z.name
+	s.list.Add(world.NewVM(name, world.Entry, n.Addr(), z.name, z.region))
+	return nil
+}
