--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -13,9 +13,6 @@
 const (
 	// eventCap holds about 4 s of tokens at the peak of one VM.
 	eventCap = 8192
-	// outputCap lets a caller fall behind by minutes of tokens before its
-	// response is ended with a cursor.
-	outputCap = 1024
 	// idleTick is the longest sleep of the dispatcher.
 	idleTick = time.Second
 )
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -25,8 +25,8 @@
 	Keys   string        `long:"keys" env:"CLEMENTINE_KEYS" required:"true" description:"comma-separated hex keys for cursors, the same on all VMs; the first signs, all are accepted"`
 	Drain  time.Duration `long:"drain" env:"CLEMENTINE_DRAIN" default:"5s" description:"time for the load balancer to notice a shutdown"`
 	Seed   uint64        `long:"seed" env:"CLEMENTINE_SEED" description:"seed of random choices; 0 draws one"`
-	Level  string        `long:"level" env:"CLEMENTINE_LEVEL" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"least severe log level"`
-	Format string        `long:"format" env:"CLEMENTINE_FORMAT" default:"json" choice:"json" choice:"text" description:"log format"`
+	Level  string        `long:"level" env:"CLEMENTINE_LEVEL" default:"info" description:"least severe log level: debug, info, warn or error"`
+	Format string        `long:"format" env:"CLEMENTINE_FORMAT" default:"json" description:"log format: json or text"`
 }
 
 // Check returns an error that names the first wrong setting.
@@ -71,6 +71,9 @@
 	if _, err := zerolog.ParseLevel(s.Level); err != nil {
 		return errors.Newf("--level: %q is not a level", s.Level)
 	}
+	if s.Format != "json" && s.Format != "text" {
+		return errors.Newf("--format: %q is neither json nor text", s.Format)
+	}
 	if _, err := cursor.Parse(s.Keys); err != nil {
 		return errors.Wrap(err, "--keys")
 	}
