Join the lab's failure domains by links with delay, cuts and byte counts

Cause: resume latency and cross-region bytes have to be measured at the delays of both deployments, and partitions have to be brought about. Change: lab.Link forwards TCP with a one-way delay; each failure domain sees its own VM list.

--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -53,14 +53,18 @@
 	zoneOf map[string]string
 	nodes  []*node.Node
 	store  *simkv.Server
-	list   *simvms.Server
-	log    zerolog.Logger
-	stop   context.CancelFunc
-	tasks  sync.WaitGroup
+	// lists holds the VM list that each failure domain sees: the VMs of other
+	// domains are reached over the links.
+	lists map[string]*simvms.Server
+	links map[[2]string]*Link
+	delay func(a, b Zone) time.Duration
+	log   zerolog.Logger
+	stop  context.CancelFunc
+	tasks sync.WaitGroup
 	// options configures each engine.
 	options []simeng.Option
 	storeAt string
-	listAt  string
+	listAt  map[string]string
 }
 
 // NewSite returns a deployment with the failure domains. The options apply to
@@ -69,11 +73,27 @@
 	return &Site{
 		zones:   zones,
 		zoneOf:  make(map[string]string),
+		lists:   make(map[string]*simvms.Server),
+		listAt:  make(map[string]string),
+		links:   make(map[[2]string]*Link),
+		delay:   func(Zone, Zone) time.Duration { return 0 },
 		log:     log,
 		options: options,
 	}
 }
 
+// WithDelays sets the one-way delays between failure domains of one region
+// and between regions.
+func (s *Site) WithDelays(domains, regions time.Duration) *Site {
+	s.delay = func(a, b Zone) time.Duration {
+		if a.region == b.region {
+			return domains
+		}
+		return regions
+	}
+	return s
+}
+
 // Start brings everything up.
 func (s *Site) Start(ctx context.Context) error {
 	ctx, s.stop = context.WithCancel(ctx)
@@ -82,7 +102,7 @@
 	}
 	for _, z := range s.zones {
 		for i := range z.engines {
-			if err := s.addEngine(z, i); err != nil {
+			if err := s.addEngine(ctx, z, i); err != nil {
 				return err
 			}
 		}
@@ -118,8 +138,32 @@
 // Store returns the key-value service.
 func (s *Site) Store() *simkv.Server { return s.store }
 
-// List returns the VM list.
-func (s *Site) List() *simvms.Server { return s.list }
+// Link returns the link between two failure domains.
+func (s *Site) Link(a, b string) *Link { return s.links[[2]string{min(a, b), max(a, b)}] }
+
+// CutRegion cuts or restores the links between a region and the others.
+func (s *Site) CutRegion(region string, cut bool) {
+	for _, a := range s.zones {
+		for _, b := range s.zones {
+			if a.region == region && b.region != region {
+				s.Link(a.name, b.name).Cut(cut)
+			}
+		}
+	}
+}
+
+// CrossBytes returns the bytes carried between regions.
+func (s *Site) CrossBytes() int64 {
+	var sum int64
+	for i, a := range s.zones {
+		for _, b := range s.zones[:i] {
+			if a.region != b.region {
+				sum += s.Link(a.name, b.name).Carried()
+			}
+		}
+	}
+	return sum
+}
 
 // Domain returns the failure domain of an engine or entry VM.
 func (s *Site) Domain(name string) string { return s.zoneOf[name] }
@@ -187,35 +231,65 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// platform starts the stand-ins of the platform.
+// platform starts the stand-ins of the platform and the links.
 func (s *Site) platform(ctx context.Context) error {
 	s.store = simkv.New()
-	s.list = simvms.New(0)
-	kv, err := net.Listen("tcp", "127.0.0.1:0")
+	at, err := s.listen(func(l net.Listener) { _ = s.store.Serve(ctx, l) })
 	if err != nil {
-		return errors.Wrap(err, "lab: store")
+		return err
 	}
-	vms, err := net.Listen("tcp", "127.0.0.1:0")
+	s.storeAt = at
+	for i, z := range s.zones {
+		list := simvms.New(0)
+		at, err := s.listen(func(l net.Listener) { _ = list.Serve(ctx, l) })
+		if err != nil {
+			return err
+		}
+		s.lists[z.name] = list
+		s.listAt[z.name] = at
+		for _, o := range s.zones[:i] {
+			s.links[[2]string{min(z.name, o.name), max(z.name, o.name)}] = NewLink(s.delay(z, o))
+		}
+	}
+	return nil
+}
+
+// listen opens a loopback listener for a stand-in and returns its address.
+func (s *Site) listen(serve func(l net.Listener)) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return errors.Wrap(err, "lab: VM list")
+		return "", errors.Wrap(err, "lab: listen")
+	}
+	s.tasks.Go(func() { serve(l) })
+	return l.Addr().String(), nil
+}
+
+// enlist adds a VM to every failure domain's list, behind a link where the VM
+// stands in another domain.
+func (s *Site) enlist(ctx context.Context, name string, kind world.Kind, address string, z Zone, service string) error {
+	s.zoneOf[name] = z.name
+	for _, o := range s.zones {
+		seen := address
+		if o.name != z.name {
+			at, err := s.Link(o.name, z.name).Forward(ctx, &s.tasks, address)
+			if err != nil {
+				return err
+			}
+			seen = at
+		}
+		s.lists[o.name].Add(world.NewVM(name, kind, seen, z.name, z.region).Serving(service))
 	}
-	s.storeAt = kv.Addr().String()
-	s.listAt = vms.Addr().String()
-	s.tasks.Go(func() { _ = s.store.Serve(ctx, kv) })
-	s.tasks.Go(func() { _ = s.list.Serve(ctx, vms) })
 	return nil
 }
 
-func (s *Site) addEngine(z Zone, i int) error {
+func (s *Site) addEngine(ctx context.Context, z Zone, i int) error {
 	name := fmt.Sprintf("%s-engine-%d", z.name, i)
 	e := simeng.New(name, s.options...)
 	if err := e.Start(); err != nil {
 		return errors.Wrapf(err, "lab: engine %s", name)
 	}
 	s.engines = append(s.engines, e)
-	s.zoneOf[name] = z.name
-	s.list.Add(world.NewVM(name, world.Engine, e.Address(), z.name, z.region).Serving("draft"))
-	return nil
+	return s.enlist(ctx, name, world.Engine, e.Address(), z, "draft")
 }
 
 func (s *Site) addNode(ctx context.Context, z Zone, i int) error {
@@ -228,9 +302,11 @@
 		Admin:  "127.0.0.1:0",
 		Peer:   "127.0.0.1:0",
 		Store:  "http://" + s.storeAt,
-		VMs:    "http://" + s.listAt,
+		VMs:    "http://" + s.listAt[z.name],
 		Keys:   cursorKey,
 		Seed:   uint64(len(s.nodes) + 1),
+		Level:  "warn",
+		Format: "json",
 	}
 	if err := set.Check(); err != nil {
 		return errors.Wrapf(err, "lab: entry VM %s", name)
@@ -243,7 +319,5 @@
 		return err
 	}
 	s.nodes = append(s.nodes, n)
-	s.zoneOf[name] = z.name
-	s.list.Add(world.NewVM(name, world.Entry, n.Addr(), z.name, z.region))
-	return nil
+	return s.enlist(ctx, name, world.Entry, n.Addr(), z, "")
 }
