Judge no silence right after a pause of the VM itself

Cause: after a pause of the entry VM every stream looks silent before its buffered tokens are read, so all of them would be hedged at once. Change: a timer that is more than 200 ms late holds back silence checks for 100 ms.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -27,6 +27,12 @@
 	// pumpEvery is the time between two looks at waiting responses when no
 	// event frees capacity.
 	pumpEvery = 50 * time.Millisecond
+	// pausedAfter is the lateness of a timer from which this VM itself must have
+	// been paused.
+	pausedAfter = 200 * time.Millisecond
+	// pauseGrace is the time after a pause for buffered tokens to be read, before
+	// any silence is judged.
+	pauseGrace = 100 * time.Millisecond
 )
 
 // Router is the decision core for all generations of one entry VM. It is owned
@@ -47,7 +53,11 @@
 	// report is called with each response that ended.
 	report func(now time.Time, r *relay.Response)
 	// pumped is the time of the last look at waiting responses.
-	pumped  time.Time
+	pumped time.Time
+	// stepped is the time of the last step; held is the time until which no
+	// timer rings after a pause of this VM.
+	stepped time.Time
+	held    time.Time
 	actions []relay.Action
 }
 
@@ -95,6 +105,10 @@
 // slice is valid until the next call.
 func (rt *Router) Step(now time.Time, ev Event) []relay.Action {
 	rt.actions = rt.actions[:0]
+	if at, ok := rt.alarms.next(); ok && now.Sub(at) > pausedAfter && now.Sub(rt.stepped) > pausedAfter {
+		rt.held = now.Add(pauseGrace)
+	}
+	rt.stepped = now
 	switch ev.kind {
 	case Arrive:
 		rt.arrive(now, ev.request)
@@ -128,9 +142,12 @@
 	}
 	if rt.anyStalled() {
 		if p := rt.pumped.Add(pumpEvery); !ok || p.Before(at) {
-			return p, true
+			at, ok = p, true
 		}
 	}
+	if ok && at.Before(rt.held) {
+		return rt.held, true
+	}
 	return at, ok
 }
 
@@ -247,8 +264,11 @@
 	rt.report(now, r)
 }
 
-// ring handles every alarm that is due.
+// ring handles every alarm that is due, unless this VM was just paused.
 func (rt *Router) ring(now time.Time) {
+	if now.Before(rt.held) {
+		return
+	}
 	for {
 		id, ok := rt.alarms.due(now)
 		if !ok {
--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -117,6 +117,9 @@
 		step(NewShares(text(t, d, "service", "draft"), NewSplit(text(t, d, "version", ""), float64(number(t, d, "percent", 0))/100)))
 	case "after":
 		s.after(span(t, d, "d", 0), step)
+	case "pause":
+		s.now = s.now.Add(span(t, d, "d", 0))
+		step(NewTick())
 	case "state":
 		for _, e := range s.router.Engines() {
 			fmt.Fprintf(&b, "%s %s outstanding=%d\n", e.Name(), e.State(), e.Outstanding())
