Do not believe a finish that comes too early from one engine

Cause: a bad version can end a response early with reason length or with no token at all, and the caller would not get the whole of it. Change: such a finish is accepted only when a second engine agrees; streams that broke off although their engine lived are counted for the move's evidence.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -50,6 +50,9 @@
 	last time.Time
 	// attached is true when the stream was retained rather than opened.
 	attached bool
+	// broken is true when the attempt continues a stream that broke off while
+	// its engine lived.
+	broken bool
 	// resume is true for an attempt that continues delivered output.
 	resume bool
 	// suspect is true once a hedge was started because of its silence.
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -68,7 +68,9 @@
 	heir     *attempt
 	avoid    []*fleet.Engine
 	refusals int
-	opened   bool
+	// shortAt is one more than the index of a finish that came too early, or 0.
+	shortAt int
+	opened  bool
 	// waiting is true while no engine accepts the next attempt.
 	waiting bool
 	// gone is the time at which the caller disconnected, or zero.
@@ -195,6 +197,9 @@
 		r.stats.extra++
 		return out
 	}
+	if a.broken && a.last.IsZero() {
+		r.stats.truncated++
+	}
 	a.observe(now)
 	switch {
 	case index < len(r.tokens):
@@ -221,6 +226,10 @@
 	if index != len(r.tokens) || index < r.from {
 		return r.Lost(now, number, Bad, out)
 	}
+	if r.early(index, reason) {
+		r.stats.truncated++
+		return r.Lost(now, number, Bad, out)
+	}
 	a.observe(now)
 	out = r.fence(a, out)
 	a.release()
@@ -235,6 +244,20 @@
 	return r.end(out)
 }
 
+// early reports whether a finish comes before the limit without a reason, as a
+// bad version gives it. It is accepted when a second engine agrees, because a
+// model's own limit looks the same.
+func (r *Response) early(index int, reason string) bool {
+	if index > 0 && (reason != "length" || index >= r.request.Limit()) {
+		return false
+	}
+	if r.shortAt == index+1 {
+		return false
+	}
+	r.shortAt = index + 1
+	return true
+}
+
 // Lost handles an attempt that ended without a finish.
 func (r *Response) Lost(now time.Time, number uint32, cause Cause, out []Action) []Action {
 	a := r.find(number)
@@ -250,7 +273,9 @@
 		return out
 	}
 	if cause == Reset && !a.attached && !a.last.IsZero() && a.engine.State() == fleet.Live {
-		return r.attach(now, a.engine, a.number, out)
+		out = r.attach(now, a.engine, a.number, out)
+		r.live[len(r.live)-1].broken = true
+		return out
 	}
 	r.shun(a.engine)
 	if cause == Bad || cause == Refused || cause == Absent && !a.attached {
--- a/internal/relay/stats.go
+++ b/internal/relay/stats.go
@@ -24,8 +24,11 @@
 	// falseAlarms counts suspect attempts that gave the next token after all.
 	falseAlarms int
 	// extra counts received tokens that were not delivered.
-	extra     int
-	errors    int
+	extra  int
+	errors int
+	// truncated counts streams that broke off or finished too early although
+	// their engine lived.
+	truncated int
 	abandoned bool
 	problem   *errs.Problem
 }
@@ -63,6 +66,10 @@
 // Errors returns the number of attempts that broke the protocol.
 func (s *Stats) Errors() int { return s.errors }
 
+// Truncated returns the number of streams that broke off or finished too early
+// although their engine lived.
+func (s *Stats) Truncated() int { return s.truncated }
+
 // Abandoned reports whether the caller left before the end.
 func (s *Stats) Abandoned() bool { return s.abandoned }
 
--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -29,8 +29,8 @@
 	s := &script{now: epoch}
 	s.router = New("gabrovo", seed, nil, func(_ time.Time, r *relay.Response) {
 		st := r.Stats()
-		s.ends = append(s.ends, fmt.Sprintf("report %s attempts=%d resume=%s extra=%d suspicions=%d",
-			r.Request().ID(), st.Attempts(), st.Resume(), st.Extra(), st.Suspicions()))
+		s.ends = append(s.ends, fmt.Sprintf("report %s attempts=%d resume=%s extra=%d suspicions=%d truncated=%d",
+			r.Request().ID(), st.Attempts(), st.Resume(), st.Extra(), st.Suspicions(), st.Truncated()))
 	})
 	return s
 }
@@ -104,7 +104,7 @@
 	case "tokens":
 		s.tokens(t, d, step)
 	case "finish":
-		step(NewFinish(text(t, d, "id", "r1"), attempt(t, d), number(t, d, "index", 0), "length", 3))
+		step(NewFinish(text(t, d, "id", "r1"), attempt(t, d), number(t, d, "index", 0), text(t, d, "reason", "stop"), 3))
 	case "lost":
 		s.lost(t, d, step)
 	case "gone":
