--- a/internal/simeng/engine_test.go
+++ b/internal/simeng/engine_test.go
@@ -14,9 +14,10 @@
 
 	"clementinelink.example/clementinelink/internal/simeng"
 	"github.com/cockroachdb/datadriven"
+	"go.uber.org/goleak"
 )
 
-// silence is how long a read waits before it calls a stream silent.
+// silence is how long a read or call waits before it gives up.
 const silence = 250 * time.Millisecond
 
 // volatile matches what differs from run to run in answers.
@@ -34,7 +35,16 @@
 				},
 			},
 		}
-		datadriven.RunTest(t, path, x.run)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			if d.Cmd == "engine" {
+				return x.start(t, d)
+			}
+			var out strings.Builder
+			for _, line := range strings.Split(d.Input, "\n") {
+				out.WriteString(strings.TrimSpace(x.do(t, line)) + "\n")
+			}
+			return out.String()
+		})
 		x.engine.Close()
 	})
 }
@@ -62,58 +72,26 @@
 	streams map[string]*stream
 }
 
-func (x *bench) run(t *testing.T, d *datadriven.TestData) string {
-	name := word(d, "name", "s")
-	switch d.Cmd {
-	case "engine":
-		return x.start(t, d)
-	case "stream":
-		return x.stream(d, name)
-	case "read":
-		return x.streams[name].read(num(d, "tokens", -1))
-	case "last":
-		items := strings.Fields(x.streams[name].read(-1))
-		return items[len(items)-1] + "\n"
-	case "drop":
-		x.streams[name].cancel()
-	case "call":
-		resp, err := x.send(context.Background(), d)
-		if err != nil {
-			return "no answer\n"
-		}
-		defer resp.Body.Close()
-		body, err := io.ReadAll(resp.Body)
-		if err != nil {
-			return "broken answer\n"
-		}
-		return fmt.Sprintf("%d %s", resp.StatusCode, volatile.ReplaceAllString(string(body), "$1$2${3}_"))
-	case "sleep":
-		time.Sleep(time.Duration(num(d, "ms", 0)) * time.Millisecond)
-	case "prompt":
-		text, err := simeng.Prompt(json.RawMessage(d.Input))
-		return fmt.Sprintf("%q %v\n", text, err)
-	default:
-		d.Fatalf(t, "unknown command %s", d.Cmd)
-	}
-	return ""
-}
-
 func (x *bench) start(t *testing.T, d *datadriven.TestData) string {
 	if x.engine != nil {
 		x.engine.Close()
 	}
-	pulls := 0
+	slots, queue, gap, retain := 4, 2, 2, 5000
+	d.MaybeScanArgs(t, "slots", &slots)
+	d.MaybeScanArgs(t, "queue", &queue)
+	d.MaybeScanArgs(t, "gap", &gap)
+	d.MaybeScanArgs(t, "retain", &retain)
 	x.engine = simeng.New("e1",
-		simeng.WithSlots(num(d, "slots", 4), num(d, "queue", 2)),
-		simeng.WithGap(time.Duration(num(d, "gap", 2))*time.Millisecond, 0.5),
-		simeng.WithPrefill(time.Duration(num(d, "prefill", 0))*time.Microsecond),
+		simeng.WithSlots(slots, queue),
+		simeng.WithGap(time.Duration(gap)*time.Millisecond, 0.5),
+		simeng.WithPrefill(0),
 		simeng.WithCache(3, 20*time.Millisecond, 3),
 		simeng.WithLoadLag(10*time.Millisecond),
-		simeng.WithRetain(time.Duration(num(d, "retain", 5000))*time.Millisecond),
+		simeng.WithRetain(time.Duration(retain)*time.Millisecond),
 		simeng.WithFencing(!d.HasArg("unfenced")),
 		simeng.WithWeights(func(_ context.Context, _, version string) error {
-			if pulls++; version == "limited" && pulls < 100 {
-				return fmt.Errorf("pull %d: 429", pulls)
+			if version == "limited" {
+				return fmt.Errorf("429")
 			}
 			return nil
 		}, 20*time.Millisecond))
@@ -123,28 +101,79 @@
 	return ""
 }
 
-// send sends METHOD and path of the first two arguments with the input as body.
-func (x *bench) send(ctx context.Context, d *datadriven.TestData) (*http.Response, error) {
-	if ms := num(d, "within", 0); ms > 0 {
-		limited, cancel := context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
-		defer cancel()
-		ctx = limited
+// do runs one line: a command, the name of a stream or a path, and a rest.
+func (x *bench) do(t *testing.T, line string) string {
+	verb, rest, _ := strings.Cut(line, " ")
+	name, rest, _ := strings.Cut(rest, " ")
+	switch verb {
+	case "open":
+		return x.stream(name, "POST", "/v1/completions", opening(name, rest))
+	case "attach":
+		return x.stream(name, "GET", "/v1/streams/"+name+"/1?offset="+rest, "")
+	case "read":
+		limit := -1
+		_, _ = fmt.Sscan(rest, &limit)
+		return strings.Join(x.streams[name].read(limit), " ")
+	case "last":
+		items := x.streams[name].read(-1)
+		return items[len(items)-1]
+	case "drop":
+		x.streams[name].cancel()
+	case "sleep":
+		d, err := time.ParseDuration(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(d)
+	case "prompt":
+		text, err := simeng.Prompt(json.RawMessage(rest))
+		return fmt.Sprintf("%q %v", text, err)
+	case "GET", "POST", "DELETE":
+		return x.call(verb, name, rest)
+	default:
+		t.Fatalf("unknown command %s", verb)
 	}
-	// A path with a query is split at "=" as key and value.
-	path := d.CmdArgs[1].String()
-	r, err := http.NewRequestWithContext(ctx, d.CmdArgs[0].Key, "http://"+x.engine.Address()+path, strings.NewReader(d.Input))
+	return "ok"
+}
+
+// opening returns the body of a request for attempt 1 with fields added.
+func opening(name, fields string) string {
+	body := `{"request":"` + name + `","attempt":1,"version":"v1","prompt":"p","seed":7`
+	if fields != "" {
+		body += "," + fields
+	}
+	return body + "}"
+}
+
+func (x *bench) send(ctx context.Context, method, path, body string) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+x.engine.Address()+path, strings.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
 	return x.client.Do(r)
 }
 
-func (x *bench) stream(d *datadriven.TestData, name string) string {
+func (x *bench) call(method, path, body string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), silence)
+	defer cancel()
+	resp, err := x.send(ctx, method, path, body)
+	if err != nil {
+		return "no answer"
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "broken answer"
+	}
+	return fmt.Sprintf("%d %s", resp.StatusCode, volatile.ReplaceAllString(string(text), `$1$2${3}_`))
+}
+
+func (x *bench) stream(name, method, path, body string) string {
 	ctx, cancel := context.WithCancel(context.Background())
-	resp, err := x.send(ctx, d)
+	resp, err := x.send(ctx, method, path, body)
 	if err != nil {
 		cancel()
-		return "no answer\n"
+		return "no answer"
 	}
 	s := &stream{
 		cancel: cancel,
@@ -153,7 +182,7 @@
 	}
 	x.streams[name] = s
 	go s.scan(resp.Body)
-	return fmt.Sprintf("%d\n", resp.StatusCode)
+	return fmt.Sprint(resp.StatusCode)
 }
 
 // stream is an open SSE answer.
@@ -179,23 +208,22 @@
 	s.lines <- "end"
 }
 
-// read prints the index of each token, with "?" where the text isn't the one
+// read returns the index of each token, with "?" where the text isn't the one
 // of the answer to prompt p, until limit tokens, the end or silence.
-func (s *stream) read(limit int) string {
-	var out strings.Builder
-	for limit != 0 {
-		limit--
+func (s *stream) read(limit int) []string {
+	items := []string{}
+	for ; limit != 0; limit-- {
 		select {
 		case line := <-s.lines:
-			fmt.Fprintf(&out, "%s ", s.show(line))
+			items = append(items, s.show(line))
 			if line == "reset" || line == "end" {
-				return out.String() + "\n"
+				return items
 			}
 		case <-time.After(silence):
-			return out.String() + "silent\n"
+			return append(items, "silent")
 		}
 	}
-	return out.String() + "\n"
+	return items
 }
 
 func (s *stream) show(line string) string {
@@ -219,18 +247,6 @@
 	return fmt.Sprint(e.Index)
 }
 
-func word(d *datadriven.TestData, name, value string) string {
-	if a, ok := d.Arg(name); ok {
-		return a.Vals[0]
-	}
-	return value
-}
-
-func num(d *datadriven.TestData, name string, value int) int {
-	if a, ok := d.Arg(name); ok {
-		if _, err := fmt.Sscan(a.Vals[0], &value); err != nil {
-			panic(err)
-		}
-	}
-	return value
-}
+// TestMain guards against duties that outlive Close: the lab starts hundreds
+// of engines in one process.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/simsvc/service_test.go
+++ b/internal/simsvc/service_test.go
@@ -11,6 +11,7 @@
 
 	"clementinelink.example/clementinelink/internal/simsvc"
 	"github.com/cockroachdb/datadriven"
+	"go.uber.org/goleak"
 )
 
 // within is the time limit of a call in a script; a fault that hangs shows as
@@ -27,21 +28,30 @@
 		}
 		defer s.Close()
 		datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string {
-			if d.Cmd == "sleep" {
-				time.Sleep(within)
-				return ""
+			var out strings.Builder
+			for _, line := range strings.Split(d.Input, "\n") {
+				out.WriteString(do(s.Address(), line))
 			}
-			return call(s.Address(), d)
+			return out.String()
 		})
 	})
 }
 
-// call sends the command as a method with the path of the first argument.
-func call(address string, d *datadriven.TestData) string {
+// do runs one line: a method, a path and a body, or "sleep".
+func do(address, line string) string {
+	method, rest, _ := strings.Cut(line, " ")
+	if method == "sleep" {
+		time.Sleep(within)
+		return "ok\n"
+	}
+	path, body, _ := strings.Cut(rest, " ")
+	return call(method, "http://"+address+path, body)
+}
+
+func call(method, url, body string) string {
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
-	url := "http://" + address + d.CmdArgs[0].Key
-	r, err := http.NewRequestWithContext(ctx, strings.ToUpper(d.Cmd), url, strings.NewReader(d.Input))
+	r, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
 	if err != nil {
 		return err.Error()
 	}
@@ -54,12 +64,15 @@
 		return "reset\n"
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	text, err := io.ReadAll(resp.Body)
 	if err != nil {
 		return "reset\n"
 	}
 	if resp.Header.Get("X-Not-Run") == "true" {
 		return fmt.Sprintf("%d not run\n", resp.StatusCode)
 	}
-	return fmt.Sprintf("%d %s", resp.StatusCode, strings.ReplaceAll(string(body), "},", "},\n"))
+	return fmt.Sprintf("%d %s", resp.StatusCode, strings.ReplaceAll(string(text), "},", "},\n"))
 }
+
+// TestMain guards against duties that outlive Close.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
