Free a plain service's slot before the caller sees the end of its call

The simulator gave the slot back after the answer or reset was out, so the next call of the same caller could be refused with 429. A call now holds its slot up to the command that records it, and a restart gives back the slots of killed calls.

--- a/internal/simsvc/desk.go
+++ b/internal/simsvc/desk.go
@@ -98,8 +98,8 @@
 	refusal int
 }
 
-// enter takes a call or refuses it; leave follows each call that wasn't
-// refused.
+// enter takes a call or refuses it. A call that will run holds a slot up to
+// book, so that the slot is free before the caller can see the end of the call.
 func (k *desk) enter() plan {
 	mode, factor := k.faults.take()
 	p := plan{
@@ -109,6 +109,7 @@
 	switch {
 	case mode == Refuse || mode == Leaving:
 		p.refusal = http.StatusServiceUnavailable
+	case mode == ResetBefore || mode == HangBefore || mode == ErrorBefore:
 	case k.running >= k.slots:
 		p.refusal = http.StatusTooManyRequests
 	default:
@@ -117,14 +118,20 @@
 	return p
 }
 
-func (k *desk) leave() { k.running-- }
-
 // book runs a call and returns its number, counted from 1.
 func (k *desk) book(e Entry) int {
+	k.running--
 	k.record = append(k.record, e)
 	return len(k.record)
 }
 
+// renew begins a new incarnation: it has none of the old one's faults, and
+// the calls that hold slots don't run any more.
+func (k *desk) renew() {
+	clear(k.faults.active)
+	k.running = 0
+}
+
 func (k *desk) entries() []Entry { return slices.Clone(k.record) }
 
 func (k *desk) load() loadBody {
--- a/internal/simsvc/http.go
+++ b/internal/simsvc/http.go
@@ -79,7 +79,6 @@
 		answer(w, p.refusal, map[string]any{"leaving": p.mode == Leaving})
 		return
 	}
-	defer c.leave()
 	c.before(r, p)
 	if p.mode == ErrorBefore {
 		fail(w)
@@ -89,11 +88,6 @@
 	c.after(w, r, p, number)
 }
 
-// leave gives the slot back even while the desk is paused.
-func (c *counter) leave() {
-	c.service.desk.controls.Put(c.service.alive, func(k *desk, _ time.Time) { k.leave() })
-}
-
 func (c *counter) before(r *http.Request, p plan) {
 	switch p.mode {
 	case ResetBefore:
--- a/internal/simsvc/service.go
+++ b/internal/simsvc/service.go
@@ -81,16 +81,17 @@
 		return errors.Newf("service %s runs or is closed", s.name)
 	}
 	life, end := context.WithCancel(s.alive)
+	s.once.Do(func() { go s.desk.run(s.alive) })
+	// The first call of this incarnation must come after the renewal.
+	ask(life, s, s.desk.controls, func(k *desk) bool {
+		k.renew()
+		return true
+	})
 	if err := s.host.Start(s.routes(life)); err != nil {
 		end()
 		return err
 	}
 	s.end = end
-	s.once.Do(func() { go s.desk.run(s.alive) })
-	// A new process has none of the old one's faults.
-	s.desk.controls.Put(life, func(k *desk, now time.Time) {
-		k.faults.set(NewFault(None, 0), now)
-	})
 	return nil
 }
 
