Add the load client that verifies answers

Experiments need callers that reconnect with their cursor and tell a right answer from one with missing, repeated or foreign tokens.

A run against clementined is still missing, since its HTTP front doesn't exist yet.

--- /dev/null
+++ b/internal/lab/question.go
@@ -0,0 +1,120 @@
+package lab
+
+import (
+	"encoding/json"
+
+	"clementinelink.example/clementinelink/internal/simeng"
+	"github.com/cockroachdb/errors"
+)
+
+// Question is one request of a caller with what is needed to verify its answer.
+type Question struct {
+	service string
+	// prompt is the user's text; in a chat it is the only message.
+	prompt string
+	// versions are those that may answer; each gives another text.
+	versions []string
+	seed     uint64
+	limit    int
+	stop     []string
+	chat     bool
+	stream   bool
+}
+
+// NewQuestion returns a streaming completion of at most limit tokens. The
+// prompt must be unique, so that another request's answer is recognized.
+func NewQuestion(service, prompt string, versions []string, seed uint64, limit int) *Question {
+	return &Question{
+		service:  service,
+		prompt:   prompt,
+		versions: versions,
+		seed:     seed,
+		limit:    limit,
+		stream:   true,
+	}
+}
+
+// WithChat makes the question a chat completion.
+func (q *Question) WithChat() *Question {
+	q.chat = true
+	return q
+}
+
+// WithStop sets stop sequences.
+func (q *Question) WithStop(stop ...string) *Question {
+	q.stop = stop
+	return q
+}
+
+// WithoutStream asks for the answer in one body.
+func (q *Question) WithoutStream() *Question {
+	q.stream = false
+	return q
+}
+
+// Prompt returns the prompt.
+func (q *Question) Prompt() string { return q.prompt }
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type questionBody struct {
+	Model     string    `json:"model"`
+	Prompt    string    `json:"prompt,omitempty"`
+	Messages  []message `json:"messages,omitempty"`
+	MaxTokens int       `json:"max_tokens"`
+	Seed      uint64    `json:"seed"`
+	Stop      []string  `json:"stop,omitempty"`
+	Stream    bool      `json:"stream"`
+}
+
+func (q *Question) path() string {
+	if q.chat {
+		return "/v1/chat/completions"
+	}
+	return "/v1/completions"
+}
+
+func (q *Question) messages() []message {
+	return []message{
+		{
+			Role:    "user",
+			Content: q.prompt,
+		},
+	}
+}
+
+func (q *Question) body() ([]byte, error) {
+	b := questionBody{
+		Model:     q.service,
+		MaxTokens: q.limit,
+		Seed:      q.seed,
+		Stop:      q.stop,
+		Stream:    q.stream,
+	}
+	if q.chat {
+		b.Messages = q.messages()
+	} else {
+		b.Prompt = q.prompt
+	}
+	data, err := json.Marshal(b)
+	return data, errors.Wrap(err, "encode question")
+}
+
+// expected returns the texts and the finish reason of a version's answer.
+func (q *Question) expected(version string) ([]string, string, error) {
+	prompt := q.prompt
+	if q.chat {
+		data, err := json.Marshal(q.messages())
+		if err != nil {
+			return nil, "", errors.Wrap(err, "encode messages")
+		}
+		if prompt, err = simeng.Prompt(data); err != nil {
+			return nil, "", err
+		}
+	}
+	texts, finish := simeng.ExpectedStop(prompt, version, q.seed, q.limit, q.stop)
+	return texts, finish, nil
+}
--- /dev/null
+++ b/internal/lab/result.go
@@ -0,0 +1,155 @@
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+)
+
+// The range of the histograms in microseconds. Longer times count as the
+// highest, 10 minutes.
+const (
+	timeMin    = 1
+	timeMax    = 600_000_000
+	timeDigits = 3
+)
+
+// notesMax is the number of notes on wrong answers that a result keeps.
+const notesMax = 20
+
+// Result sums up answers. One duty at a time may use it.
+type Result struct {
+	counts    [verdicts]int
+	delivered uint64
+	generated uint64
+	// threshold is the gap above which a gap counts as a resume.
+	threshold time.Duration
+	resume    *hdrhistogram.Histogram
+	first     *hdrhistogram.Histogram
+	gap       *hdrhistogram.Histogram
+	notes     []string
+}
+
+// NewResult returns an empty result. A caller doesn't see a loss behind the
+// entry VM, only a pause, so each gap above the threshold counts as a resume,
+// and each gap in which the caller reconnected. Resumes faster than the
+// threshold aren't seen, so the percentiles err upwards.
+func NewResult(threshold time.Duration) *Result {
+	return &Result{
+		threshold: threshold,
+		resume:    hdrhistogram.New(timeMin, timeMax, timeDigits),
+		first:     hdrhistogram.New(timeMin, timeMax, timeDigits),
+		gap:       hdrhistogram.New(timeMin, timeMax, timeDigits),
+	}
+}
+
+// Add counts an answer.
+func (r *Result) Add(a *Answer) {
+	r.counts[a.verdict]++
+	r.delivered += uint64(a.tokens)
+	if a.first > 0 {
+		record(r.first, a.first)
+	}
+	for _, g := range a.gaps {
+		record(r.gap, g)
+		if g > r.threshold {
+			record(r.resume, g)
+		}
+	}
+	for _, g := range a.resumes {
+		if g <= r.threshold {
+			record(r.resume, g)
+		}
+	}
+	if a.verdict != Whole && len(r.notes) < notesMax {
+		r.notes = append(r.notes, fmt.Sprintf("%s, prompt %.60q: %s", a.verdict, a.question.prompt, a.note))
+	}
+}
+
+// SetGenerated sets the number of tokens that the engines generated for the
+// answers, for the ratio of extra tokens.
+func (r *Result) SetGenerated(tokens uint64) { r.generated = tokens }
+
+// Count returns the number of answers with a verdict.
+func (r *Result) Count(v Verdict) int { return r.counts[v] }
+
+// Requests returns the number of answers.
+func (r *Result) Requests() int {
+	sum := 0
+	for _, n := range r.counts {
+		sum += n
+	}
+	return sum
+}
+
+// Delivered returns the number of tokens that the callers received.
+func (r *Result) Delivered() uint64 { return r.delivered }
+
+// Notes returns what was wrong with the first answers that weren't whole.
+func (r *Result) Notes() []string { return r.notes }
+
+// Extra returns the extra generated tokens per delivered one, or 0 when none
+// was generated or delivered.
+func (r *Result) Extra() float64 {
+	if r.generated == 0 || r.delivered == 0 {
+		return 0
+	}
+	return float64(r.generated)/float64(r.delivered) - 1
+}
+
+// spread holds quantiles in milliseconds.
+type spread struct {
+	P50 float64 `json:"p50"`
+	P99 float64 `json:"p99"`
+	Max float64 `json:"max"`
+}
+
+type resultBody struct {
+	Requests int     `json:"requests"`
+	Whole    int     `json:"whole"`
+	Missing  int     `json:"missing"`
+	Repeated int     `json:"repeated"`
+	Mixed    int     `json:"mixed"`
+	Refused  int     `json:"refused"`
+	Failed   int     `json:"failed"`
+	Resumes  int64   `json:"resumes"`
+	Resume   spread  `json:"resume_ms"`
+	First    spread  `json:"first_ms"`
+	Gap      spread  `json:"gap_ms"`
+	Extra    float64 `json:"extra_token_ratio"`
+}
+
+// MarshalJSON returns the summary without the notes.
+func (r *Result) MarshalJSON() ([]byte, error) {
+	data, err := json.Marshal(resultBody{
+		Requests: r.Requests(),
+		Whole:    r.counts[Whole],
+		Missing:  r.counts[Missing],
+		Repeated: r.counts[Repeated],
+		Mixed:    r.counts[Mixed],
+		Refused:  r.counts[Refused],
+		Failed:   r.counts[Failed],
+		Resumes:  r.resume.TotalCount(),
+		Resume:   quantiles(r.resume),
+		First:    quantiles(r.first),
+		Gap:      quantiles(r.gap),
+		Extra:    r.Extra(),
+	})
+	return data, errors.Wrap(err, "encode result")
+}
+
+func quantiles(h *hdrhistogram.Histogram) spread {
+	return spread{
+		P50: float64(h.ValueAtQuantile(50)) / 1000,
+		P99: float64(h.ValueAtQuantile(99)) / 1000,
+		Max: float64(h.Max()) / 1000,
+	}
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	// Only a value out of range is an error, and the bounds exclude that.
+	_ = h.RecordValue(min(max(d.Microseconds(), timeMin), timeMax))
+}
