Add clementinelab with the subcommands engine and plain

Each runs one simulator in the foreground, prints its address and stops on a signal, so that experiments can use separate processes.

--- /dev/null
+++ b/cmd/clementinelab/main.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// session is what the subcommands share.
+type session struct {
+	ctx context.Context
+	// out receives results, one line each.
+	out io.Writer
+	log zerolog.Logger
+}
+
+// run runs the subcommand that args name and returns the exit code.
+func run(ctx context.Context, args []string, out, logs io.Writer) int {
+	s := &session{
+		ctx: ctx,
+		out: out,
+		log: zerolog.New(logs).With().Timestamp().Logger(),
+	}
+	parser := flags.NewNamedParser("clementinelab", flags.HelpFlag|flags.PassDoubleDash)
+	if err := s.add(parser); err != nil {
+		s.log.Error().Err(err).Msg("lab: Bad command table.")
+		return 1
+	}
+	if _, err := parser.ParseArgs(args); err != nil {
+		return s.report(err)
+	}
+	return 0
+}
+
+// add registers the subcommands.
+func (s *session) add(parser *flags.Parser) error {
+	if _, err := parser.AddCommand("engine", "Run one simulated model engine.",
+		"Prints the engine's address and runs until a signal.", &engineCommand{
+			session: s,
+		}); err != nil {
+		return errors.Wrap(err, "engine")
+	}
+	if _, err := parser.AddCommand("plain", "Run one simulated plain service.",
+		"Prints the service's address and runs until a signal.", &plainCommand{
+			session: s,
+		}); err != nil {
+		return errors.Wrap(err, "plain")
+	}
+	return nil
+}
+
+// report prints a help text or an error and returns the exit code.
+func (s *session) report(err error) int {
+	var f *flags.Error
+	if errors.As(err, &f) && f.Type == flags.ErrHelp {
+		if _, err := io.WriteString(s.out, f.Message+"\n"); err != nil {
+			return 1
+		}
+		return 0
+	}
+	s.log.Error().Err(err).Msg("lab: Command failed.")
+	return 1
+}
