--- a/internal/lab/doc.go
+++ b/internal/lab/doc.go
@@ -1,3 +1,3 @@
-// Package lab brings up a deployment of stand-ins on loopback and measures the
-// system against it.
+// Package lab brings up a deployment of stand-ins on loopback, sends it
+// requests whose responses it can verify, and measures the system.
 package lab
