Add the demo

Cause: a newcomer has to see a response survive the death of its engine. Change: clementinelab demo, with text and JSON results; usage errors exit 2.

--- a/cmd/clementinelab/main.go
+++ b/cmd/clementinelab/main.go
@@ -59,6 +59,12 @@
 		}); err != nil {
 		return errors.Wrap(err, "plain")
 	}
+	if _, err := parser.AddCommand("demo", "Kill engines in the middle of responses.",
+		"Brings up a deployment on loopback, kills, hangs and resets engines, and checks that each response is whole.", &demoCommand{
+			session: s,
+		}); err != nil {
+		return errors.Wrap(err, "demo")
+	}
 	return nil
 }
 
@@ -72,5 +78,8 @@
 		return 0
 	}
 	s.log.Error().Err(err).Msg("lab: Command failed.")
+	if f != nil {
+		return 2
+	}
 	return 1
 }
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -153,3 +154,21 @@
 	// Only a value out of range is an error, and the bounds exclude that.
 	_ = h.RecordValue(min(max(d.Microseconds(), timeMin), timeMax))
 }
+
+// Longest returns the longest time between two tokens that counts as a resume,
+// or 0.
+func (r *Result) Longest() time.Duration {
+	return time.Duration(r.resume.Max()) * time.Microsecond
+}
+
+// Text returns the summary as lines.
+func (r *Result) Text() string {
+	resume, first, gap := quantiles(r.resume), quantiles(r.first), quantiles(r.gap)
+	var b strings.Builder
+	fmt.Fprintf(&b, "requests %d: %d whole, %d missing, %d repeated, %d mixed, %d refused, %d failed\n",
+		r.Requests(), r.counts[Whole], r.counts[Missing], r.counts[Repeated], r.counts[Mixed], r.counts[Refused], r.counts[Failed])
+	fmt.Fprintf(&b, "resume latency ms: p50 %.0f, p99 %.0f, max %.0f over %d interruptions\n", resume.P50, resume.P99, resume.Max, r.resume.TotalCount())
+	fmt.Fprintf(&b, "first token ms: p50 %.0f, p99 %.0f; token gap ms: p50 %.0f, p99 %.0f\n", first.P50, first.P99, gap.P50, gap.P99)
+	fmt.Fprintf(&b, "extra generated tokens: %.2f%% of delivered\n", 100*r.Extra())
+	return b.String()
+}
