Add the baseline policy beside the cadence policy

Change: function fields for the silence timeout, the prefix and the choice of engine; the baseline uses a fixed timeout, restarts and the least reported load.

--- a/internal/fleet/engine.go
+++ b/internal/fleet/engine.go
@@ -112,6 +112,9 @@
 	return slices.Contains(e.load.versions, version)
 }
 
+// Reported returns the streams on the engine at the last report.
+func (e *Engine) Reported() int { return e.load.running + e.load.waiting }
+
 // Versions returns the versions in the last report.
 func (e *Engine) Versions() []string { return e.load.versions }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,12 +24,19 @@
 	"clementinelink.example/clementinelink/internal/world"
 )
 
+// hooks are the functions that follow a node's work.
+type hooks struct {
+	// report is called by the dispatcher with each response that ended.
+	report []func(now time.Time, r *relay.Response)
+}
+
 // Node is one entry VM.
 type Node struct {
 	settings *Settings
 	log      zerolog.Logger
 	events   *ring.Ring[message]
 	engine   *engine.Client
+	hooks    *hooks
 	dispatch *dispatcher
 	cancel   *canceller
 	members  *members
@@ -54,6 +61,7 @@
 		func() zerolog.Logger { return log },
 		func() *ring.Ring[message] { return ring.New[message](eventCap, ring.Wait) },
 		func() (*cursor.Codec, error) { return cursor.Parse(s.Keys) },
+		func() *hooks { return &hooks{} },
 		newEngine,
 		newRouter,
 		newList,
@@ -78,23 +86,28 @@
 	})
 }
 
-func newRouter(s *Settings) *router.Router {
+func newRouter(s *Settings, h *hooks) *router.Router {
 	seed := s.Seed
 	if seed == 0 {
 		seed = rand.Uint64()
 	}
-	return router.New(s.Region, seed, nil, nil)
+	return router.New(s.Region, seed, nil, func(now time.Time, r *relay.Response) {
+		for _, f := range h.report {
+			f(now, r)
+		}
+	})
 }
 
 func newList(s *Settings) *vmlist.Client { return vmlist.New(s.VMs) }
 
 func newNode(s *Settings, log zerolog.Logger, events *ring.Ring[message], rt *router.Router, e *engine.Client,
-	cancel *canceller, rep *reporter, list *vmlist.Client, codec *cursor.Codec) *Node {
+	h *hooks, cancel *canceller, rep *reporter, list *vmlist.Client, codec *cursor.Codec) *Node {
 	n := &Node{
 		settings: s,
 		log:      log,
 		events:   events,
 		engine:   e,
+		hooks:    h,
 		cancel:   cancel,
 		reporter: rep,
 	}
@@ -110,6 +123,16 @@
 	return n
 }
 
+// OnReport adds a function that the dispatcher calls with each response that
+// ended. It must be called before Start.
+func (n *Node) OnReport(f func(now time.Time, r *relay.Response)) {
+	n.hooks.report = append(n.hooks.report, f)
+}
+
+// Simple makes the node use the baseline policy of router.Simple. It must be
+// called before Start.
+func (n *Node) Simple(timeout time.Duration) { n.dispatch.router.Simple(timeout) }
+
 // Start opens the listeners and starts the duties.
 func (n *Node) Start(ctx context.Context) error {
 	l, err := net.Listen("tcp", n.settings.Listen)
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -111,6 +111,21 @@
 	return best
 }
 
+// Least returns the engine with the least reported load, or nil when none is
+// live. It is the baseline that Pick is measured against.
+func (p *Pool) Least(avoid []*fleet.Engine) *fleet.Engine {
+	var best *fleet.Engine
+	for _, e := range p.engines {
+		if e.State() != fleet.Live || slices.Contains(avoid, e) {
+			continue
+		}
+		if best == nil || e.Reported() < best.Reported() {
+			best = e
+		}
+	}
+	return best
+}
+
 // scan looks at up to scanLimit engines from a random start; it is reached only
 // when no candidate accepts the attempt.
 func (p *Pool) scan(now time.Time, rng *rand.Rand, resume bool, avoid []*fleet.Engine) *fleet.Engine {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -55,6 +55,8 @@
 	broken bool
 	// resume is true for an attempt that continues delivered output.
 	resume bool
+	// timeout replaces the engine's cadence where it is not nil.
+	timeout func(started bool) time.Duration
 	// suspect is true once a hedge was started because of its silence.
 	suspect bool
 }
@@ -63,6 +65,10 @@
 func (a *attempt) due(now time.Time) time.Time {
 	c := a.engine.Cadence()
 	switch {
+	case a.timeout != nil && !a.last.IsZero():
+		return a.last.Add(a.timeout(true))
+	case a.timeout != nil:
+		return a.started.Add(a.timeout(false))
 	case !a.last.IsZero():
 		return a.last.Add(c.Silence(now))
 	case a.attached:
@@ -76,7 +82,7 @@
 // timeout depends on the engine's other streams, so it is judged first at its
 // shorter value.
 func (a *attempt) check(now time.Time) time.Time {
-	if !a.last.IsZero() {
+	if !a.last.IsZero() && a.timeout == nil {
 		if at := a.last.Add(a.engine.Cadence().Base()); at.After(now) {
 			return at
 		}
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -31,6 +31,11 @@
 	find func(name, address string) *fleet.Engine
 	// retry reports whether the retry budget allows another attempt.
 	retry func(now time.Time) bool
+	// timeout is how long an attempt may be silent, or nil for the engine's
+	// cadence.
+	timeout func(started bool) time.Duration
+	// restart makes a resume generate from the first token again.
+	restart bool
 }
 
 // NewPolicy returns a policy of the three functions.
@@ -46,6 +51,15 @@
 	}
 }
 
+// Simple returns a copy of p with a fixed silence timeout, and resumes that
+// generate from the start. It is the baseline that resumes are measured against.
+func (p *Policy) Simple(timeout time.Duration) *Policy {
+	q := *p
+	q.timeout = func(bool) time.Duration { return timeout }
+	q.restart = true
+	return &q
+}
+
 // Response is the state of one caller's generation. It is owned by one duty.
 type Response struct {
 	request *Request
@@ -272,7 +286,7 @@
 	if r.healthy() {
 		return out
 	}
-	if cause == Reset && !a.attached && !a.last.IsZero() && a.engine.State() == fleet.Live {
+	if cause == Reset && !r.policy.restart && !a.attached && !a.last.IsZero() && a.engine.State() == fleet.Live {
 		out = r.attach(now, a.engine, a.number, out)
 		r.live[len(r.live)-1].broken = true
 		return out
@@ -370,13 +384,17 @@
 	}
 	a := r.begin(now, e)
 	r.opened = true
+	prefix := r.tokens[:len(r.tokens):len(r.tokens)]
+	if r.policy.restart {
+		prefix = nil
+	}
 	return append(out, Action{
 		kind:    Open,
 		request: r.request,
 		engine:  e,
 		version: r.version,
 		attempt: a.number,
-		prefix:  r.tokens[:len(r.tokens):len(r.tokens)],
+		prefix:  prefix,
 	})
 }
 
@@ -402,6 +420,7 @@
 		engine:  e,
 		started: now,
 		resume:  r.Continues(),
+		timeout: r.policy.timeout,
 	}
 	r.next++
 	r.stats.attempts++
--- a/internal/router/estate.go
+++ b/internal/router/estate.go
@@ -56,6 +56,8 @@
 	// slots holds the slots of the live engines of each service at the last
 	// rebuild.
 	slots map[string]int
+	// pick chooses within one pool.
+	pick func(now time.Time, rng *rand.Rand, p *picker.Pool, r *relay.Response, avoid []*fleet.Engine) *fleet.Engine
 	// dirty is true when the pools don't match the engines.
 	dirty   bool
 	rebuilt time.Time
@@ -69,6 +71,9 @@
 		links:   make(map[string]*budget.Link),
 		slots:   make(map[string]int),
 		entries: 1,
+		pick: func(now time.Time, rng *rand.Rand, p *picker.Pool, r *relay.Response, avoid []*fleet.Engine) *fleet.Engine {
+			return p.Pick(now, rng, r.Request().Prefix(), r.Continues(), avoid)
+		},
 	}
 }
 
@@ -177,13 +182,13 @@
 	}
 	local := s.pools[k]
 	if local != nil {
-		if e := local.Pick(now, rng, q.Prefix(), r.Continues(), avoid); e != nil {
+		if e := s.pick(now, rng, local, r, avoid); e != nil {
 			return e
 		}
 	}
 	if local != nil && len(avoid) > 0 && !s.usableBeyond(local, avoid) {
 		// Only engines that failed this response before are left.
-		if e := local.Pick(now, rng, q.Prefix(), r.Continues(), nil); e != nil {
+		if e := s.pick(now, rng, local, r, nil); e != nil {
 			return e
 		}
 	}
@@ -196,7 +201,7 @@
 		if region == s.region || p == nil {
 			continue
 		}
-		e := p.Pick(now, rng, q.Prefix(), r.Continues(), avoid)
+		e := s.pick(now, rng, p, r, avoid)
 		if e != nil && s.afford(now, region, r) {
 			return e
 		}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,6 +9,7 @@
 	"clementinelink.example/clementinelink/internal/admit"
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/fleet"
+	"clementinelink.example/clementinelink/internal/picker"
 	"clementinelink.example/clementinelink/internal/relay"
 	"clementinelink.example/clementinelink/internal/world"
 )
@@ -101,6 +102,15 @@
 	return rt
 }
 
+// Simple makes the router use the baseline policy: a fixed silence timeout,
+// restarts instead of resumes, and the engine with the least reported load.
+func (rt *Router) Simple(timeout time.Duration) {
+	rt.policy = rt.policy.Simple(timeout)
+	rt.estate.pick = func(_ time.Time, _ *rand.Rand, p *picker.Pool, _ *relay.Response, avoid []*fleet.Engine) *fleet.Engine {
+		return p.Least(avoid)
+	}
+}
+
 // Step applies one event and returns the actions that follow from it. The
 // slice is valid until the next call.
 func (rt *Router) Step(now time.Time, ev Event) []relay.Action {
