--- /dev/null
+++ b/internal/move/control.go
@@ -0,0 +1,353 @@
+package move
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"clementinelink.example/clementinelink/internal/world"
+)
+
+// stage is one step of the share of a proven version.
+type stage struct {
+	share float64
+	// from is the earliest beginning as a fraction of the time between start
+	// and deadline. Waiting gives regressions that begin later or under load
+	// time to show while only a part of the traffic meets them.
+	from float64
+}
+
+// stages follow stage 0, whose share is the plan's trial share. The last stage
+// keeps a fifth on the old version, because the judge compares over the same
+// minutes: at a share of 0.9 one bad request says half as much as at 0.8.
+var stages = [...]stage{
+	{
+		share: 0.25,
+		from:  0.10,
+	},
+	{
+		share: 0.50,
+		from:  0.25,
+	},
+	{
+		share: 0.80,
+		from:  0.45,
+	},
+}
+
+// doneFrom is the earliest end of a move as a fraction of its time.
+const doneFrom = 0.80
+
+// firstRequests is how many requests of the whole fleet may meet the new
+// version before any result is known. Three failures are enough evidence
+// against a version that always fails, and the rest covers requests in flight.
+const firstRequests = 14
+
+// growth is how many more requests each success of an unproven version allows.
+const growth = 2
+
+// dwell is the smallest part of the time that a stage lasts.
+const dwell = 0.04
+
+// settle is how long before the deadline the last write of Done is sent, so
+// that it takes effect before every VM reverts on its own.
+const settle = 5 * time.Second
+
+// writeRetry is the time after which an unanswered write is repeated. The
+// compare-and-swap makes a repetition harmless.
+const writeRetry = 2 * time.Second
+
+// assessEvery is the time between two judgements of the same evidence.
+const assessEvery = time.Second
+
+// Controller drives one move on one VM. All VMs run one; the holder of the
+// move's lease writes the record. It is owned by one goroutine.
+type Controller struct {
+	service string
+	plan    *world.Move
+	judge   *Judge
+	// failed is the reason of the verdict of failure, once known.
+	failed  string
+	told    bool
+	stopped bool
+	finding *Finding
+	stepped time.Time
+	judged  time.Time
+	// written and wrote describe the last write that was asked for.
+	written uint64
+	wrote   time.Time
+	input   Input
+	limits  Limits
+}
+
+// NewController returns the controller of a move with the evidence of this VM
+// and its peers.
+func NewController(service string, plan *world.Move, set *Set) *Controller {
+	return &Controller{
+		service: service,
+		plan:    plan,
+		judge:   NewJudge(set, service, plan.From(), plan.To()),
+		finding: &Finding{weight: math.Inf(-1)},
+	}
+}
+
+// Close releases the evidence.
+func (c *Controller) Close() { c.judge.Close() }
+
+// Step returns the actions for the present time. The first one is always Limit.
+func (c *Controller) Step(now time.Time, in Input) []Action {
+	c.input = in
+	c.assess(now)
+	if c.failed == "" && in.failed != "" {
+		c.failed = in.failed
+	}
+	c.limits = c.limit(now)
+	actions := []Action{{
+		kind:   Limit,
+		limits: c.limits,
+	}}
+	if c.failed != "" && !c.told {
+		c.told = true
+		actions = append(actions, Action{
+			kind:   Tell,
+			reason: c.failed,
+		})
+	}
+	actions = append(actions, c.orders(now)...)
+	if w, ok := c.write(now); ok {
+		actions = append(actions, w)
+	}
+	return actions
+}
+
+// closed reports whether nothing can change the record any more.
+func (c *Controller) closed(now time.Time) bool {
+	return c.input.record.state == RolledBack ||
+		c.input.record.state == Done && now.After(c.plan.Deadline().Add(Watch))
+}
+
+// assess judges the evidence and keeps a verdict of failure. Any VM may reach
+// it, because it only ever moves traffic back to the old version.
+func (c *Controller) assess(now time.Time) {
+	if !c.stepped.IsZero() && now.After(c.stepped) {
+		c.judge.Observe(now, now.Sub(c.stepped), c.input.from, c.input.to)
+	}
+	c.stepped = now
+	if c.closed(now) || now.Before(c.plan.Start()) || now.Sub(c.judged) < assessEvery {
+		return
+	}
+	c.judged = now
+	if c.input.record.state == Done {
+		c.finding = c.judge.AssessAfter(c.input.record.at)
+	} else {
+		c.finding = c.judge.Assess(c.stageStart())
+	}
+	if c.failed == "" && c.finding.Bad() {
+		c.failed = c.finding.Reason()
+	}
+}
+
+// stageStart returns the first full minute of the stage; a proof must come from
+// evidence at the stage's own share.
+func (c *Controller) stageStart() time.Time {
+	if c.input.record.at.IsZero() {
+		return c.plan.Start()
+	}
+	return c.input.record.at.Add(59 * time.Second)
+}
+
+// limit returns the limits that follow from the plan and what this VM knows.
+func (c *Controller) limit(now time.Time) Limits {
+	l := Limits{
+		count: math.Inf(1),
+		start: c.plan.Start(),
+		end:   c.plan.Deadline(),
+	}
+	r := c.input.record
+	switch {
+	case r.state == RolledBack, c.failed != "" && !c.closed(now):
+		return l
+	case r.state == Done:
+		l.share = 1
+		l.done = true
+		return l
+	case now.Before(l.start) || !now.Before(l.end):
+		return l
+	case r.stage > 0:
+		l.share = c.share(r.stage)
+	default:
+		l.share = c.plan.Trial()
+		l.count = c.allowance()
+	}
+	if c.input.engines > 0 {
+		l.share = min(l.share, c.input.ready())
+	}
+	return l
+}
+
+func (c *Controller) share(n int) float64 {
+	n = min(n, len(stages))
+	return max(stages[n-1].share, c.plan.Trial())
+}
+
+// allowance returns how many requests of this VM an unproven version may have
+// met: the fleet's allowance divided by the live entry VMs.
+func (c *Controller) allowance() float64 {
+	successes := c.judge.set.successes[[2]string{c.service, c.plan.To()}]
+	return (firstRequests + growth*float64(max(successes, 0))) / float64(c.input.live)
+}
+
+// at returns the time after a fraction of the move.
+func (c *Controller) at(fraction float64) time.Time {
+	span := c.plan.Deadline().Sub(c.plan.Start())
+	return c.plan.Start().Add(time.Duration(fraction * float64(span)))
+}
+
+// next returns the record that should replace the present one.
+func (c *Controller) next(now time.Time) (Record, bool) {
+	r := Record{
+		at:    now,
+		fence: c.input.fence,
+		stage: c.input.record.stage,
+	}
+	switch {
+	case c.closed(now):
+		return r, false
+	case c.failed != "":
+		r.state = RolledBack
+		r.reason = c.failed
+		return r, true
+	case c.input.record.state == Done:
+		return r, false
+	case !now.Before(c.plan.Deadline()):
+		r.state = RolledBack
+		r.reason = "not proven by the deadline"
+		return r, true
+	case !c.finding.Proven() || !c.rested(now):
+		return r, false
+	case r.stage < len(stages):
+		r.stage++
+		r.reason = "proven at the stage before"
+		return r, !now.Before(c.at(stages[r.stage-1].from)) && c.input.ready() >= c.share(r.stage)
+	}
+	r.state = Done
+	r.reason = "proven at every stage"
+	return r, !now.Before(c.at(doneFrom)) && now.Before(c.plan.Deadline().Add(-settle))
+}
+
+// rested reports whether the present stage has lasted long enough.
+func (c *Controller) rested(now time.Time) bool {
+	began := c.input.record.at
+	if began.IsZero() {
+		began = c.plan.Start()
+	}
+	span := c.plan.Deadline().Sub(c.plan.Start())
+	return now.Sub(began) >= time.Duration(dwell*float64(span))
+}
+
+// write returns the record's next write when this VM may act.
+func (c *Controller) write(now time.Time) (Action, bool) {
+	if !c.input.lease || now.Before(c.plan.Start()) {
+		return Action{}, false
+	}
+	r, ok := c.next(now)
+	if !ok || c.written == c.input.revision+1 && now.Sub(c.wrote) < writeRetry {
+		return Action{}, false
+	}
+	c.written = c.input.revision + 1
+	c.wrote = now
+	a := Action{
+		kind:     Write,
+		record:   r,
+		revision: c.input.revision,
+	}
+	if r.state != RolledBack {
+		a.before = c.plan.Deadline().Add(-settle)
+	}
+	return a, true
+}
+
+// orders asks for the engines of the next stage, or for the end of loading.
+func (c *Controller) orders(now time.Time) []Action {
+	if c.failed != "" || c.input.record.state == RolledBack || c.input.record.state != Done && !now.Before(c.plan.Deadline()) {
+		if c.stopped {
+			return nil
+		}
+		c.stopped = true
+		return []Action{{
+			kind:    Stop,
+			version: c.plan.To(),
+			reason:  c.failed,
+		}}
+	}
+	if c.closed(now) {
+		return nil
+	}
+	n := min(c.input.record.stage, len(stages)-1)
+	fraction, by := c.share(n+1), c.at(stages[n].from)
+	if c.input.record.state == Done || c.input.record.stage == len(stages) {
+		fraction, by = 1, c.at(doneFrom)
+	}
+	if c.input.ready() >= fraction {
+		return nil
+	}
+	return []Action{{
+		kind:     Load,
+		version:  c.plan.To(),
+		fraction: fraction,
+		before:   by,
+	}}
+}
+
+// Status describes a move for operators.
+type Status struct {
+	service string
+	plan    *world.Move
+	record  Record
+	share   float64
+	failed  string
+	weight  float64
+	lines   []string
+}
+
+// Status returns the state of the move as this VM sees it.
+func (c *Controller) Status() Status {
+	return Status{
+		service: c.service,
+		plan:    c.plan,
+		record:  c.input.record,
+		share:   c.limits.share,
+		failed:  c.failed,
+		weight:  c.finding.Weight(),
+		lines:   c.finding.Lines(),
+	}
+}
+
+// Service returns the service's name.
+func (s Status) Service() string { return s.service }
+
+// Plan returns the move.
+func (s Status) Plan() *world.Move { return s.plan }
+
+// Record returns the record last seen.
+func (s Status) Record() Record { return s.record }
+
+// Share returns the share of this VM's requests that the new version gets.
+func (s Status) Share() float64 { return s.share }
+
+// Reason returns the evidence that decided the move, or "" while it runs.
+func (s Status) Reason() string {
+	if s.failed != "" {
+		return s.failed
+	}
+	return s.record.reason
+}
+
+// Lines returns the evidence, one metric a line.
+func (s Status) Lines() []string { return s.lines }
+
+// String returns the status as one line.
+func (s Status) String() string {
+	return fmt.Sprintf("%s: %s %s -> %s, %s stage %d, share %.3f, evidence e^%.1f, %s", s.plan.Name(), s.service,
+		s.plan.From(), s.plan.To(), s.record.state, s.record.stage, s.share, s.weight, s.Reason())
+}
--- /dev/null
+++ b/internal/move/record.go
@@ -0,0 +1,113 @@
+package move
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"clementinelink.example/clementinelink/internal/world"
+)
+
+// State is the state of a move in its record.
+type State uint8
+
+// The states. RolledBack is final; Done is final once the time of watching
+// after the move is over.
+const (
+	// Running is a move without a result; a move without a record is running.
+	Running State = iota
+	// Done is a move whose new version serves all traffic.
+	Done
+	// RolledBack is a move whose old version serves all traffic.
+	RolledBack
+)
+
+var stateNames = [...]string{
+	Running:    "running",
+	Done:       "done",
+	RolledBack: "rolled-back",
+}
+
+// String returns the state's name in records and verdicts.
+func (s State) String() string { return stateNames[s] }
+
+// Record is the agreed state of a move in the store. It changes by
+// compare-and-swap only. The zero value is the state before the first write.
+type Record struct {
+	state State
+	stage int
+	// at is when the record was decided.
+	at     time.Time
+	reason string
+	// fence is the fencing number of the lease under which it was decided.
+	fence uint64
+}
+
+// State returns the state.
+func (r Record) State() State { return r.state }
+
+// Stage returns the stage of a running move, from 0.
+func (r Record) Stage() int { return r.stage }
+
+// Time returns when the record was decided.
+func (r Record) Time() time.Time { return r.at }
+
+// Reason returns the evidence that decided it.
+func (r Record) Reason() string { return r.reason }
+
+// Fence returns the fencing number of the deciding lease.
+func (r Record) Fence() uint64 { return r.fence }
+
+type wireRecord struct {
+	State  string    `json:"state"`
+	Stage  int       `json:"stage"`
+	Time   time.Time `json:"time"`
+	Reason string    `json:"reason"`
+	Fence  uint64    `json:"fence"`
+}
+
+// Encode returns the record as stored.
+func (r Record) Encode() ([]byte, error) {
+	return json.Marshal(wireRecord{
+		State:  r.state.String(),
+		Stage:  r.stage,
+		Time:   r.at.UTC(),
+		Reason: r.reason,
+		Fence:  r.fence,
+	})
+}
+
+// DecodeRecord reads a stored record; an empty value is a move without one.
+func DecodeRecord(value []byte) (Record, error) {
+	if len(value) == 0 {
+		return Record{}, nil
+	}
+	var w wireRecord
+	if err := json.Unmarshal(value, &w); err != nil {
+		return Record{}, errors.Wrap(err, "move record")
+	}
+	for s, name := range stateNames {
+		if name == w.State {
+			return Record{
+				state:  State(s),
+				stage:  w.Stage,
+				at:     w.Time,
+				reason: w.Reason,
+				fence:  w.Fence,
+			}, nil
+		}
+	}
+	return Record{}, errors.Newf("move record: unknown state %q", w.State)
+}
+
+// RecordKey returns the store key of a move's record. It depends on the whole
+// plan, so a name used again for another plan gets a record of its own.
+func RecordKey(service string, m *world.Move) string {
+	h := sha256.Sum256(fmt.Appendf(nil, "%s|%s|%s|%s|%d|%d|%g", service, m.Name(), m.From(), m.To(),
+		m.Start().UnixNano(), m.Deadline().UnixNano(), m.Trial()))
+	return "moves/" + m.Name() + "/" + hex.EncodeToString(h[:6])
+}
--- /dev/null
+++ b/internal/move/script_test.go
@@ -0,0 +1,154 @@
+package move
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"clementinelink.example/clementinelink/internal/world"
+)
+
+// TestScripts guards the decisions of the gate, the judge and the controller,
+// and the merge of evidence. Commands:
+//
+//	plan trial=SHARE                a new move of 20 minutes with a new store
+//	rows                            merges "VM INC VERSION ROUTE MINUTE N ERR TRUNC FIRST GAPS"
+//	step at=T [store=down] [...]    steps the controller; writes go to the store
+//	stale at=T                      sends the last write again, as a paused holder does
+//	gate seed=N requests=N at=T     a restarted gate with the last limits
+//	assess since=T                  prints the judge's finding
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &script{}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			return s.run(t, d)
+		})
+	})
+}
+
+var began = time.Unix(1_700_000_040, 0).UTC()
+
+type script struct {
+	set        *Set
+	controller *Controller
+	record     Record
+	revision   uint64
+	last       Action
+	limits     Limits
+}
+
+func (s *script) run(t *testing.T, d *datadriven.TestData) string {
+	out := &strings.Builder{}
+	at := began
+	if d.HasArg("at") {
+		var text string
+		d.ScanArgs(t, "at", &text)
+		after, err := time.ParseDuration(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		at = began.Add(after)
+	}
+	switch d.Cmd {
+	case "plan":
+		trial := 0.0
+		d.ScanArgs(t, "trial", &trial)
+		plan := world.NewMove("m", "v1", "v2", began, began.Add(20*time.Minute), trial)
+		*s = script{set: NewSet()}
+		s.controller = NewController("draft", plan, s.set)
+	case "rows":
+		s.rows(t, d, out)
+	case "step":
+		s.step(t, d, at, out)
+	case "stale":
+		s.write(s.last, out)
+	case "gate":
+		s.gate(t, d, at, out)
+	case "assess":
+		f := s.controller.judge.Assess(at)
+		fmt.Fprintf(out, "bad %v, proven %v, %s\n", f.Bad(), f.Proven(), f.Reason())
+		fmt.Fprintln(out, strings.Join(f.Lines(), "\n"))
+	}
+	return out.String()
+}
+
+func (s *script) rows(t *testing.T, d *datadriven.TestData, out *strings.Builder) {
+	changed := 0
+	for line := range strings.Lines(d.Input) {
+		var vm, version, route string
+		var inc, n, errors, truncated, first, gaps uint64
+		var minute int
+		if _, err := fmt.Sscan(line, &vm, &inc, &version, &route, &minute, &n, &errors, &truncated, &first, &gaps); err != nil {
+			t.Fatalf("%s: %v", line, err)
+		}
+		k := NewKey(vm, inc, "draft", version, route, "batch", began.Add(time.Duration(minute)*time.Minute))
+		if s.set.Merge(k, NewCounts(n, errors, truncated, first, gaps)) {
+			changed++
+		}
+	}
+	fmt.Fprintf(out, "%d of %d rows changed, %d held\n", changed, strings.Count(d.Input, "\n")+1, s.set.Len())
+}
+
+func (s *script) step(t *testing.T, d *datadriven.TestData, at time.Time, out *strings.Builder) {
+	from, to := 20, 20
+	in := NewInput(9).WithRecord(s.record, s.revision)
+	if d.HasArg("engines") {
+		d.ScanArgs(t, "engines", &from, &to)
+	}
+	if d.HasArg("lease") {
+		fence := 0
+		d.ScanArgs(t, "lease", &fence)
+		in = in.WithLease(uint64(fence))
+	}
+	if d.HasArg("failed") {
+		in = in.WithFailed("verdict of a peer")
+	}
+	for _, a := range s.controller.Step(at, in.WithEngines(from, to, 20)) {
+		switch a.Kind() {
+		case Limit:
+			s.limits = a.Limits()
+			fmt.Fprintf(out, "limit share %.2f count %.2f done %v\n", s.limits.Share(), s.limits.Count(), s.limits.Done())
+		case Write:
+			s.last = a
+			fmt.Fprintf(out, "write %s stage %d over revision %d: %s\n", a.Record().State(), a.Record().Stage(), a.Revision(), a.Record().Reason())
+			if !d.HasArg("store") {
+				s.write(a, out)
+			}
+		case Tell:
+			fmt.Fprintf(out, "tell %s\n", a.Reason())
+		case Load:
+			fmt.Fprintf(out, "load %s on %.2f by %s\n", a.Version(), a.Fraction(), a.Before().Sub(began))
+		case Stop:
+			fmt.Fprintf(out, "stop %s\n", a.Version())
+		}
+	}
+}
+
+// write stands in for the store's compare-and-swap.
+func (s *script) write(a Action, out *strings.Builder) {
+	if a.Revision() != s.revision {
+		fmt.Fprintln(out, "conflict")
+		return
+	}
+	value, err := a.Record().Encode()
+	if err == nil {
+		s.record, err = DecodeRecord(value)
+	}
+	s.revision++
+	fmt.Fprintf(out, "stored revision %d, error %v\n", s.revision, err)
+}
+
+func (s *script) gate(t *testing.T, d *datadriven.TestData, at time.Time, out *strings.Builder) {
+	var seed, requests int
+	d.ScanArgs(t, "seed", &seed)
+	d.ScanArgs(t, "requests", &requests)
+	g := NewGate(uint64(seed))
+	g.Set(s.limits)
+	for range requests {
+		g.Admit(at)
+	}
+	fmt.Fprintf(out, "admitted %d\n", g.Used())
+}
