Add clementinectl

Operators need to check, compare and submit declarations and to follow moves from scripts, with exit codes that tell a conflict from a fault.

Exit codes: 0 ok, 1 failed, 2 usage or faulty input, 3 conflict.

--- /dev/null
+++ b/cmd/clementinectl/main.go
@@ -0,0 +1,229 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"clementinelink.example/clementinelink/internal/submit"
+)
+
+// The exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitInput    = 2
+	exitConflict = 3
+)
+
+// exitError is an error with the program's exit code.
+type exitError struct {
+	code int
+	err  error
+}
+
+// Error returns the text of the cause.
+func (e *exitError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *exitError) Unwrap() error { return e.err }
+
+func inputError(err error) error {
+	return &exitError{
+		code: exitInput,
+		err:  err,
+	}
+}
+
+// settings are the options of all commands. The fields are exported for
+// go-flags.
+type settings struct {
+	Address []string      `long:"address" env:"CLEMENTINE_ADDRESS" env-delim:"," value-name:"HOST:PORT" description:"operator address of an entry VM; several are tried in turn"`
+	Output  string        `long:"output" env:"CLEMENTINE_OUTPUT" choice:"text" choice:"json" default:"text" description:"output format"`
+	Timeout time.Duration `long:"timeout" env:"CLEMENTINE_TIMEOUT" default:"30s" description:"time for all attempts"`
+	Version func()        `long:"version" description:"print the version and exit"`
+}
+
+// program holds what the commands share.
+type program struct {
+	settings settings
+	ctx      context.Context
+	stdout   io.Writer
+	stderr   io.Writer
+	now      func() time.Time
+	// turn selects the next address.
+	turn int
+}
+
+// errVersion ends the program after --version.
+var errVersion = errors.New("version printed")
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// run executes the command line and returns the exit code.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	p := &program{
+		ctx:    ctx,
+		stdout: stdout,
+		stderr: stderr,
+		now:    time.Now,
+	}
+	shown := false
+	p.settings.Version = func() {
+		shown = true
+		fmt.Fprintln(stdout, version())
+	}
+	parser := flags.NewNamedParser("clementinectl", flags.HelpFlag|flags.PassDoubleDash)
+	if err := p.register(parser); err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	parser.CommandHandler = func(c flags.Commander, rest []string) error {
+		if shown {
+			return errVersion
+		}
+		return c.Execute(rest)
+	}
+	_, err := parser.ParseArgs(args)
+	if shown {
+		return exitOK
+	}
+	return p.exit(err)
+}
+
+// exit prints an error and returns its exit code.
+func (p *program) exit(err error) int {
+	var usage *flags.Error
+	var coded *exitError
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
+		fmt.Fprintln(p.stdout, usage.Message)
+		return exitOK
+	case errors.As(err, &usage):
+		fmt.Fprintln(p.stderr, usage.Message)
+		return exitInput
+	case errors.As(err, &coded):
+		fmt.Fprintln(p.stderr, coded)
+		return coded.code
+	default:
+		fmt.Fprintln(p.stderr, err)
+		return exitFailed
+	}
+}
+
+func (p *program) register(parser *flags.Parser) error {
+	if _, err := parser.AddGroup("Settings", "", &p.settings); err != nil {
+		return err
+	}
+	for _, c := range []struct {
+		name  string
+		short string
+		data  any
+	}{
+		{
+			name:  "check",
+			short: "Check a declaration for faults",
+			data: &checkCommand{
+				program: p,
+			},
+		},
+		{
+			name:  "diff",
+			short: "Compare a declaration with the one in force or with another file",
+			data: &diffCommand{
+				program: p,
+			},
+		},
+		{
+			name:  "apply",
+			short: "Submit a declaration",
+			data: &applyCommand{
+				program: p,
+			},
+		},
+		{
+			name:  "status",
+			short: "Show the revision and moves in force",
+			data: &statusCommand{
+				program: p,
+			},
+		},
+		{
+			name:  "history",
+			short: "Show accepted changes, newest first",
+			data: &historyCommand{
+				program: p,
+			},
+		},
+		{
+			name:  "watch",
+			short: "Show the status whenever it changes",
+			data: &watchCommand{
+				program: p,
+			},
+		},
+	} {
+		if _, err := parser.AddCommand(c.name, c.short, "", c.data); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "clementinectl (unknown version)"
+	}
+	return "clementinectl " + info.Main.Version
+}
+
+// client returns a client for the next address.
+func (p *program) client() (*submit.Client, error) {
+	if len(p.settings.Address) == 0 {
+		return nil, inputError(errors.New("no --address and no CLEMENTINE_ADDRESS"))
+	}
+	address := p.settings.Address[p.turn%len(p.settings.Address)]
+	p.turn++
+	return submit.NewClient(address, http.DefaultClient), nil
+}
+
+// retryPause is the time between attempts, so that a VM that is restarting is
+// not flooded.
+const retryPause = 300 * time.Millisecond
+
+// attempt calls f with the addresses in turn until it does not fail any more or
+// the time is over.
+func (p *program) attempt(f func(ctx context.Context, c *submit.Client) error) error {
+	ctx, cancel := context.WithTimeout(p.ctx, p.settings.Timeout)
+	defer cancel()
+	for {
+		c, err := p.client()
+		if err != nil {
+			return err
+		}
+		if err = f(ctx, c); err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(retryPause):
+		}
+	}
+}
--- a/pkg/decl/fault.go
+++ b/pkg/decl/fault.go
@@ -119,3 +119,19 @@
 	}
 	return errors.Join(list...)
 }
+
+// Faults returns the faults that an error of Parse, Check or Join holds.
+func Faults(err error) []*Fault {
+	var list []*Fault
+	switch e := err.(type) {
+	case *Fault:
+		list = append(list, e)
+	case interface{ Unwrap() []error }:
+		for _, inner := range e.Unwrap() {
+			list = append(list, Faults(inner)...)
+		}
+	case interface{ Unwrap() error }:
+		list = Faults(e.Unwrap())
+	}
+	return list
+}
