--- a/internal/simwts/server_test.go
+++ b/internal/simwts/server_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -23,18 +24,22 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(ctx, listener) }()
-	datadriven.RunTest(t, "testdata/fetch", func(_ *testing.T, td *datadriven.TestData) string {
-		if td.Cmd == "wait" {
-			server.SetRate(1000)
-			time.Sleep(50 * time.Millisecond)
-			return ""
+	datadriven.RunTest(t, "testdata/fetch", func(t *testing.T, td *datadriven.TestData) string {
+		out := ""
+		for step := range strings.Lines(td.Input) {
+			if strings.TrimSpace(step) == "wait" {
+				server.SetRate(1000)
+				time.Sleep(50 * time.Millisecond)
+				continue
+			}
+			resp, err := http.Get("http://" + listener.Addr().String() + "/weights/drafts/v2")
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			out += resp.Status + " " + resp.Header.Get("Retry-After") + "\n"
 		}
-		resp, err := http.Get("http://" + listener.Addr().String() + "/weights/drafts/v2")
-		if err != nil {
-			return err.Error()
-		}
-		_ = resp.Body.Close()
-		return resp.Status + " " + resp.Header.Get("Retry-After") + "\n"
+		return out
 	})
 	cancel()
 	if err := <-ended; err != nil {
--- a/internal/vmlist/client_test.go
+++ b/internal/vmlist/client_test.go
@@ -29,24 +29,23 @@
 	go func() { ended <- server.Serve(ctx, listener) }()
 	base := "http://" + listener.Addr().String()
 	client := vmlist.New(base)
-	datadriven.RunTest(t, "testdata/list", func(_ *testing.T, td *datadriven.TestData) string {
-		switch td.Cmd {
-		case "post":
-			resp, err := http.Post(base+"/vms", "application/json", strings.NewReader(td.Input))
+	datadriven.RunTest(t, "testdata/list", func(t *testing.T, td *datadriven.TestData) string {
+		var b strings.Builder
+		if td.Cmd == "sleep" {
+			time.Sleep(300 * time.Millisecond)
+		}
+		for change := range strings.Lines(td.Input) {
+			resp, err := http.Post(base+"/vms", "application/json", strings.NewReader(change))
 			if err != nil {
-				return err.Error()
+				t.Fatal(err)
 			}
 			_ = resp.Body.Close()
-			return resp.Status + "\n"
-		case "sleep":
-			time.Sleep(300 * time.Millisecond)
-			return ""
+			fmt.Fprintln(&b, resp.Status)
 		}
 		vms, err := client.List(ctx)
 		if errors.Is(err, vmlist.ErrUnavailable) {
-			return "unavailable\n"
+			return b.String() + "unavailable\n"
 		}
-		var b strings.Builder
 		for _, v := range vms {
 			fmt.Fprintf(&b, "%s %s %q %s %s/%s leaving=%t\n", v.Name(), v.Kind(), v.Service(), v.Address(), v.Region(), v.Domain(), v.Leaving())
 		}
