Add the claim core for idempotency keys

Cause: a non-idempotent call must run at most once per key, whichever VM gets it and wherever a VM, the store or a connection fails. One claim write per call would use two of the store's several hundred writes a second for each booking.

Change: internal/claim keeps claims in 64 slots of the store. The calls and outcomes that wait for a slot share one compare-and-swap; the slot's soft owner serves the operations of its peers, and a VM uses the store itself when the owner does not reply. Every operation is idempotent by claim id, so a lost answer is handled by reading the slot again and applying the same operations. A call that gives up after its claim may have been written releases it. A claim without an outcome becomes unknown 2 s after the call's deadline and stays so. Bodies up to 8 KB are kept; a slot drops its oldest bodies above 128 KB and takes no new key above 900 KB.

A core that claims after it sends is caught in 200 of 200 schedules. The properties found faults that are fixed here: claims refused after the end of an outage, an outcome evaluated after a claim that found it missing, and a released claim written again by a late write.

--- /dev/null
+++ b/internal/claim/core.go
@@ -0,0 +1,568 @@
+package claim
+
+import (
+	"encoding/binary"
+	"maps"
+	"slices"
+	"time"
+
+	"clementinelink.example/clementinelink/internal/errs"
+)
+
+// Times and bounds of the core.
+const (
+	// askWait is the time for a soft owner's reply, about ten round trips
+	// between regions. After it the VM uses the store itself.
+	askWait = 300 * time.Millisecond
+	// A store that is down is probed with one read after firstProbe, doubled up
+	// to maxProbe; claims are refused at once meanwhile. 360 VMs at maxProbe
+	// take 720 of the store's 2,000 reads a second.
+	firstProbe = 20 * time.Millisecond
+	maxProbe   = 500 * time.Millisecond
+	// readTries is the number of reads without any reply after which the store
+	// counts as down.
+	readTries = 2
+	// linger is the time that outcomes wait for a claim to share their write
+	// when writes are scarce.
+	linger = 100 * time.Millisecond
+	// throttleGap is the pause of a slot after the store's rate limit.
+	throttleGap = 50 * time.Millisecond
+	maxBackoff  = 5 * time.Second
+	firstPoll   = 50 * time.Millisecond
+	maxPoll     = time.Second
+	// settleSlack is added to a sent call's deadline, so that the sender's own
+	// statement of the outcome comes before the core's.
+	settleSlack = 200 * time.Millisecond
+	// maxCalls bounds the calls that wait for a claim or run.
+	maxCalls = 8192
+)
+
+type callState uint8
+
+const (
+	claiming callState = iota
+	sending
+	// detached is a sent call whose caller has its outcome or left.
+	detached
+)
+
+type call struct {
+	number uint64
+	ask    Ask
+	state  callState
+	// op is the claim in progress, nil while the call waits for another's
+	// outcome.
+	op *op
+	// tried is true when a claim of this call may still be written.
+	tried bool
+	// rival is the record of another claim that was seen last.
+	rival   *Record
+	againAt time.Time
+	poll    time.Duration
+}
+
+// pendingAsk is an operation that a peer was asked for.
+type pendingAsk struct {
+	op    *op
+	until time.Time
+}
+
+// Core holds the claims of one VM. It is owned by one goroutine.
+type Core struct {
+	vm          string
+	incarnation uint64
+	slots       []*slot
+	calls       map[uint64]*call
+	asks        map[uint64]pendingAsk
+	tickets     uint64
+	// ready lists the slots with queued operations and none in flight.
+	ready []*slot
+	// due is the earliest deadline of a call, poll or ask, or zero.
+	due  time.Time
+	pace pace
+	// down is true from a failed store operation to the next that succeeds.
+	down bool
+	// probe is the slot that is read at probeAt while the store is down.
+	probe    *slot
+	probeAt  time.Time
+	probeGap time.Duration
+	out      []Action
+	// owner returns the soft owner of a slot; nil or "" stands for this VM.
+	owner func(slot int) string
+	// early reports whether a call is sent before its claim is held. It is nil
+	// except in tests that show that the checks find double runs.
+	early func() bool
+}
+
+// New returns the core of one process. The incarnation is unique to the
+// process. All VMs must use the same number of slots; changing it while keys
+// are kept loses claims. Rate is the number of slot writes a second for this
+// VM.
+func New(vm string, incarnation uint64, slots int, rate float64) *Core {
+	c := &Core{
+		vm:          vm,
+		incarnation: incarnation,
+		slots:       make([]*slot, slots),
+		calls:       map[uint64]*call{},
+		asks:        map[uint64]pendingAsk{},
+		pace:        newPace(rate),
+	}
+	for i := range c.slots {
+		c.slots[i] = &slot{number: i}
+	}
+	return c
+}
+
+// WithOwner sets the choice of a slot's soft owner by VM name.
+func (c *Core) WithOwner(owner func(slot int) string) *Core {
+	c.owner = owner
+	return c
+}
+
+// Step tells the core of an event and returns its orders.
+func (c *Core) Step(now time.Time, e Event) []Action {
+	c.out = nil
+	switch e.kind {
+	case begin:
+		c.begin(now, e)
+	case gone:
+		c.gone(now, e.number)
+	case ended:
+		c.ended(now, e)
+	case read:
+		c.read(now, e)
+	case written:
+		c.written(now, e)
+	case asked:
+		c.submit(now, &op{
+			ask:    e.ask,
+			remote: true,
+			ticket: e.number,
+			since:  now,
+		})
+	case replied:
+		c.replied(now, e)
+	}
+	c.expire(now)
+	c.pump(now)
+	return c.out
+}
+
+// Next returns the time of the next tick that the core needs, or zero.
+func (c *Core) Next() time.Time {
+	next := c.due
+	for _, s := range c.ready {
+		at := s.retryAt
+		if s.table != nil {
+			at = later(at, c.pace.next(s))
+		}
+		next = sooner(next, at)
+	}
+	if c.down && !c.probe.busy {
+		next = sooner(next, c.probeAt)
+	}
+	return next
+}
+
+// Calls returns the number of calls that wait or run.
+func (c *Core) Calls() int { return len(c.calls) }
+
+// Unsettled returns the number of outcomes that are not in the store yet.
+func (c *Core) Unsettled() int {
+	n := 0
+	for _, s := range c.slots {
+		for _, list := range [][]*op{s.queue, s.batch} {
+			for _, o := range list {
+				if o.ask.settle && !o.remote {
+					n++
+				}
+			}
+		}
+	}
+	for _, a := range c.asks {
+		if a.op.ask.settle {
+			n++
+		}
+	}
+	return n
+}
+
+// Down reports whether the last store operation failed.
+func (c *Core) Down() bool { return c.down }
+
+func (c *Core) begin(now time.Time, e Event) {
+	a := e.ask
+	a.id = NewID(c.incarnation, e.number)
+	l := &call{
+		number: e.number,
+		ask:    a,
+		poll:   firstPoll,
+	}
+	if len(c.calls) >= maxCalls {
+		c.finish(l, nil, errs.New(errs.Overload, errs.NotRun, "too many calls with a key; the call was not sent").WithRetry(time.Second))
+		return
+	}
+	c.calls[e.number] = l
+	c.wake(a.deadline)
+	if c.early != nil && c.early() {
+		c.send(l)
+		return
+	}
+	c.claim(now, l)
+}
+
+func (c *Core) claim(now time.Time, l *call) {
+	l.op = &op{
+		ask:   l.ask,
+		since: now,
+		tried: l.tried,
+	}
+	c.submit(now, l.op)
+}
+
+func (c *Core) send(l *call) {
+	l.state = sending
+	c.wake(l.ask.deadline.Add(settleSlack))
+	c.emit(Action{
+		kind:     Send,
+		number:   l.number,
+		deadline: l.ask.deadline,
+	})
+}
+
+// submit hands an operation to the slot's soft owner or to the slot itself.
+func (c *Core) submit(now time.Time, o *op) {
+	s := c.slot(o.ask.key)
+	peer := ""
+	if c.owner != nil && !o.remote && !o.direct {
+		peer = c.owner(s.number)
+	}
+	if !o.ask.settle && c.down {
+		c.complete(now, o, Failed, nil)
+		return
+	}
+	if peer != "" && peer != c.vm {
+		c.tickets++
+		c.asks[c.tickets] = pendingAsk{
+			op:    o,
+			until: now.Add(askWait),
+		}
+		c.wake(now.Add(askWait))
+		c.emit(Action{
+			kind:   Forward,
+			number: c.tickets,
+			peer:   peer,
+			ask:    o.ask,
+		})
+		return
+	}
+	s.queue = append(s.queue, o)
+	if !o.ask.settle && s.backoff > 0 {
+		s.retryAt = now
+	}
+	c.list(s)
+}
+
+// complete tells whoever waits for the operation.
+func (c *Core) complete(now time.Time, o *op, v Verdict, r *Record) {
+	if o.ask.settle && v != Failed {
+		c.rouse(now, o.ask.key)
+	}
+	if o.remote {
+		c.emit(Action{
+			kind:    Reply,
+			number:  o.ticket,
+			verdict: v,
+			record:  r,
+		})
+		return
+	}
+	if o.ask.settle {
+		return
+	}
+	l := c.calls[o.ask.id.number]
+	if l == nil || l.op != o {
+		return
+	}
+	l.tried = l.tried || o.tried
+	l.op = nil
+	c.judge(now, l, v, r)
+}
+
+func (c *Core) judge(now time.Time, l *call, v Verdict, r *Record) {
+	if l.state != claiming {
+		return
+	}
+	switch v {
+	case Won:
+		l.tried = true
+		if !now.Before(l.ask.deadline) {
+			c.giveUp(now, l)
+			return
+		}
+		c.send(l)
+	case Held:
+		l.rival = r
+		l.againAt = now.Add(l.poll)
+		l.poll = min(2*l.poll, maxPoll)
+		c.wake(l.againAt)
+	case Found:
+		c.settled(now, l, r)
+	case Mismatch:
+		c.conclude(now, l, nil, errs.New(errs.Mismatch, errs.NotRun, "the key was used with another request; this one was not sent"))
+	case Full:
+		c.conclude(now, l, nil, errs.New(errs.Overload, errs.NotRun, "too many keys are kept; the call was not sent").WithRetry(time.Minute))
+	case Late:
+		c.giveUp(now, l)
+	default:
+		c.refuse(now, l)
+	}
+}
+
+// settled finishes a call with the final record of an earlier one.
+func (c *Core) settled(now time.Time, l *call, r *Record) {
+	switch {
+	case Digest(r.GetBody()) != l.ask.body:
+		c.judge(now, l, Mismatch, r)
+	case r.GetState() == State_UNKNOWN:
+		c.conclude(now, l, nil, errs.New(errs.Expired, errs.Unknown, "the first call with this key has no known outcome and is not repeated"))
+	case r.GetTruncated():
+		c.conclude(now, l, AnswerOf(r), errs.New(errs.Internal, errs.Ran, "the first call with this key was answered with status %d; its body was not kept", r.GetStatus()))
+	default:
+		c.conclude(now, l, AnswerOf(r), nil)
+	}
+}
+
+// refuse finishes a call whose claim can't be stored. What this VM knows of
+// the key takes precedence over the refusal.
+func (c *Core) refuse(now time.Time, l *call) {
+	s := c.slot(l.ask.key)
+	r := l.rival
+	if s.table != nil && s.table.at[l.ask.key] != nil {
+		r = s.table.at[l.ask.key]
+	}
+	if o := s.pending(l.ask.key); o != nil {
+		r = o.ask.record(now)
+	}
+	switch {
+	case r == nil || r.GetState() == State_NOT_RUN || r.held() == l.ask.id || r.expired(now):
+		c.conclude(now, l, nil, errs.New(errs.Unavailable, errs.NotRun, "the claim store is not available; the call was not sent and may be repeated with the same key").WithRetry(2*time.Second))
+	case r.final():
+		c.settled(now, l, r)
+	default:
+		c.inProgress(now, l)
+	}
+}
+
+func (c *Core) inProgress(now time.Time, l *call) {
+	c.conclude(now, l, nil, errs.New(errs.InProgress, errs.Unknown, "the first call with this key has no outcome yet; repeat with the same key").WithRetry(2*time.Second))
+}
+
+// giveUp finishes a call whose claim was not held before its deadline.
+func (c *Core) giveUp(now time.Time, l *call) {
+	if l.rival != nil {
+		c.inProgress(now, l)
+		return
+	}
+	c.conclude(now, l, nil, errs.New(errs.Expired, errs.NotRun, "the claim was not stored before the deadline; the call was not sent").WithRetry(time.Second))
+}
+
+// conclude finishes a call that was not sent and releases what may be written
+// in its name, so that the next call with the key can run.
+func (c *Core) conclude(now time.Time, l *call, a *Answer, p *errs.Problem) {
+	c.finish(l, a, p)
+	c.abandon(now, l)
+}
+
+func (c *Core) abandon(now time.Time, l *call) {
+	delete(c.calls, l.number)
+	tried := l.tried
+	if l.op != nil {
+		l.op.dropped = true
+		tried = tried || l.op.tried || !c.queued(l.op)
+	}
+	if tried {
+		c.settle(now, l.ask.Settle(State_NOT_RUN, nil))
+	}
+}
+
+// queued reports whether the operation waits in its slot and is in no write.
+func (c *Core) queued(o *op) bool {
+	for _, q := range c.slot(o.ask.key).queue {
+		if q == o {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) settle(now time.Time, a Ask) {
+	c.submit(now, &op{
+		ask:   a,
+		since: now,
+	})
+}
+
+func (c *Core) finish(l *call, a *Answer, p *errs.Problem) {
+	c.emit(Action{
+		kind:     Finish,
+		number:   l.number,
+		answer:   a,
+		replayed: a != nil,
+		problem:  p,
+	})
+}
+
+func (c *Core) gone(now time.Time, number uint64) {
+	l := c.calls[number]
+	switch {
+	case l == nil:
+	case l.state == claiming:
+		c.abandon(now, l)
+	default:
+		l.state = detached
+	}
+}
+
+func (c *Core) ended(now time.Time, e Event) {
+	l := c.calls[e.number]
+	if l == nil || l.state == claiming {
+		return
+	}
+	delete(c.calls, e.number)
+	if l.state == sending {
+		c.emit(Action{
+			kind:    Finish,
+			number:  l.number,
+			answer:  e.answer,
+			problem: e.problem,
+		})
+	}
+	state := State_UNKNOWN
+	switch e.outcome {
+	case errs.Ran:
+		state = State_RAN
+	case errs.NotRun:
+		state = State_NOT_RUN
+	}
+	c.settle(now, l.ask.Settle(state, e.answer))
+}
+
+// rouse makes the local calls that wait for a key look again.
+func (c *Core) rouse(now time.Time, k Digest) {
+	for _, l := range c.calls {
+		if l.state == claiming && l.op == nil && l.ask.key == k {
+			l.againAt = now
+			l.poll = firstPoll
+			c.wake(now)
+		}
+	}
+}
+
+func (c *Core) replied(now time.Time, e Event) {
+	p, ok := c.asks[e.number]
+	if !ok {
+		return
+	}
+	delete(c.asks, e.number)
+	c.answer(now, p.op, e.verdict, e.record)
+}
+
+// answer takes a peer's verdict. Without one the VM uses the store itself; the
+// peer may still write the operation, which is harmless because it is the same.
+func (c *Core) answer(now time.Time, o *op, v Verdict, r *Record) {
+	if v != Failed {
+		c.complete(now, o, v, r)
+		return
+	}
+	o.direct = true
+	o.tried = true
+	o.since = now
+	if !o.dropped {
+		c.submit(now, o)
+	}
+}
+
+// expire handles the deadlines that have passed.
+func (c *Core) expire(now time.Time) {
+	if c.due.IsZero() || now.Before(c.due) {
+		return
+	}
+	c.due = time.Time{}
+	// The order of the keys keeps traces reproducible.
+	for _, t := range slices.Sorted(maps.Keys(c.asks)) {
+		p := c.asks[t]
+		if now.Before(p.until) {
+			c.wake(p.until)
+			continue
+		}
+		delete(c.asks, t)
+		c.answer(now, p.op, Failed, nil)
+	}
+	for _, n := range slices.Sorted(maps.Keys(c.calls)) {
+		if l := c.calls[n]; l != nil {
+			c.expireCall(now, l)
+		}
+	}
+}
+
+func (c *Core) expireCall(now time.Time, l *call) {
+	switch l.state {
+	case claiming:
+		if !now.Before(l.ask.deadline) {
+			c.giveUp(now, l)
+			return
+		}
+		c.wake(l.ask.deadline)
+		if l.op != nil {
+			return
+		}
+		if now.Before(l.againAt) {
+			c.wake(l.againAt)
+			return
+		}
+		c.claim(now, l)
+	case sending:
+		limit := l.ask.deadline.Add(settleSlack)
+		if now.Before(limit) {
+			c.wake(limit)
+			return
+		}
+		l.state = detached
+		c.emit(Action{
+			kind:    Finish,
+			number:  l.number,
+			problem: errs.New(errs.Expired, errs.Unknown, "the call was sent and has no answer"),
+		})
+	}
+}
+
+func (c *Core) slot(k Digest) *slot {
+	return c.slots[binary.BigEndian.Uint32(k[:4])%uint32(len(c.slots))]
+}
+
+func (c *Core) wake(at time.Time) { c.due = sooner(c.due, at) }
+
+func (c *Core) emit(a Action) { c.out = append(c.out, a) }
+
+func (c *Core) list(s *slot) {
+	if !s.listed && !s.busy {
+		s.listed = true
+		c.ready = append(c.ready, s)
+	}
+}
+
+// sooner returns the earlier time; zero stands for never.
+func sooner(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
