Measure resumes under faults at today's sizes

Cause: the targets for resume latency and extra tokens need a measurement with the baseline policy in the same run. Change: clementinelab resume with ten faults, both deployments and both policies.

--- a/cmd/clementinelab/main.go
+++ b/cmd/clementinelab/main.go
@@ -65,6 +65,12 @@
 		}); err != nil {
 		return errors.Wrap(err, "demo")
 	}
+	if _, err := parser.AddCommand("resume", "Measure resumes under faults.",
+		"Runs a deployment of today's size under each fault and prints resume latency, extra tokens and verdicts, with the baseline policy beside it.", &resumeCommand{
+			session: s,
+		}); err != nil {
+		return errors.Wrap(err, "resume")
+	}
 	return nil
 }
 
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -14,6 +14,7 @@
 
 	"clementinelink.example/clementinelink/internal/build"
 	"clementinelink.example/clementinelink/internal/node"
+	"clementinelink.example/clementinelink/internal/relay"
 	"clementinelink.example/clementinelink/internal/simeng"
 	"clementinelink.example/clementinelink/internal/simkv"
 	"clementinelink.example/clementinelink/internal/simvms"
@@ -58,9 +59,13 @@
 	lists map[string]*simvms.Server
 	links map[[2]string]*Link
 	delay func(a, b Zone) time.Duration
-	log   zerolog.Logger
-	stop  context.CancelFunc
-	tasks sync.WaitGroup
+	// onReport is called with each response that ended on an entry VM, or nil.
+	onReport func(r *relay.Response)
+	// simple is the timeout of the baseline policy, or 0 for the cadence policy.
+	simple time.Duration
+	log    zerolog.Logger
+	stop   context.CancelFunc
+	tasks  sync.WaitGroup
 	// options configures each engine.
 	options []simeng.Option
 	storeAt string
@@ -315,6 +320,12 @@
 	if err != nil {
 		return err
 	}
+	if s.onReport != nil {
+		n.OnReport(func(_ time.Time, r *relay.Response) { s.onReport(r) })
+	}
+	if s.simple > 0 {
+		n.Simple(s.simple)
+	}
 	if err := n.Start(ctx); err != nil {
 		return err
 	}
