Count service levels and report their burn

Cause: operators need to see how fast error budgets are used, and the regulator counts each minute in which a workspace is refused.

Package front measures each request against its contract and passes a sample to WithObserve. Its comments on net/http read deadlines were wrong and are corrected: the deadline must be removed after reading because of requests without a body.

--- a/internal/front/caller.go
+++ b/internal/front/caller.go
@@ -8,15 +8,18 @@
 	"time"
 	"unicode/utf8"
 
+	"clementinelink.example/clementinelink/internal/burn"
 	"clementinelink.example/clementinelink/internal/cursor"
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/relay"
+	"clementinelink.example/clementinelink/internal/world"
 )
 
 // caller is the connection to the caller of one generation.
 type caller struct {
 	request *relay.Request
 	shape   *shape
+	measure measure
 	writer  http.ResponseWriter
 	control *http.ResponseController
 	cursors *cursor.Writer
@@ -43,10 +46,18 @@
 	finish func(o relay.Output) bool
 }
 
-func newCaller(s *Server, w http.ResponseWriter, rq *relay.Request, sh *shape, in *input, sum uint64) *caller {
+func newCaller(s *Server, w http.ResponseWriter, rq *relay.Request, sh *shape, in *input, sum uint64, contract *world.Contract) *caller {
 	c := &caller{
 		request: rq,
 		shape:   sh,
+		measure: measure{
+			now:      s.now,
+			contract: contract,
+			sample:   burn.NewSample(rq.Service(), rq.Workspace()),
+			deadline: rq.Deadline(),
+			last:     s.now(),
+			resumed:  rq.Resume() != nil,
+		},
 		writer:  w,
 		control: http.NewResponseController(w),
 		cursors: s.codec.Writer(rq.ID(), rq.Service(), rq.Seed(), sum),
@@ -89,6 +100,8 @@
 		return false
 	}
 	c.received++
+	c.measure.token()
+	defer c.measure.written()
 	c.held = append(c.held, o.Text()...)
 	if partial(c.held) {
 		return true
@@ -111,6 +124,7 @@
 	if len(c.held) > 0 && !c.flush(o.At()) {
 		return true, false
 	}
+	c.measure.done()
 	return true, c.finish(o)
 }
 
@@ -126,6 +140,7 @@
 // and as an event after it. A response that an earlier connection received in
 // part has run, whatever the problem says of this one.
 func (c *caller) fail(p *errs.Problem) {
+	c.measure.failed(p)
 	if c.request.Resume() != nil && p.Outcome() != errs.Ran {
 		p = errs.New(p.Kind(), errs.Ran, "%s", p.Detail()).WithRetry(p.Retry())
 	}
--- a/internal/front/generate.go
+++ b/internal/front/generate.go
@@ -38,7 +38,7 @@
 		return
 	}
 	w.Header().Set("X-Request-Id", rq.ID())
-	s.serve(r.Context(), newCaller(s, w, rq, sh, in, sum))
+	s.serve(r.Context(), newCaller(s, w, rq, sh, in, sum, m.Service(rq.Service()).Contract()))
 }
 
 // request builds the dispatcher's request.
@@ -115,6 +115,7 @@
 func (s *Server) serve(ctx context.Context, c *caller) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer func() { s.observe(c.measure.sample) }()
 	out := ring.New[relay.Output](outputs, ring.Refuse)
 	id := c.request.ID()
 	held := s.seats.take(id, cancel)
--- a/internal/front/head.go
+++ b/internal/front/head.go
@@ -36,8 +36,10 @@
 	return m, ws, nil
 }
 
-// body reads the whole request body. A read deadline covers the body only;
-// it is removed afterwards because a later one would cancel the request.
+// body reads the whole request body. The read deadline is removed afterwards:
+// net/http reads ahead while a handler runs, and cancels the request when a
+// deadline passes meanwhile. It resets the deadline itself at the end of a
+// body, but not for a request without one.
 func (s *Server) body(w http.ResponseWriter, r *http.Request) ([]byte, *errs.Problem) {
 	if r.ContentLength > s.limits.body {
 		return nil, invalid("body is larger than %d bytes", s.limits.body)
--- a/internal/front/plain.go
+++ b/internal/front/plain.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/go-chi/chi/v5/middleware"
+
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/world"
 )
@@ -35,7 +37,9 @@
 	}
 	restore(r, body)
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(left + s.limits.write))
-	s.call(ctx, w, r, sv, rt, ws)
+	status := middleware.NewWrapResponseWriter(w, r.ProtoMajor)
+	s.call(ctx, status, r, sv, rt, ws)
+	s.observe(measureCall(sv.Name(), ws.Name(), status.Status(), ctx.Err() == nil, r.Context().Err() != nil))
 }
 
 // callTime returns the route's deadline, or else the service's.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -8,6 +8,7 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/google/uuid"
 
+	"clementinelink.example/clementinelink/internal/burn"
 	"clementinelink.example/clementinelink/internal/cursor"
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/relay"
@@ -94,7 +95,10 @@
 	// ready is false during shutdown: requests are still answered, but
 	// connections are not kept open.
 	ready func() bool
-	seats seats
+	// observe takes what each accepted or refused request showed of its
+	// service's objectives. Handlers call it from many goroutines.
+	observe func(s *burn.Sample)
+	seats   seats
 }
 
 // New returns a server that hands generations to generate and reports callers
@@ -112,6 +116,7 @@
 		newID:    uuid.NewString,
 		now:      time.Now,
 		ready:    func() bool { return true },
+		observe:  func(*burn.Sample) {},
 		seats: seats{
 			held: map[string]*seat{},
 		},
@@ -150,6 +155,13 @@
 	return s
 }
 
+// WithObserve sets the function that takes the sample of each request. It must
+// not block and is safe for concurrent use.
+func (s *Server) WithObserve(observe func(s *burn.Sample)) *Server {
+	s.observe = observe
+	return s
+}
+
 // Handler returns the handler for the callers' listener.
 func (s *Server) Handler() http.Handler {
 	m := chi.NewRouter()
@@ -164,9 +176,8 @@
 	return m
 }
 
-// HTTP returns a server for the callers' listener. It sets no ReadTimeout,
-// because net/http cancels a handler's context when that passes, and no
-// WriteTimeout, because it bounds a whole response. Bodies and writes have
+// HTTP returns a server for the callers' listener. It sets no WriteTimeout,
+// which would bound a whole response; reading a body and each write have
 // deadlines of their own.
 func (s *Server) HTTP() *http.Server {
 	return &http.Server{
