Add the configuration core, its duty and submission

Cause: an accepted configuration must be in effect everywhere within seconds and never revert, while the store, its watches and its answers fail. Change: config.Core adopts only higher revisions whose parts are complete and match their digests; it reads and watches the head on three VMs per failure domain, learns from peers elsewhere, reads the head again every second for lost events, gathers the peers' answers after a restart without the store, and refuses a revision that can't be built. config.Duty performs its actions. Submit writes changed parts under new keys and replaces the head by compare-and-swap, finds a repeated change by its id and deletes parts that were replaced two minutes ago, since the store would otherwise grow by each change. The stand-ins document their HTTP calls and start on a free port; store.Client takes a new budget while it runs.

--- /dev/null
+++ b/internal/config/duty_test.go
@@ -0,0 +1,164 @@
+package config_test
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"clementinelink.example/clementinelink/internal/config"
+	"clementinelink.example/clementinelink/internal/simkv"
+	"clementinelink.example/clementinelink/internal/store"
+	"clementinelink.example/clementinelink/internal/world"
+)
+
+// fleet is twelve VMs in three failure domains with one store. Nine watch it;
+// three learn from the others, which tell them what they publish.
+type fleet struct {
+	t      *testing.T
+	client *store.Client
+	vms    []*world.VM
+	duties [12]atomic.Pointer[config.Duty]
+	stops  [12]context.CancelFunc
+	group  errgroup.Group
+}
+
+func (f *fleet) start(i int) {
+	core := config.New(f.vms[i], uint64(i), func(revision uint64, _ map[string][]byte) (*world.Map, error) {
+		return world.NewMap(revision, nil, nil, nil, nil), nil
+	})
+	highest := uint64(0)
+	d := config.NewDuty(core, f.client, zerolog.Nop()).WithPeers(
+		func(_ context.Context, v *world.VM) ([]byte, error) { return f.duty(v).Snapshot().Encoded(), nil },
+		func(_ context.Context, v *world.VM, keys []string) (map[string][]byte, error) {
+			return f.duty(v).Snapshot().Parts(keys), nil
+		},
+	).WithPublish(func(s *config.Snapshot) {
+		if s.Revision() <= highest {
+			f.t.Errorf("vm %d: revision %d after %d", i, s.Revision(), highest)
+		}
+		highest = s.Revision()
+		for j := range f.duties {
+			if d := f.duties[j].Load(); d != nil && j != i {
+				d.Hear(f.vms[i].Name(), s.Revision(), nil)
+			}
+		}
+	})
+	f.duties[i].Store(d)
+	d.SetMembers(f.vms)
+	ctx, cancel := context.WithCancel(context.Background())
+	f.stops[i] = cancel
+	f.group.Go(func() error { return d.Run(ctx) })
+}
+
+// duty returns the duty of a VM; its name ends with its index.
+func (f *fleet) duty(v *world.VM) *config.Duty {
+	i, _ := strconv.Atoi(strings.TrimPrefix(v.Name(), "vm-"))
+	return f.duties[i].Load()
+}
+
+func (f *fleet) submit(now time.Time, change string, base uint64) (uint64, error) {
+	return config.Submit(context.Background(), f.client, now, change, base, map[string][]byte{
+		"a": []byte(change),
+		"b": []byte("same"),
+	})
+}
+
+// await waits until all VMs have a revision and prints those that lack it.
+func (f *fleet) await(revision uint64) string {
+	var late []string
+	for range 400 {
+		late = nil
+		for i := range f.duties {
+			if got := f.duties[i].Load().Snapshot().Revision(); got != revision {
+				late = append(late, fmt.Sprintf("%s has %d", f.vms[i].Name(), got))
+			}
+		}
+		if late == nil {
+			return "all"
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	return strings.Join(late, ", ")
+}
+
+// TestDuty guards against a VM that misses, lowers or loses a revision when the
+// store and its watches fail under it.
+func TestDuty(t *testing.T) {
+	server := simkv.New()
+	base, stop, err := server.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{
+		t:      t,
+		client: store.New(base, 1).WithBudget(1000, 300).WithDeadline(time.Second),
+	}
+	for i := range f.duties {
+		f.vms = append(f.vms, entry(fmt.Sprintf("vm-%d@domain-%d", i, i%3)))
+	}
+	for i := range f.duties {
+		f.start(i)
+	}
+	faults := map[string]simkv.Fault{
+		"outage":  simkv.Outage(time.Minute),
+		"hang":    simkv.Hang(time.Minute),
+		"drop":    simkv.Drop(9),
+		"reorder": simkv.Reorder(9),
+		"compact": simkv.Compact(),
+		"lose":    simkv.Lose(3),
+		"clear":   simkv.Clear(),
+	}
+	now := epoch
+	datadriven.RunTest(t, "testdata/duty", func(t *testing.T, td *datadriven.TestData) string {
+		var results []string
+		for _, step := range strings.Split(td.Input, ";") {
+			var what, arg string
+			var n uint64
+			if _, err := fmt.Sscan(step, &what, &arg, &n); err != nil {
+				t.Fatal(err)
+			}
+			result := "ok"
+			switch what {
+			case "submit":
+				now = now.Add(48 * time.Second)
+				revision, err := f.submit(now, arg, n)
+				result = fmt.Sprintf("revision %d, stale %t", revision, errors.Is(err, config.ErrStale))
+			case "race":
+				other := make(chan error, 1)
+				go func() {
+					_, err := f.submit(now, arg+"-other", n)
+					other <- err
+				}()
+				_, err := f.submit(now, arg, n)
+				result = fmt.Sprintf("one stale %t", errors.Is(err, config.ErrStale) != errors.Is(<-other, config.ErrStale))
+			case "await":
+				result = f.await(n)
+			case "stored":
+				entries, _, err := f.client.List(context.Background(), "config/parts/")
+				result = fmt.Sprintf("%d parts, error %v", len(entries), err)
+			case "fault":
+				server.Inject(faults[arg])
+			case "restart":
+				f.stops[n]()
+				f.start(int(n))
+			}
+			results = append(results, result)
+		}
+		return strings.Join(results, "; ") + "\n"
+	})
+	for _, cancel := range f.stops {
+		cancel()
+	}
+	if err := errors.Join(f.group.Wait(), stop()); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/lease/action.go
+++ b/internal/lease/action.go
@@ -1,6 +1,9 @@
 package lease
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // ActionKind tells what an action asks for.
 type ActionKind uint8
@@ -56,3 +59,15 @@
 
 // Fence returns the fencing number for Held and Lost.
 func (a Action) Fence() uint64 { return a.fence }
+
+// String returns the action for logs and traces.
+func (a Action) String() string {
+	switch a.kind {
+	case Wake:
+		return "wake@" + a.at.UTC().Format("15:04:05.00")
+	case Held, Lost:
+		return fmt.Sprintf("%s %d", a.kind, a.fence)
+	default:
+		return fmt.Sprintf("%s#%d(%s)", a.kind, a.op, a.lease)
+	}
+}
--- a/internal/simwts/server.go
+++ b/internal/simwts/server.go
@@ -47,6 +47,23 @@
 	return New(DefaultRate, DefaultBurst).Serve(ctx, listener)
 }
 
+// Start serves on a free loopback port. It returns the base URL and a function
+// that stops the server and returns its error.
+func (s *Server) Start() (base string, stop func() error, err error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, errors.Wrap(err, "simwts: listen")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(ctx, listener) }()
+	stop = func() error {
+		cancel()
+		return <-ended
+	}
+	return "http://" + listener.Addr().String(), stop, nil
+}
+
 // Serve serves the store until ctx ends.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	r := chi.NewRouter()
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -51,7 +51,7 @@
 
 // New returns a client of the store at base, such as http://127.0.0.1:7000.
 // Backoff draws its jitter from seed. The budget is 30 writes and 200 reads a
-// second; see WithBudget.
+// second; see SetBudget.
 func New(base string, seed uint64) *Client {
 	transport := &http.Transport{
 		IdleConnTimeout:     idle,
@@ -67,15 +67,22 @@
 	return c.WithBudget(200, 30)
 }
 
-// WithBudget limits the client to a number of calls a second, which all VMs
-// together must keep below the platform's limits. Call it before any other
-// method.
+// WithBudget sets the budget of a new client; see SetBudget. It also sets the
+// burst to a tenth of a second's calls. Call it before any other method.
 func (c *Client) WithBudget(reads, writes float64) *Client {
 	c.reads = rate.NewLimiter(rate.Limit(reads), max(1, int(reads/10)))
 	c.writes = rate.NewLimiter(rate.Limit(writes), max(1, int(writes/10)))
 	return c
 }
 
+// SetBudget limits the client to a number of calls a second, which all VMs
+// together should keep below the platform's limits, such as after a change of
+// the number of VMs.
+func (c *Client) SetBudget(reads, writes float64) {
+	c.reads.SetLimit(rate.Limit(reads))
+	c.writes.SetLimit(rate.Limit(writes))
+}
+
 // WithDeadline sets the longest time of a call. Call it before any other
 // method.
 func (c *Client) WithDeadline(d time.Duration) *Client {
