--- a/internal/build/build.go
+++ b/internal/build/build.go
@@ -10,7 +10,26 @@
 // Map returns the configuration of a revision from all parts of its
 // declaration. The error of an invalid declaration joins its *decl.Faults.
 func Map(revision uint64, parts map[string][]byte) (*world.Map, error) {
-	d, err := decl.Join(parts)
+	return NewBuilder().Map(revision, parts)
+}
+
+// Builder makes one configuration after the other and decodes only the parts
+// that changed. With 33,000 workspaces that is most of the work of a revision.
+// It is owned by one goroutine.
+type Builder struct {
+	joiner *decl.Joiner
+}
+
+// NewBuilder returns a builder that has decoded nothing yet.
+func NewBuilder() *Builder {
+	return &Builder{
+		joiner: decl.NewJoiner(),
+	}
+}
+
+// Map is the function Map with the parts decoded before.
+func (b *Builder) Map(revision uint64, parts map[string][]byte) (*world.Map, error) {
+	d, err := b.joiner.Join(parts)
 	if err != nil {
 		return nil, errors.Wrapf(err, "configuration revision %d", revision)
 	}
--- a/internal/build/build_test.go
+++ b/internal/build/build_test.go
@@ -1,6 +1,8 @@
 package build
 
 import (
+	"bytes"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -43,3 +45,24 @@
 		t.Error("a missing part must be an error")
 	}
 }
+
+// BenchmarkMap measures a revision that changes one of 33,000 workspaces.
+func BenchmarkMap(b *testing.B) {
+	d := decl.New()
+	for i := range 33_000 {
+		d.Workspace(fmt.Sprintf("workspace-%05d", i), fmt.Sprintf("%064x", i), 1, decl.Batch)
+	}
+	parts, err := decl.Split(d)
+	if err != nil {
+		b.Fatal(err)
+	}
+	name := "workspaces/00"
+	values := [][]byte{parts[name], append(bytes.Clone(parts[name]), '\n')}
+	builder := NewBuilder()
+	for i := 0; b.Loop(); i++ {
+		parts[name] = values[i%len(values)]
+		if _, err := builder.Map(uint64(i), parts); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/move/record.go
+++ b/internal/move/record.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,6 +36,14 @@
 // String returns the state's name in records and verdicts.
 func (s State) String() string { return stateNames[s] }
 
+// ParseState returns the state of a name in records and verdicts.
+func ParseState(name string) (State, error) {
+	if i := slices.Index(stateNames[:], name); i >= 0 {
+		return State(i), nil
+	}
+	return Running, errors.Newf("unknown state %q", name)
+}
+
 // Record is the agreed state of a move in the store. It changes by
 // compare-and-swap only. The zero value is the state before the first write.
 type Record struct {
@@ -47,6 +56,16 @@
 	fence uint64
 }
 
+// NewRecord returns a record that a peer tells of while the store is down. Its
+// state is final, so it needs no stage.
+func NewRecord(state State, at time.Time, reason string) Record {
+	return Record{
+		state:  state,
+		at:     at,
+		reason: reason,
+	}
+}
+
 // State returns the state.
 func (r Record) State() State { return r.state }
 
@@ -90,18 +109,17 @@
 	if err := json.Unmarshal(value, &w); err != nil {
 		return Record{}, errors.Wrap(err, "move record")
 	}
-	for s, name := range stateNames {
-		if name == w.State {
-			return Record{
-				state:  State(s),
-				stage:  w.Stage,
-				at:     w.Time,
-				reason: w.Reason,
-				fence:  w.Fence,
-			}, nil
-		}
+	state, err := ParseState(w.State)
+	if err != nil {
+		return Record{}, errors.Wrap(err, "move record")
 	}
-	return Record{}, errors.Newf("move record: unknown state %q", w.State)
+	return Record{
+		state:  state,
+		stage:  w.Stage,
+		at:     w.Time,
+		reason: w.Reason,
+		fence:  w.Fence,
+	}, nil
 }
 
 // RecordKey returns the store key of a move's record. It depends on the whole
--- a/pkg/decl/check.go
+++ b/pkg/decl/check.go
@@ -2,16 +2,37 @@
 
 import (
 	"fmt"
-	"regexp"
 	"slices"
 	"strings"
 	"time"
 )
 
-// names excludes characters that need escaping in store keys and URLs.
-var names = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+// maxName bounds names, which become parts of store keys.
+const maxName = 63
+
+// validName accepts names whose characters need no escaping in store keys and
+// URLs. It runs for each of 33,000 workspaces at each revision, where a regular
+// expression takes most of the time.
+func validName(s string) bool {
+	for i := range len(s) {
+		c := s[i]
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+		if !letter && (i == 0 || c != '.' && c != '_' && c != '-') {
+			return false
+		}
+	}
+	return s != "" && len(s) <= maxName
+}
 
-var digests = regexp.MustCompile(`^[0-9a-f]{64}$`)
+// validDigest accepts a SHA-256 digest in lower-case hex.
+func validDigest(s string) bool {
+	for i := range len(s) {
+		if c := s[i]; (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+	return len(s) == 64
+}
 
 var methods = []string{"DELETE", "GET", "HEAD", "PATCH", "POST", "PUT"}
 
@@ -39,12 +60,19 @@
 // checker holds the names that have been declared so far.
 type checker struct {
 	*faults
-	seen map[string]string
+	// seen maps each declared thing to the path of its declaration.
+	seen map[declared]string
+}
+
+// declared names one thing of a kind.
+type declared struct {
+	kind string
+	name string
 }
 
 // unique reports a name of a kind that is malformed or used before.
 func (c *checker) unique(p place, kind, field, name string) {
-	if !names.MatchString(name) {
+	if !validName(name) {
 		c.add(p, field, "invalid name %q", name)
 		return
 	}
@@ -52,15 +80,23 @@
 }
 
 func (c *checker) once(p place, kind, field, value string) {
-	if at, ok := c.seen[kind+" "+value]; ok {
+	key := declared{
+		kind: kind,
+		name: value,
+	}
+	if at, ok := c.seen[key]; ok {
 		c.add(p, field, "duplicate %s %q, also in %s", kind, value, at)
 		return
 	}
-	c.seen[kind+" "+value] = p.path
+	c.seen[key] = p.path
 }
 
 func (c *checker) known(p place, kind, field, name string) {
-	if _, ok := c.seen[kind+" "+name]; !ok {
+	key := declared{
+		kind: kind,
+		name: name,
+	}
+	if _, ok := c.seen[key]; !ok {
 		c.add(p, field, "no %s named %q", kind, name)
 	}
 }
@@ -68,7 +104,7 @@
 func (d *Declaration) validate(f *faults) {
 	c := &checker{
 		faults: f,
-		seen:   make(map[string]string),
+		seen:   make(map[declared]string, 2*len(d.workspaces)),
 	}
 	for _, r := range d.regions {
 		p := r.at.or("region " + r.name)
@@ -83,7 +119,7 @@
 	for _, m := range d.models {
 		p := m.at.or("model " + m.name)
 		c.unique(p, "service", "name", m.name)
-		if !names.MatchString(m.stable) {
+		if !validName(m.stable) {
 			c.add(p, "stable", "invalid version %q", m.stable)
 		}
 		c.contract(p, m.contract, true)
@@ -155,9 +191,12 @@
 }
 
 func (c *checker) workspace(w *Workspace) {
-	p := w.at.or("workspace " + w.name)
+	p := w.at
+	if p.path == "" {
+		p = p.or("workspace " + w.name)
+	}
 	c.unique(p, "workspace", "name", w.name)
-	if !digests.MatchString(w.key) {
+	if !validDigest(w.key) {
 		c.add(p, "key", "must be the SHA-256 digest of the token as 64 lower-case hex digits")
 	} else {
 		c.once(p, "key", "key", w.key)
@@ -180,7 +219,7 @@
 		c.add(p, "from", "stable version of %q is %q", m.service, d.models[i].stable)
 	}
 	c.once(p, "move of service", "service", m.service)
-	if !names.MatchString(m.to) {
+	if !validName(m.to) {
 		c.add(p, "to", "invalid version %q", m.to)
 	}
 	if m.to == m.from {
--- a/pkg/decl/part.go
+++ b/pkg/decl/part.go
@@ -1,6 +1,7 @@
 package decl
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -67,23 +68,46 @@
 
 // Join decodes and validates the parts of one declaration. A missing or
 // unknown part is an error.
-func Join(parts map[string][]byte) (*Declaration, error) {
+func Join(parts map[string][]byte) (*Declaration, error) { return NewJoiner().Join(parts) }
+
+// Joiner joins the parts of one revision after the other and decodes only those
+// that changed. It is owned by one goroutine.
+type Joiner struct {
+	cache map[string]*decoded
+}
+
+// decoded is what one part held when it was last decoded.
+type decoded struct {
+	value  []byte
+	part   *Declaration
+	faults []*Fault
+}
+
+// NewJoiner returns a joiner that has decoded nothing yet.
+func NewJoiner() *Joiner {
+	return &Joiner{
+		cache: make(map[string]*decoded),
+	}
+}
+
+// Join is the function Join with the parts decoded before. The declaration
+// shares its objects with those of earlier calls; they do not change.
+func (j *Joiner) Join(parts map[string][]byte) (*Declaration, error) {
 	f := &faults{}
 	d := New()
 	for _, name := range PartNames() {
-		data, ok := parts[name]
+		value, ok := parts[name]
 		if !ok {
 			f.add(place{}, name, "missing part")
 			continue
 		}
-		r := newReader(name, data)
-		if n := r.read(); n != nil {
-			r.declaration(n, d)
-		}
-		f.list = append(f.list, r.list...)
+		p := j.decode(name, value)
+		d.append(p.part)
+		f.list = append(f.list, p.faults...)
 	}
+	known := PartNames()
 	for _, name := range slices.Sorted(maps.Keys(parts)) {
-		if !slices.Contains(PartNames(), name) {
+		if !slices.Contains(known, name) {
 			f.add(place{}, name, "unknown part")
 		}
 	}
@@ -94,3 +118,29 @@
 	}
 	return d, nil
 }
+
+func (j *Joiner) decode(name string, value []byte) *decoded {
+	if p := j.cache[name]; p != nil && bytes.Equal(p.value, value) {
+		return p
+	}
+	r := newReader(name, value)
+	p := &decoded{
+		value: value,
+		part:  New(),
+	}
+	if n := r.read(); n != nil {
+		r.declaration(n, p.part)
+	}
+	p.faults = r.list
+	j.cache[name] = p
+	return p
+}
+
+func (d *Declaration) append(p *Declaration) {
+	d.regions = append(d.regions, p.regions...)
+	d.links = append(d.links, p.links...)
+	d.models = append(d.models, p.models...)
+	d.plains = append(d.plains, p.plains...)
+	d.workspaces = append(d.workspaces, p.workspaces...)
+	d.moves = append(d.moves, p.moves...)
+}
