Keep the false-alarm rate over all VMs of a move

Every VM judges a move, each on another part of the evidence, so the chance that one of them calls a good version bad exceeded the stated rate.

A VM without the lease now needs more evidence by the logarithm of the number of live VMs, which bounds the sum over all of them.

Measured: go test -race ./internal/move and go test ./internal/move/study pass.

--- a/internal/move/control.go
+++ b/internal/move/control.go
@@ -142,11 +142,21 @@
 	} else {
 		c.finding = c.judge.Assess(c.stageStart())
 	}
-	if c.failed == "" && c.finding.Bad() {
+	if c.failed == "" && c.finding.weight >= c.bound() {
 		c.failed = c.finding.Reason()
 	}
 }
 
+// bound returns the evidence, in nats, at which this VM calls the version bad.
+// A VM without the lease needs more: each of them sees another part of the
+// evidence, and together they must not exceed FalseAlarm.
+func (c *Controller) bound() float64 {
+	if c.input.lease {
+		return -math.Log(FalseAlarm)
+	}
+	return math.Log(float64(c.input.live)) - math.Log(FalseAlarm)
+}
+
 // stageStart returns the first full minute of the stage; a proof must come from
 // evidence at the stage's own share.
 func (c *Controller) stageStart() time.Time {
