--- a/internal/move/control.go
+++ b/internal/move/control.go
@@ -53,6 +53,10 @@
 // that it takes effect before every VM reverts on its own.
 const settle = 5 * time.Second
 
+// Watch is how long a move is judged after its deadline. The old version must
+// stay loaded until then.
+const Watch = 10 * time.Minute
+
 // writeRetry is the time after which an unanswered write is repeated. The
 // compare-and-swap makes a repetition harmless.
 const writeRetry = 2 * time.Second
--- a/internal/move/input.go
+++ b/internal/move/input.go
@@ -1,7 +1,5 @@
 package move
 
-import "time"
-
 // Input is what the controller sees at one step besides the evidence.
 type Input struct {
 	// live is the number of live entry VMs, at least 1.
@@ -60,6 +58,3 @@
 	}
 	return float64(i.to) / float64(i.engines)
 }
-
-// Watch is how long a move is judged after its deadline.
-const Watch = 10 * time.Minute
--- a/internal/move/study/run.go
+++ b/internal/move/study/run.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math"
-	"time"
 
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/world"
@@ -134,7 +133,7 @@
 	r.spread(second)
 	for i, c := range r.locals {
 		for _, a := range c.Step(clock(second), r.input(i)) {
-			r.local(second, i, a)
+			r.local(i, a)
 		}
 	}
 	r.hold(second)
@@ -178,7 +177,7 @@
 		WithEngines(fleetEngines-r.newEngines, r.newEngines, fleetEngines)
 }
 
-func (r *run) local(second, region int, a move.Action) {
+func (r *run) local(region int, a move.Action) {
 	switch a.Kind() {
 	case move.Limit:
 		r.limits[region] = a.Limits()
@@ -196,7 +195,6 @@
 	case move.Stop:
 		r.wanted = 0
 	}
-	_ = second
 }
 
 // load brings the engines towards the wanted number, one each two seconds.
@@ -257,6 +255,3 @@
 	r.gates[vm] = move.NewGate(r.rng.Uint64())
 	r.gates[vm].Set(r.limits[region(vm < homeVMs)])
 }
-
-// Duration returns the length of the simulated moves.
-func Duration() time.Duration { return window * time.Second }
