--- a/internal/move/action.go
+++ b/internal/move/action.go
@@ -13,9 +13,11 @@
 	Write
 	// Tell spreads the verdict of failure to peers.
 	Tell
-	// Load asks for engines with the new version.
+	// Load asks for engines with the new version. The holder of the lease
+	// passes it on; other VMs drop it.
 	Load
-	// Stop ends the loading of the new version.
+	// Stop ends the loading of the new version. As for Load, only the holder
+	// passes it on.
 	Stop
 )
 
