--- a/internal/move/control.go
+++ b/internal/move/control.go
@@ -53,6 +53,10 @@
 // that it takes effect before every VM reverts on its own.
 const settle = 5 * time.Second
 
+// Watch is how long a move is judged after its deadline. The old version must
+// stay loaded until then.
+const Watch = 10 * time.Minute
+
 // writeRetry is the time after which an unanswered write is repeated. The
 // compare-and-swap makes a repetition harmless.
 const writeRetry = 2 * time.Second
@@ -142,11 +146,21 @@
 	} else {
 		c.finding = c.judge.Assess(c.stageStart())
 	}
-	if c.failed == "" && c.finding.Bad() {
+	if c.failed == "" && c.finding.weight >= c.bound() {
 		c.failed = c.finding.Reason()
 	}
 }
 
+// bound returns the evidence, in nats, at which this VM calls the version bad.
+// A VM without the lease needs more: each of them sees another part of the
+// evidence, and together they must not exceed FalseAlarm.
+func (c *Controller) bound() float64 {
+	if c.input.lease {
+		return -math.Log(FalseAlarm)
+	}
+	return math.Log(float64(c.input.live)) - math.Log(FalseAlarm)
+}
+
 // stageStart returns the first full minute of the stage; a proof must come from
 // evidence at the stage's own share.
 func (c *Controller) stageStart() time.Time {
