Add the HTTP adapter to plain upstreams

Cause: net/http sends some requests again when a reused connection breaks, which can run a booking twice, and an error of net/http does not say whether a byte left.

An answer with another X-Request-Id is rejected. Answers and records keep Location besides the Content-Type.

--- a/internal/claim/core.go
+++ b/internal/claim/core.go
@@ -439,10 +439,10 @@
 		})
 	}
 	state := State_UNKNOWN
-	switch e.outcome {
-	case errs.Ran:
+	switch {
+	case e.outcome == errs.Ran && e.answer != nil:
 		state = State_RAN
-	case errs.NotRun:
+	case e.outcome == errs.NotRun:
 		state = State_NOT_RUN
 	}
 	c.settle(now, l.ask.Settle(state, e.answer))
--- a/internal/claim/event.go
+++ b/internal/claim/event.go
@@ -73,8 +73,9 @@
 	}
 }
 
-// Ended returns the end of a call that the core permitted to send: the answer
-// when the outcome is Ran, a problem otherwise.
+// Ended returns the end of a call that the core permitted to send: an answer,
+// or a problem. A call that ran and whose answer is lost counts as unknown for
+// repeats.
 func Ended(number uint64, outcome errs.Outcome, answer *Answer, problem *errs.Problem) Event {
 	return Event{
 		kind:    ended,
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -57,8 +57,11 @@
 type Answer struct {
 	status int
 	// media is the Content-Type.
-	media     string
-	body      []byte
+	media string
+	body  []byte
+	// header holds the end-to-end header fields. A record keeps none of them
+	// but Content-Type and Location.
+	header    map[string][]string
 	truncated bool
 }
 
@@ -71,6 +74,25 @@
 	}
 }
 
+// WithHeader returns a copy of a with its other header fields, by canonical
+// name.
+func (a *Answer) WithHeader(h map[string][]string) *Answer {
+	b := *a
+	b.header = h
+	return &b
+}
+
+// Header returns the header fields. The caller must not change it.
+func (a *Answer) Header() map[string][]string { return a.header }
+
+// Location returns the Location field, or "".
+func (a *Answer) Location() string {
+	if l := a.header["Location"]; len(l) > 0 {
+		return l[0]
+	}
+	return ""
+}
+
 // Status returns the HTTP status.
 func (a *Answer) Status() int { return a.status }
 
@@ -88,21 +110,24 @@
 	if a == nil || len(a.body) <= MaxAnswer {
 		return a
 	}
-	return &Answer{
-		status:    a.status,
-		media:     a.media,
-		truncated: true,
-	}
+	b := *a
+	b.body = nil
+	b.truncated = true
+	return &b
 }
 
 // AnswerOf returns the stored answer of a record.
 func AnswerOf(r *Record) *Answer {
-	return &Answer{
+	a := &Answer{
 		status:    int(r.GetStatus()),
 		media:     r.GetType(),
 		body:      r.GetAnswer(),
 		truncated: r.GetTruncated(),
 	}
+	if r.GetLocation() != "" {
+		a.header = map[string][]string{"Location": {r.GetLocation()}}
+	}
+	return a
 }
 
 func (r *Record) held() ID { return NewID(r.GetVm(), r.GetNumber()) }
@@ -131,6 +156,7 @@
 	}
 	r.Status = int32(a.status)
 	r.Type = a.media
+	r.Location = a.Location()
 	r.Answer = a.body
 	r.Truncated = a.truncated
 }
--- /dev/null
+++ b/internal/plain/call.go
@@ -0,0 +1,82 @@
+package plain
+
+import (
+	"net/http"
+	"time"
+
+	"clementinelink.example/clementinelink/internal/claim"
+	"clementinelink.example/clementinelink/internal/errs"
+)
+
+// Call is one HTTP request to an upstream.
+type Call struct {
+	// id is sent as X-Request-Id; an answer with another one is rejected.
+	id     string
+	method string
+	// uri is the path and query.
+	uri      string
+	header   http.Header
+	body     []byte
+	deadline time.Time
+}
+
+// NewCall returns a call from the caller's request. The header must not be
+// changed afterwards.
+func NewCall(id, method, uri string, header http.Header, body []byte, deadline time.Time) *Call {
+	return &Call{
+		id:       id,
+		method:   method,
+		uri:      uri,
+		header:   header,
+		body:     body,
+		deadline: deadline,
+	}
+}
+
+// ID returns the X-Request-Id.
+func (l *Call) ID() string { return l.id }
+
+// Method returns the HTTP method.
+func (l *Call) Method() string { return l.method }
+
+// URI returns the path and query.
+func (l *Call) URI() string { return l.uri }
+
+// Body returns the request body. The caller must not change it.
+func (l *Call) Body() []byte { return l.body }
+
+// Deadline returns the time from which no first byte leaves and no answer is
+// awaited.
+func (l *Call) Deadline() time.Time { return l.deadline }
+
+// Result is what became of a call: an answer or a problem.
+type Result struct {
+	outcome errs.Outcome
+	answer  *claim.Answer
+	problem *errs.Problem
+}
+
+// Outcome returns what is proven of the call.
+func (r Result) Outcome() errs.Outcome { return r.outcome }
+
+// Answer returns the response, or nil when there is a problem.
+func (r Result) Answer() *claim.Answer { return r.answer }
+
+// Problem returns the problem, or nil.
+func (r Result) Problem() *errs.Problem { return r.problem }
+
+// Failed returns the result of a call that ended with a problem.
+func Failed(p *errs.Problem) Result {
+	return Result{
+		outcome: p.Outcome(),
+		problem: p,
+	}
+}
+
+// Answered returns the result of a call that the upstream answered.
+func Answered(a *claim.Answer) Result {
+	return Result{
+		outcome: errs.Ran,
+		answer:  a,
+	}
+}
