--- /dev/null
+++ b/internal/call/core_test.go
@@ -0,0 +1,129 @@
+package call
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"clementinelink.example/clementinelink/internal/budget"
+	"clementinelink.example/clementinelink/internal/claim"
+	"clementinelink.example/clementinelink/internal/errs"
+	"clementinelink.example/clementinelink/internal/world"
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestCore guards the attempts of lookups and bookings: one hedge, retries
+// within the budget, a booking sent again only after proof that it did not run,
+// one outcome for each call.
+func TestCore(t *testing.T) {
+	datadriven.Walk(t, "testdata/core", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			s := newCoreScript(t, d)
+			for line := range strings.Lines(d.Input) {
+				s.line(t, strings.TrimSpace(line))
+			}
+			return s.out.String()
+		})
+	})
+}
+
+type coreScript struct {
+	d       *datadriven.TestData
+	core    *Core
+	start   time.Time
+	now     time.Time
+	live    []*world.VM
+	service *world.Service
+	out     strings.Builder
+}
+
+func newCoreScript(t *testing.T, d *datadriven.TestData) *coreScript {
+	s := &coreScript{
+		d:       d,
+		start:   time.Unix(1_700_000_000, 0),
+		service: world.NewPlain("desk", world.NewContract(time.Second)),
+	}
+	s.now = s.start
+	tokens := 10
+	d.MaybeScanArgs(t, "budget", &tokens)
+	// A floor of 0 keeps the budget fixed after the first tokens are counted.
+	b := budget.NewRetry(float64(tokens), 0, float64(tokens))
+	b.Count(s.now)
+	s.core = New(func(string) []*world.VM { return s.live }, b)
+	return s
+}
+
+func (s *coreScript) line(t *testing.T, line string) {
+	cmd, args, err := datadriven.ParseLine(line)
+	if err != nil {
+		s.d.Fatalf(t, "%v", err)
+	}
+	l := &datadriven.TestData{
+		Pos:     s.d.Pos,
+		Cmd:     cmd,
+		CmdArgs: args,
+	}
+	if l.HasArg("at") {
+		var at string
+		l.ScanArgs(t, "at", &at)
+		v, err := time.ParseDuration(at)
+		if err != nil {
+			s.d.Fatalf(t, "%v", err)
+		}
+		s.until(s.start.Add(v))
+	}
+	number, try := 1, 1
+	l.MaybeScanArgs(t, "n", &number)
+	l.MaybeScanArgs(t, "attempt", &try)
+	switch cmd {
+	case "live":
+		s.live = nil
+		for _, a := range args {
+			s.live = append(s.live, world.NewVM(a.Key, world.Plain, a.Key+":1", "d", "r").Serving("desk"))
+		}
+	case "lookup", "booking":
+		rt := world.NewRoute("r", "GET", "/", cmd == "lookup", time.Second)
+		s.step(Begin(uint64(number), s.service, rt, s.now.Add(time.Second)))
+	case "answer":
+		s.step(Ended(uint64(number), try, claim.NewAnswer(200, "", nil), nil))
+	case "not-run":
+		s.step(Ended(uint64(number), try, nil, errs.New(errs.Unavailable, errs.NotRun, "refused").WithRetry(time.Second)))
+	case "unknown":
+		s.step(Ended(uint64(number), try, nil, errs.New(errs.Upstream, errs.Unknown, "broken")))
+	case "gone":
+		s.step(Gone(uint64(number)))
+	case "calls":
+		fmt.Fprintf(&s.out, "%v calls %d\n", s.now.Sub(s.start), s.core.Calls())
+	case "wait":
+	default:
+		s.d.Fatalf(t, "unknown line %q", line)
+	}
+}
+
+// until delivers the ticks that the core asks for up to a time.
+func (s *coreScript) until(at time.Time) {
+	for next := s.core.Next(); !next.IsZero() && !next.After(at); next = s.core.Next() {
+		s.now = next
+		s.step(Tick())
+	}
+	s.now = at
+}
+
+func (s *coreScript) step(e Event) {
+	for _, a := range s.core.Step(s.now, e) {
+		at := s.now.Sub(s.start)
+		switch a.Kind() {
+		case Open:
+			fmt.Fprintf(&s.out, "%v open %d.%d %s\n", at, a.Number(), a.Attempt(), a.Upstream().Name())
+		case Cancel:
+			fmt.Fprintf(&s.out, "%v cancel %d.%d\n", at, a.Number(), a.Attempt())
+		default:
+			text := "answer"
+			if p := a.Problem(); p != nil {
+				text = fmt.Sprintf("%s outcome=%s retry=%v", p.Kind().Slug(), p.Outcome(), p.Retry())
+			}
+			fmt.Fprintf(&s.out, "%v finish %d %s\n", at, a.Number(), text)
+		}
+	}
+}
--- /dev/null
+++ b/internal/call/desk_test.go
@@ -0,0 +1,274 @@
+package call
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"clementinelink.example/clementinelink/internal/budget"
+	"clementinelink.example/clementinelink/internal/claim"
+	"clementinelink.example/clementinelink/internal/plain"
+	"clementinelink.example/clementinelink/internal/world"
+	"github.com/cockroachdb/datadriven"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// shop is two desks over real connections, with a store in memory.
+type shop struct {
+	mu       sync.Mutex
+	mode     string
+	cells    map[int][]byte
+	revision map[int]uint64
+	desks    map[string]*Desk
+	fronts   map[string]*httptest.Server
+	upstream *httptest.Server
+	runs     atomic.Int64
+	stop     context.CancelFunc
+	wait     sync.WaitGroup
+	clients  []*plain.Client
+}
+
+func newShop() *shop {
+	s := &shop{
+		cells:    map[int][]byte{},
+		revision: map[int]uint64{},
+		desks:    map[string]*Desk{},
+		fronts:   map[string]*httptest.Server{},
+	}
+	s.upstream = httptest.NewServer(http.HandlerFunc(s.serve))
+	ctx, stop := context.WithCancel(context.Background())
+	s.stop = stop
+	live := []*world.VM{world.NewVM("up", world.Plain, s.upstream.Listener.Addr().String(), "d", "r").Serving("desk")}
+	for i, name := range []string{"a", "b"} {
+		claims := claim.New(name, uint64(i+1), 2, 100).WithOwner(func(slot int) string { return []string{"a", "b"}[slot] })
+		calls := New(func(string) []*world.VM { return live }, budget.NewRetry(budget.Ratio, budget.Floor, budget.Burst))
+		client := plain.New()
+		s.clients = append(s.clients, client)
+		d := NewDesk(claims, calls, client).WithStore(s.read, s.write).WithPeers(s.ask)
+		s.desks[name] = d
+		s.wait.Go(func() { d.Run(ctx) })
+		s.fronts[name] = httptest.NewServer(s.front(d))
+	}
+	return s
+}
+
+func (s *shop) close() {
+	for _, f := range s.fronts {
+		f.Close()
+	}
+	s.stop()
+	s.wait.Wait()
+	for _, c := range s.clients {
+		c.Close()
+	}
+	s.upstream.Close()
+}
+
+func (s *shop) serve(w http.ResponseWriter, r *http.Request) {
+	if strings.HasSuffix(r.URL.Path, "/refuse") {
+		w.Header().Set("X-Not-Run", "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	n := s.runs.Add(1)
+	if strings.HasSuffix(r.URL.Path, "/break") {
+		panic(http.ErrAbortHandler)
+	}
+	if strings.HasSuffix(r.URL.Path, "/slow") {
+		time.Sleep(200 * time.Millisecond)
+	}
+	size := 0
+	if strings.HasSuffix(r.URL.Path, "/large") {
+		size = claim.MaxAnswer
+	}
+	w.Header().Set("Location", "/orders/1")
+	w.WriteHeader(http.StatusCreated)
+	fmt.Fprintf(w, "run %d%s", n, strings.Repeat(".", size))
+}
+
+func (s *shop) front(d *Desk) http.Handler {
+	service := world.NewPlain("desk", world.NewContract(time.Second))
+	book := world.NewRoute("book", "POST", "/book", false, time.Second)
+	look := world.NewRoute("look", "GET", "/look", true, time.Second)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rt := book
+		if r.Method == http.MethodGet {
+			rt = look
+		}
+		d.Serve(w, r, service, rt, world.NewWorkspace(r.Header.Get("Authorization"), "", 1, world.Batch))
+	})
+}
+
+func (s *shop) read(slot int, done func(claim.Result, uint64, []byte)) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.mode == "down" {
+		return false
+	}
+	go done(claim.OK, s.revision[slot], s.cells[slot])
+	return true
+}
+
+func (s *shop) write(slot int, revision uint64, value []byte, done func(claim.Result, uint64)) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.mode == "down":
+		return false
+	case s.revision[slot] != revision:
+		go done(claim.Conflict, 0)
+		return true
+	}
+	s.revision[slot]++
+	s.cells[slot] = value
+	if s.mode == "lossy" {
+		s.mode = ""
+		go done(claim.Unsure, 0)
+		return true
+	}
+	go done(claim.OK, revision+1)
+	return true
+}
+
+// ask carries an operation through the messages between VMs.
+func (s *shop) ask(peer string, a claim.Ask, done func(claim.Verdict, *claim.Record)) bool {
+	m, err := EncodeAsk(a)
+	if err != nil {
+		return false
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		decoded, err := DecodeAsk(m)
+		if err != nil {
+			done(claim.Failed, nil)
+			return
+		}
+		reply, err := EncodeReply(s.desks[peer].Claim(ctx, decoded))
+		if err != nil {
+			done(claim.Failed, nil)
+			return
+		}
+		back := DecodeReply(reply)
+		done(back.Verdict(), back.Record())
+	}()
+	return true
+}
+
+// TestDesk guards what callers are told through HTTP: outcome, problem details,
+// Retry-After and replay, on whichever VM the call arrives.
+func TestDesk(t *testing.T) {
+	datadriven.RunTest(t, "testdata/desk", func(t *testing.T, d *datadriven.TestData) string {
+		s := newShop()
+		defer s.close()
+		var out strings.Builder
+		for line := range strings.Lines(d.Input) {
+			f := strings.Fields(line)
+			switch f[0] {
+			case "store":
+				s.mu.Lock()
+				s.mode = f[1]
+				s.mu.Unlock()
+			case "wait":
+				time.Sleep(700 * time.Millisecond)
+			case "runs":
+				fmt.Fprintf(&out, "runs %d\n", s.runs.Load())
+			case "leave":
+				s.leave(t, f[1], f[2:])
+			case "both":
+				var wg sync.WaitGroup
+				for _, vm := range []string{"a", "b", "a", "b"} {
+					wg.Go(func() { s.do(t, vm, f[1:]) })
+				}
+				wg.Wait()
+			default:
+				fmt.Fprintf(&out, "%s\n", s.do(t, f[0], f[1:]))
+			}
+		}
+		return out.String()
+	})
+}
+
+// leave sends a request and closes the connection after 50 ms.
+func (s *shop) leave(t *testing.T, vm string, f []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, f[0], s.fronts[vm].URL+f[1], strings.NewReader("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "w")
+	req.Header.Set("Idempotency-Key", f[2])
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		resp.Body.Close()
+		t.Errorf("%v was answered before its caller left", f)
+	}
+}
+
+// TestRingFull guards against calls that wait without bound: a full ring
+// refuses the call with the proof that it was not sent.
+func TestRingFull(t *testing.T) {
+	s := newShop()
+	defer s.close()
+	d := NewDesk(claim.New("c", 3, 1, 1), New(nil, nil), plain.New())
+	defer d.end()
+	for d.arrivals.Put(context.Background(), &ticket{}) {
+		continue
+	}
+	w := httptest.NewRecorder()
+	s.front(d).ServeHTTP(w, httptest.NewRequest("POST", "/book/ok", nil))
+	if w.Code != http.StatusTooManyRequests || !strings.Contains(w.Body.String(), `"outcome":"not-run"`) || w.Header().Get("Retry-After") == "" {
+		t.Errorf("got %d %s", w.Code, w.Body)
+	}
+}
+
+// do sends METHOD PATH [key [body]] to a VM and describes the response.
+func (s *shop) do(t *testing.T, vm string, f []string) string {
+	body := "x"
+	if len(f) > 3 {
+		body = f[3]
+	}
+	req, err := http.NewRequest(f[0], s.fronts[vm].URL+f[1], strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "w")
+	if len(f) > 2 {
+		req.Header.Set("Idempotency-Key", f[2])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Error(err)
+		return ""
+	}
+	defer resp.Body.Close()
+	defer http.DefaultClient.CloseIdleConnections()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Error(err)
+	}
+	out := fmt.Sprint(resp.StatusCode)
+	for _, k := range []string{"Location", "Retry-After", "Idempotency-Replayed"} {
+		if v := resp.Header.Get(k); v != "" {
+			out += fmt.Sprintf(" %s=%s", k, v)
+		}
+	}
+	if resp.Header.Get("Content-Type") != "application/problem+json" {
+		return out + " " + string(text[:min(len(text), 12)])
+	}
+	var p map[string]any
+	if err := json.Unmarshal(text, &p); err != nil {
+		t.Error(err)
+	}
+	return fmt.Sprintf("%s %v %v %v", out, p["type"], p["status"], p["outcome"])
+}
--- a/internal/claim/core.go
+++ b/internal/claim/core.go
@@ -471,7 +471,8 @@
 // answer takes a peer's verdict. Without one the VM uses the store itself; the
 // peer may still write the operation, which is harmless because it is the same.
 func (c *Core) answer(now time.Time, o *op, v Verdict, r *Record) {
-	if v != Failed {
+	needed := v == Held || v == Found || v == Mismatch
+	if v != Failed && (r.valid() || r == nil && !needed) {
 		c.complete(now, o, v, r)
 		return
 	}
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -130,10 +130,23 @@
 	return a
 }
 
+// RecordOf returns a record that carries only the answer, for the message to a
+// peer.
+func RecordOf(a *Answer) *Record {
+	r := &Record{}
+	r.settle(State_RAN, a)
+	return r
+}
+
 func (r *Record) held() ID { return NewID(r.GetVm(), r.GetNumber()) }
 
 func (r *Record) digest() Digest { return Digest(r.GetKey()) }
 
+// valid reports whether the digests have their length.
+func (r *Record) valid() bool {
+	return len(r.GetKey()) == len(Digest{}) && len(r.GetBody()) == len(Digest{})
+}
+
 // final reports whether the record can't change any more.
 func (r *Record) final() bool {
 	return r.GetState() == State_RAN || r.GetState() == State_UNKNOWN
--- a/internal/claim/table.go
+++ b/internal/claim/table.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -43,6 +44,11 @@
 	if err := proto.Unmarshal(value, &s); err != nil {
 		return nil, err
 	}
+	for _, r := range s.GetRecords() {
+		if !r.valid() {
+			return nil, errors.New("record without key or body digest")
+		}
+	}
 	t := newTable(s.GetRecords())
 	t.size = len(value)
 	return t, nil
