--- a/internal/claim/core.go
+++ b/internal/claim/core.go
@@ -87,6 +87,8 @@
 	probeAt  time.Time
 	probeGap time.Duration
 	out      []Action
+	// whole is the size in bytes above which a slot packs final records.
+	whole int
 	// owner returns the soft owner of a slot; nil or "" stands for this VM.
 	owner func(slot int) string
 	// early reports whether a call is sent before its claim is held. It is nil
@@ -106,6 +108,7 @@
 		calls:       map[uint64]*call{},
 		asks:        map[uint64]pendingAsk{},
 		pace:        newPace(rate),
+		whole:       wholeRoom,
 	}
 	for i := range c.slots {
 		c.slots[i] = &slot{number: i}
@@ -322,7 +325,7 @@
 // settled finishes a call with the final record of an earlier one.
 func (c *Core) settled(now time.Time, l *call, r *Record) {
 	switch {
-	case Digest(r.GetBody()) != l.ask.body:
+	case !r.same(l.ask.body):
 		c.judge(now, l, Mismatch, r)
 	case r.GetState() == State_UNKNOWN:
 		c.conclude(now, l, nil, errs.New(errs.Expired, errs.Unknown, "the first call with this key has no known outcome and is not repeated"))
@@ -338,8 +341,10 @@
 func (c *Core) refuse(now time.Time, l *call) {
 	s := c.slot(l.ask.key)
 	r := l.rival
-	if s.table != nil && s.table.at[l.ask.key] != nil {
-		r = s.table.at[l.ask.key]
+	if s.table != nil {
+		if known := s.table.get(l.ask.key, now); known != nil {
+			r = known
+		}
 	}
 	if o := s.pending(l.ask.key); o != nil {
 		r = o.ask.record(now)
--- a/internal/claim/op.go
+++ b/internal/claim/op.go
@@ -99,10 +99,7 @@
 
 // apply changes the draft and returns the verdict and the key's record.
 func (a Ask) apply(now time.Time, d *draft) (Verdict, *Record) {
-	r := d.get(a.key)
-	if r != nil && r.expired(now) {
-		r = nil
-	}
+	r := d.get(a.key, now)
 	if a.settle {
 		return a.applySettle(now, d, r)
 	}
@@ -113,7 +110,7 @@
 		return Won, r
 	case r.GetState() == State_NOT_RUN:
 		return Late, r
-	case r.held() != a.id && Digest(r.GetBody()) != a.body:
+	case r.held() != a.id && !r.same(a.body):
 		return Mismatch, r
 	case r.overdue(now):
 		c := proto.CloneOf(r)
@@ -131,7 +128,7 @@
 	if !now.Before(a.deadline) {
 		return Late, nil
 	}
-	if !d.room() {
+	if !d.room(now) {
 		return Full, nil
 	}
 	r := a.record(now)
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"time"
 )
@@ -142,9 +143,18 @@
 
 func (r *Record) digest() Digest { return Digest(r.GetKey()) }
 
-// valid reports whether the digests have their length.
+// valid reports whether the digests have their length; a packed record keeps
+// only the start of the body's.
 func (r *Record) valid() bool {
-	return len(r.GetKey()) == len(Digest{}) && len(r.GetBody()) == len(Digest{})
+	return len(r.GetKey()) == len(Digest{}) && len(r.GetBody()) >= packedBody
+}
+
+// same reports whether the record is of a call with the body.
+func (r *Record) same(body Digest) bool { return bytes.HasPrefix(body[:], r.GetBody()) }
+
+// stale reports whether the record is a release that is not needed any more.
+func (r *Record) stale(now time.Time) bool {
+	return r.GetState() == State_NOT_RUN && now.UnixMilli()-r.GetSince() > tombstone.Milliseconds()
 }
 
 // final reports whether the record can't change any more.
--- a/internal/claim/sim_test.go
+++ b/internal/claim/sim_test.go
@@ -84,16 +84,18 @@
 // sim is a deterministic simulation of VMs, their network, the store and a
 // recording upstream.
 type sim struct {
-	rng      *rand.Rand
-	start    time.Time
-	now      time.Time
-	queue    simQueue
-	seq      int
-	f        faults
-	vms      []*simVM
-	slots    int
-	rate     float64
-	early    func() bool
+	rng   *rand.Rand
+	start time.Time
+	now   time.Time
+	queue simQueue
+	seq   int
+	f     faults
+	vms   []*simVM
+	slots int
+	rate  float64
+	early func() bool
+	// whole replaces the cores' room for whole records when it is positive.
+	whole    int
 	cells    map[int]cell
 	revision uint64
 	// The store fails until the time down; blind makes it swallow requests.
@@ -112,6 +114,7 @@
 	reads  int
 	asks   int
 	sent   func(*simCall)
+	stored func(value []byte)
 }
 
 func newSim(seed uint64, names []string, slots int, rate float64, early func() bool) *sim {
@@ -147,6 +150,9 @@
 	v.tickets = map[uint64]func(Action){}
 	v.core = New(v.name, v.incarnation, m.slots, m.rate).WithOwner(m.owner)
 	v.core.early = m.early
+	if m.whole > 0 {
+		v.core.whole = m.whole
+	}
 }
 
 // owner is the same for all VMs and may name one that is down.
@@ -326,6 +332,10 @@
 		result, c := OK, m.cells[a.Slot()]
 		if m.now.Before(m.down) {
 			result = Unavailable
+			if m.blind {
+				m.after(500*time.Millisecond, func() { m.step(v, life, ReadDone(a.Slot(), Unsure, 0, nil)) })
+				return
+			}
 		} else if m.chance(m.f.lost) {
 			result = Unsure
 		}
@@ -352,6 +362,9 @@
 		return Conflict, 0
 	}
 	m.revision++
+	if m.stored != nil {
+		m.stored(a.Value())
+	}
 	m.cells[a.Slot()] = cell{
 		revision: m.revision,
 		value:    a.Value(),
--- a/internal/claim/slot.go
+++ b/internal/claim/slot.go
@@ -74,10 +74,11 @@
 // evaluate applies the queue to the cached table. It returns the operations
 // that are done, those that need the write of the draft, and whether the slot
 // must be read first.
-func (s *slot) evaluate(now time.Time) (done, need []*op, d *draft, stale bool) {
+func (s *slot) evaluate(now time.Time, whole int) (done, need []*op, d *draft, stale bool) {
 	d = &draft{
 		base:    s.table,
 		changed: map[Digest]*Record{},
+		whole:   whole,
 	}
 	// An outcome that waits is applied before a claim can find it missing.
 	slices.SortStableFunc(s.queue, func(a, b *op) int {
--- a/internal/claim/table.go
+++ b/internal/claim/table.go
@@ -7,9 +7,9 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// The sizes of a slot. A record without an answer takes about 75 bytes, so the
-// hard limit of 900 KB holds 12,000 keys: with 64 slots 768,000 keys in 24
-// hours, or 8.9 bookings a second on average over the day.
+// The sizes of a slot. A packed record takes 18 bytes, so 900 KB hold 51,200
+// keys less the whole records: with 64 slots about 3 million keys in 24 hours,
+// or 35 bookings a second on average over the day.
 const (
 	// Slots is the number of slots of a deployment.
 	Slots = 64
@@ -21,22 +21,26 @@
 	Grace = 2 * time.Second
 	// MaxAnswer is the largest body that a record keeps, in bytes.
 	MaxAnswer = 8 << 10
-	// answerRoom is the size in bytes above which a slot drops its oldest
-	// stored bodies. Every write carries the whole slot, so it bounds the bytes
-	// of a write until the keys alone take more.
-	answerRoom = 128 << 10
+	// wholeRoom is the size in bytes above which a slot packs its oldest final
+	// records, which drops their answers. Every write carries the whole slot,
+	// so it bounds the bytes of a write while few keys are kept.
+	wholeRoom = 64 << 10
 	// slotRoom is the size in bytes above which a slot takes no new key. The
 	// store's limit is 1 MB.
 	slotRoom   = 900 << 10
 	recordSize = 96
+	// tombstone is the time for which a released claim is kept. No write of it
+	// is on its way after that.
+	tombstone = 10 * time.Minute
 )
 
 // table is the content of a slot at one revision. It is immutable.
 type table struct {
 	// list is in the order in which the keys were first claimed.
-	list []*Record
-	at   map[Digest]*Record
-	size int
+	list   []*Record
+	at     map[Digest]*Record
+	packed []byte
+	size   int
 }
 
 func parse(value []byte) (*table, error) {
@@ -49,7 +53,11 @@
 			return nil, errors.New("record without key or body digest")
 		}
 	}
+	if len(s.GetPacked())%packedSize != 0 {
+		return nil, errors.New("packed records of a wrong size")
+	}
 	t := newTable(s.GetRecords())
+	t.packed = s.GetPacked()
 	t.size = len(value)
 	return t, nil
 }
@@ -70,26 +78,41 @@
 	base    *table
 	changed map[Digest]*Record
 	added   []Digest
+	// whole is the size in bytes above which final records are packed.
+	whole int
 }
 
-func (d *draft) get(k Digest) *Record {
+func (d *draft) get(k Digest, now time.Time) *Record {
 	if r := d.changed[k]; r != nil {
 		return r
 	}
-	return d.base.at[k]
+	return d.base.get(k, now)
+}
+
+// get returns the record of a key, or nil when there is none or it is past its
+// retention.
+func (t *table) get(k Digest, now time.Time) *Record {
+	if r := t.at[k]; r != nil {
+		if r.expired(now) {
+			return nil
+		}
+		return r
+	}
+	return unpack(t.packed, k, now)
 }
 
 func (d *draft) put(r *Record) {
 	k := r.digest()
-	if d.get(k) == nil {
+	if d.changed[k] == nil && d.base.at[k] == nil {
 		d.added = append(d.added, k)
 	}
 	d.changed[k] = r
 }
 
 // room reports whether the slot can take another key.
-func (d *draft) room() bool {
-	return d.base.size+len(d.changed)*recordSize < slotRoom
+func (d *draft) room(now time.Time) bool {
+	size := d.base.size - len(d.base.packed) + len(prune(d.base.packed, now))
+	return size+len(d.changed)*recordSize < slotRoom
 }
 
 // build returns the changed table without expired records and its encoding.
@@ -99,41 +122,23 @@
 		if c := d.changed[r.digest()]; c != nil {
 			r = c
 		}
-		if !r.expired(now) {
+		if !r.expired(now) && !r.stale(now) {
 			list = append(list, r)
 		}
 	}
 	for _, k := range d.added {
 		list = append(list, d.changed[k])
 	}
-	shrink(list)
-	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(&Slot{Records: list})
+	list, packed := pack(list, prune(d.base.packed, now), now, d.whole)
+	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(&Slot{
+		Records: list,
+		Packed:  packed,
+	})
 	if err != nil {
 		return nil, nil, err
 	}
 	t := newTable(list)
+	t.packed = packed
 	t.size = len(value)
 	return t, value, nil
 }
-
-// shrink drops the oldest bodies until the slot fits into answerRoom. The
-// status of the answer stays.
-func shrink(list []*Record) {
-	size := 0
-	for _, r := range list {
-		size += recordSize + len(r.GetAnswer())
-	}
-	for i, r := range list {
-		if size <= answerRoom {
-			return
-		}
-		if len(r.GetAnswer()) == 0 {
-			continue
-		}
-		size -= len(r.GetAnswer())
-		c := proto.CloneOf(r)
-		c.Answer = nil
-		c.Truncated = true
-		list[i] = c
-	}
-}
--- a/internal/claim/write.go
+++ b/internal/claim/write.go
@@ -82,7 +82,7 @@
 	if now.Before(c.pace.next(s)) {
 		return false
 	}
-	done, need, d, stale := s.evaluate(now)
+	done, need, d, stale := s.evaluate(now, c.whole)
 	if stale {
 		c.startRead(now, s)
 		return true
