--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"time"
 )
@@ -57,8 +58,11 @@
 type Answer struct {
 	status int
 	// media is the Content-Type.
-	media     string
-	body      []byte
+	media string
+	body  []byte
+	// header holds the end-to-end header fields. A record keeps none of them
+	// but Content-Type and Location.
+	header    map[string][]string
 	truncated bool
 }
 
@@ -71,6 +75,25 @@
 	}
 }
 
+// WithHeader returns a copy of a with its other header fields, by canonical
+// name.
+func (a *Answer) WithHeader(h map[string][]string) *Answer {
+	b := *a
+	b.header = h
+	return &b
+}
+
+// Header returns the header fields. The caller must not change it.
+func (a *Answer) Header() map[string][]string { return a.header }
+
+// Location returns the Location field, or "".
+func (a *Answer) Location() string {
+	if l := a.header["Location"]; len(l) > 0 {
+		return l[0]
+	}
+	return ""
+}
+
 // Status returns the HTTP status.
 func (a *Answer) Status() int { return a.status }
 
@@ -88,27 +111,52 @@
 	if a == nil || len(a.body) <= MaxAnswer {
 		return a
 	}
-	return &Answer{
-		status:    a.status,
-		media:     a.media,
-		truncated: true,
-	}
+	b := *a
+	b.body = nil
+	b.truncated = true
+	return &b
 }
 
 // AnswerOf returns the stored answer of a record.
 func AnswerOf(r *Record) *Answer {
-	return &Answer{
+	a := &Answer{
 		status:    int(r.GetStatus()),
 		media:     r.GetType(),
 		body:      r.GetAnswer(),
 		truncated: r.GetTruncated(),
 	}
+	if r.GetLocation() != "" {
+		a.header = map[string][]string{"Location": {r.GetLocation()}}
+	}
+	return a
+}
+
+// RecordOf returns a record that carries only the answer, for the message to a
+// peer.
+func RecordOf(a *Answer) *Record {
+	r := &Record{}
+	r.settle(State_RAN, a)
+	return r
 }
 
 func (r *Record) held() ID { return NewID(r.GetVm(), r.GetNumber()) }
 
 func (r *Record) digest() Digest { return Digest(r.GetKey()) }
 
+// valid reports whether the digests have their length; a packed record keeps
+// only the start of the body's.
+func (r *Record) valid() bool {
+	return len(r.GetKey()) == len(Digest{}) && len(r.GetBody()) >= packedBody
+}
+
+// same reports whether the record is of a call with the body.
+func (r *Record) same(body Digest) bool { return bytes.HasPrefix(body[:], r.GetBody()) }
+
+// stale reports whether the record is a release that is not needed any more.
+func (r *Record) stale(now time.Time) bool {
+	return r.GetState() == State_NOT_RUN && now.UnixMilli()-r.GetSince() > tombstone.Milliseconds()
+}
+
 // final reports whether the record can't change any more.
 func (r *Record) final() bool {
 	return r.GetState() == State_RAN || r.GetState() == State_UNKNOWN
@@ -131,6 +179,7 @@
 	}
 	r.Status = int32(a.status)
 	r.Type = a.media
+	r.Location = a.Location()
 	r.Answer = a.body
 	r.Truncated = a.truncated
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -66,6 +66,15 @@
 	return parts, nil
 }
 
+// Claim hands the operations on one slot to its soft owner.
+func (c *Client) Claim(ctx context.Context, address string, in *wire.ClaimRequest) (*wire.ClaimReply, error) {
+	out, err := c.peer(address).Claim(ctx, in)
+	if err != nil {
+		return nil, errors.Wrapf(err, "peer: claim at %s", address)
+	}
+	return out, nil
+}
+
 // Burn fetches the service-level counters of the peer.
 func (c *Client) Burn(ctx context.Context, address string) (*wire.BurnReply, error) {
 	ctx, stop := context.WithTimeout(ctx, callTimeout)
