Follow the configuration through store and peers, serve operators

Cause: the entry VM took its configuration from a test hook, and operators had no way to apply one or to see the VM's state, metrics and burn rate. Change: the config, gossip and ledger duties, the listeners for operators and peers, metrics, and debug logs that follow a request by its id; the lab applies its declaration through POST /apply.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -24,7 +24,7 @@
 	// ready is false while the process starts and from the beginning of a
 	// shutdown.
 	ready func() bool
-	// status returns what /status shows, as a value for encoding/json.
+	// status returns what /upstreams shows, as a value for encoding/json.
 	status  func() any
 	metrics http.Handler
 	// burn gathers the burn report until ctx ends.
@@ -65,7 +65,7 @@
 	m.Get("/healthz", s.getHealth)
 	m.Get("/readyz", s.getReady)
 	m.Method(http.MethodGet, "/metrics", s.metrics)
-	m.Get("/status", s.getStatus)
+	m.Get("/upstreams", s.getStatus)
 	m.Get("/burn", s.getBurn)
 	for _, r := range s.routes {
 		m.Method(r.method, r.path, r.handler)
--- a/internal/lab/demo.go
+++ b/internal/lab/demo.go
@@ -50,8 +50,11 @@
 	}
 	defer site.Close()
 	say("started 2 regions, 3 failure domains, %d entry VMs, %d engines, the store and the VM list", len(site.Nodes()), len(site.Engines()))
-	site.Configure(ctx, 1, site.Declaration(time.Minute, 1))
-	say("applied the declaration: model service draft, version v1")
+	began := time.Now()
+	if err := site.Configure(ctx, 1, site.Declaration(time.Minute, 1)); err != nil {
+		return nil, err
+	}
+	say("applied the declaration (model service draft, version v1); in force on every VM after %s", time.Since(began).Round(time.Millisecond))
 	time.Sleep(settleTime)
 
 	caller := NewCaller(site.Entries(), Token(0))
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -6,18 +6,19 @@
 	"encoding/hex"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
-	"clementinelink.example/clementinelink/internal/build"
 	"clementinelink.example/clementinelink/internal/node"
 	"clementinelink.example/clementinelink/internal/relay"
 	"clementinelink.example/clementinelink/internal/simeng"
 	"clementinelink.example/clementinelink/internal/simkv"
 	"clementinelink.example/clementinelink/internal/simvms"
+	"clementinelink.example/clementinelink/internal/submit"
 	"clementinelink.example/clementinelink/internal/world"
 	"clementinelink.example/clementinelink/pkg/decl"
 )
@@ -191,14 +192,38 @@
 	return sum
 }
 
-// Configure puts a declaration in force on every entry VM.
-func (s *Site) Configure(ctx context.Context, revision uint64, d *decl.Declaration) {
-	m := build.World(revision, d)
+// Configure submits a declaration as the given revision through the first
+// entry VM, and returns when it is in force on all of them.
+func (s *Site) Configure(ctx context.Context, revision uint64, d *decl.Declaration) error {
+	parts, err := decl.Split(d)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithTimeout(ctx, applyTimeout)
+	defer stop()
+	c := submit.NewClient(s.nodes[0].AdminAddr(), http.DefaultClient)
+	r, _, err := c.Apply(ctx, submit.NewRequest(fmt.Sprintf("lab-%d", revision), "lab", revision-1, parts))
+	if err != nil {
+		return errors.Wrap(err, "lab: apply")
+	}
+	if r.State() != submit.Accepted {
+		return errors.Newf("lab: apply: %s: %v", r.State(), r.Lines())
+	}
 	for _, n := range s.nodes {
-		n.Configure(ctx, m)
+		for n.Revision() < revision {
+			select {
+			case <-ctx.Done():
+				return errors.Newf("lab: revision %d is not in force everywhere", revision)
+			case <-time.After(cutPoll):
+			}
+		}
 	}
+	return nil
 }
 
+// applyTimeout bounds the time until a declaration is in force on every VM.
+const applyTimeout = 10 * time.Second
+
 // Declaration returns the lab's declaration: the model service "draft" on
 // version v1, and workspaces with tokens "key-0", "key-1", and so on.
 func (s *Site) Declaration(deadline time.Duration, workspaces int) *decl.Declaration {
@@ -330,5 +355,5 @@
 		return err
 	}
 	s.nodes = append(s.nodes, n)
-	return s.enlist(ctx, name, world.Entry, n.Addr(), z, "")
+	return s.enlist(ctx, name, world.Entry, n.PeerAddr(), z, "")
 }
--- a/internal/lab/site_test.go
+++ b/internal/lab/site_test.go
@@ -22,7 +22,9 @@
 		t.Fatal(err)
 	}
 	defer site.Close()
-	site.Configure(context.Background(), 1, site.Declaration(30*time.Second, 1))
+	if err := site.Configure(context.Background(), 1, site.Declaration(30*time.Second, 1)); err != nil {
+		t.Fatal(err)
+	}
 	time.Sleep(time.Second) // until the VM list and the first load reports are in
 
 	const limit = 60
--- a/internal/lab/trial.go
+++ b/internal/lab/trial.go
@@ -114,7 +114,9 @@
 		return nil, err
 	}
 	defer site.Close()
-	site.Configure(ctx, 1, site.Declaration(time.Minute, 1))
+	if err := site.Configure(ctx, 1, site.Declaration(time.Minute, 1)); err != nil {
+		return nil, err
+	}
 	time.Sleep(settleTime)
 	caller := NewCaller(site.Entries(), Token(0))
 	defer caller.Close()
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"clementinelink.example/clementinelink/internal/engine"
 	"clementinelink.example/clementinelink/internal/relay"
 	"clementinelink.example/clementinelink/internal/ring"
@@ -35,11 +37,12 @@
 	// attempts holds the stop function of each running attempt.
 	attempts map[string]map[uint32]context.CancelFunc
 	now      func() time.Time
+	log      zerolog.Logger
 	// observe is called after each event, for metrics and status.
 	observe func(now time.Time, rt *router.Router)
 }
 
-func newDispatcher(rt *router.Router, events *ring.Ring[message], c *engine.Client, cancel *canceller, observe func(now time.Time, rt *router.Router)) *dispatcher {
+func newDispatcher(rt *router.Router, events *ring.Ring[message], c *engine.Client, cancel *canceller, log zerolog.Logger, observe func(now time.Time, rt *router.Router)) *dispatcher {
 	return &dispatcher{
 		events:   events,
 		router:   rt,
@@ -48,6 +51,7 @@
 		outputs:  make(map[string]*ring.Ring[relay.Output]),
 		attempts: make(map[string]map[uint32]context.CancelFunc),
 		now:      time.Now,
+		log:      log,
 		observe:  observe,
 	}
 }
@@ -105,6 +109,10 @@
 // caller's output ring is full.
 func (d *dispatcher) perform(ctx context.Context, a relay.Action) bool {
 	id := a.Request().ID()
+	if a.Engine() != nil {
+		d.log.Debug().Str("request", id).Str("trace", a.Request().Trace()).Uint32("attempt", a.Attempt()).
+			Str("engine", a.Engine().Name()).Int("offset", len(a.Prefix())+a.Offset()).Msg("router: Attempt " + a.Kind().String() + ".")
+	}
 	switch a.Kind() {
 	case relay.Open:
 		go d.engine.Open(d.begin(ctx, id, a.Attempt()), a)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,17 +13,28 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/dig"
 
+	"clementinelink.example/clementinelink/internal/admin"
+	"clementinelink.example/clementinelink/internal/config"
 	"clementinelink.example/clementinelink/internal/cursor"
 	"clementinelink.example/clementinelink/internal/engine"
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/front"
+	"clementinelink.example/clementinelink/internal/meter"
+	"clementinelink.example/clementinelink/internal/move"
+	"clementinelink.example/clementinelink/internal/peer"
 	"clementinelink.example/clementinelink/internal/relay"
 	"clementinelink.example/clementinelink/internal/ring"
 	"clementinelink.example/clementinelink/internal/router"
+	"clementinelink.example/clementinelink/internal/store"
+	"clementinelink.example/clementinelink/internal/submit"
 	"clementinelink.example/clementinelink/internal/vmlist"
+	"clementinelink.example/clementinelink/internal/wire"
 	"clementinelink.example/clementinelink/internal/world"
 )
 
+// peerHeaderTimeout bounds the wait for a peer's request header.
+const peerHeaderTimeout = 5 * time.Second
+
 // hooks are the functions that follow a node's work.
 type hooks struct {
 	// report is called by the dispatcher with each response that ended.
@@ -42,19 +53,33 @@
 	members  *members
 	reporter *reporter
 	front    *front.Server
+	store    *store.Client
+	peers    *peer.Client
+	follow   *config.Duty
+	gossip   *gossip
+	ledger   *ledger
+	watcher  *watcher
+	// incarnation is unique to this start of the process.
+	incarnation uint64
+	// vms is the latest VM list.
+	vms     atomic.Pointer[[]*world.VM]
+	changed notice
 	// config is the configuration in force, published by the config duty.
 	config atomic.Pointer[world.Map]
 	// ready is false before the first configuration and during shutdown.
-	ready   atomic.Bool
-	duties  sync.WaitGroup
-	callers net.Listener
-	server  *http.Server
+	ready     atomic.Bool
+	duties    sync.WaitGroup
+	listeners map[string]net.Listener
+	servers   []*http.Server
 	// halt ends every duty.
 	halt context.CancelFunc
 }
 
 // New wires a node from checked settings.
 func New(s *Settings, log zerolog.Logger) (*Node, error) {
+	if s.Seed == 0 {
+		s.Seed = rand.Uint64()
+	}
 	c := dig.New()
 	for _, f := range []any{
 		func() *Settings { return s },
@@ -65,6 +90,14 @@
 		newEngine,
 		newRouter,
 		newList,
+		newStore,
+		newConfig,
+		func() *meter.Registry { return meter.New("clementine") },
+		func(r *meter.Registry) *peer.Client {
+			sent := r.Counter("peer_bytes_total", "Bytes sent to other entry VMs.")
+			return peer.NewClient(sent.Add)
+		},
+		newWatcher,
 		func(e *engine.Client) *canceller { return newCanceller(e.Cancel) },
 		func(events *ring.Ring[message], e *engine.Client) *reporter { return newReporter(events, e.Load) },
 		newNode,
@@ -87,11 +120,7 @@
 }
 
 func newRouter(s *Settings, h *hooks) *router.Router {
-	seed := s.Seed
-	if seed == 0 {
-		seed = rand.Uint64()
-	}
-	return router.New(s.Region, seed, nil, func(now time.Time, r *relay.Response) {
+	return router.New(s.Region, s.Seed, nil, func(now time.Time, r *relay.Response) {
 		for _, f := range h.report {
 			f(now, r)
 		}
@@ -100,26 +129,67 @@
 
 func newList(s *Settings) *vmlist.Client { return vmlist.New(s.VMs) }
 
-func newNode(s *Settings, log zerolog.Logger, events *ring.Ring[message], rt *router.Router, e *engine.Client,
-	h *hooks, cancel *canceller, rep *reporter, list *vmlist.Client, codec *cursor.Codec) *Node {
+// parts are what a node is made of. It is filled by dig.
+type parts struct {
+	dig.In
+
+	Settings *Settings
+	Log      zerolog.Logger
+	Events   *ring.Ring[message]
+	Router   *router.Router
+	Engine   *engine.Client
+	Hooks    *hooks
+	Cancel   *canceller
+	Reporter *reporter
+	List     *vmlist.Client
+	Codec    *cursor.Codec
+	Store    *store.Client
+	Peers    *peer.Client
+	Follow   *config.Duty
+	Watcher  *watcher
+}
+
+func newNode(p parts) *Node {
 	n := &Node{
-		settings: s,
-		log:      log,
-		events:   events,
-		engine:   e,
-		hooks:    h,
-		cancel:   cancel,
-		reporter: rep,
-	}
-	n.dispatch = newDispatcher(rt, events, e, cancel, func(time.Time, *router.Router) {})
-	listLog := log.With().Str("part", "members").Logger()
+		settings:    p.Settings,
+		log:         p.Log,
+		events:      p.Events,
+		engine:      p.Engine,
+		hooks:       p.Hooks,
+		cancel:      p.Cancel,
+		reporter:    p.Reporter,
+		store:       p.Store,
+		peers:       p.Peers,
+		follow:      p.Follow,
+		watcher:     p.Watcher,
+		incarnation: uint64(time.Now().UnixNano()),
+		listeners:   make(map[string]net.Listener),
+	}
+	n.dispatch = newDispatcher(p.Router, p.Events, p.Engine, p.Cancel, p.Log, p.Watcher.observe)
 	n.members = &members{
-		fetch:   list.List,
+		fetch:   p.List.List,
 		publish: n.publish,
-		failed:  func(err error) { listLog.Warn().Err(err).Msg("members: The VM list is unavailable.") },
+		failed:  func(err error) { p.Log.Warn().Err(err).Msg("members: The VM list is unavailable.") },
+	}
+	n.ledger = newLedger(p.Settings.Name, n.incarnation)
+	n.gossip = &gossip{
+		self:  p.Settings.Name,
+		peers: p.Peers,
+		rng:   rand.New(rand.NewPCG(n.incarnation, 2)),
+		list:  n.list,
+		news:  n.news,
+		take:  n.take,
 	}
-	n.front = front.New(codec, n.config.Load, n.generate, n.leave).
-		WithReady(n.ready.Load)
+	n.follow.WithPublish(n.adopt)
+	n.front = front.New(p.Codec, n.config.Load, n.generate, n.leave).
+		WithReady(n.ready.Load).
+		WithObserve(n.ledger.take)
+	n.OnReport(p.Watcher.report)
+	n.OnReport(func(_ time.Time, r *relay.Response) {
+		if s := resumed(n.dispatch.router.Config(), r); s != nil {
+			n.ledger.take(s)
+		}
+	})
 	return n
 }
 
@@ -135,15 +205,16 @@
 
 // Start opens the listeners and starts the duties.
 func (n *Node) Start(ctx context.Context) error {
-	l, err := net.Listen("tcp", n.settings.Listen)
-	if err != nil {
-		return errors.Wrap(err, "node: callers' listener")
+	if err := n.listen(); err != nil {
+		return err
 	}
-	n.callers = l
 	ctx, n.halt = context.WithCancel(ctx)
 	n.duty(func() { n.dispatch.run(ctx) })
 	n.duty(func() { n.members.run(ctx) })
 	n.duty(func() { n.reporter.run(ctx) })
+	n.duty(func() { n.ledger.run(ctx) })
+	n.duty(func() { n.gossip.run(ctx) })
+	n.duty(func() { _ = n.follow.Run(ctx) })
 	for range pollers {
 		n.duty(func() { n.reporter.poll(ctx) })
 	}
@@ -153,14 +224,81 @@
 	for range repeaters {
 		n.duty(func() { n.cancel.run(ctx, n.cancel.repeats) })
 	}
-	n.server = n.front.HTTP()
-	n.duty(func() { n.serve(n.server, l) })
-	n.log.Info().Str("listen", l.Addr().String()).Msg("node: The VM is up.")
+	n.serve("callers", n.front.HTTP())
+	n.serve("operators", n.operators().HTTP())
+	n.serve("peers", &http.Server{
+		Handler:           n.peerServer().Handler(),
+		ReadHeaderTimeout: peerHeaderTimeout,
+	})
+	n.log.Info().Str("listen", n.Addr()).Msg("node: The VM is up.")
+	return nil
+}
+
+// listen opens all listeners, or none of them.
+func (n *Node) listen() error {
+	for name, address := range map[string]string{
+		"callers":   n.settings.Listen,
+		"operators": n.settings.Admin,
+		"peers":     n.settings.Peer,
+	} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, open := range n.listeners {
+				_ = open.Close()
+			}
+			return errors.Wrapf(err, "node: listener for %s", name)
+		}
+		n.listeners[name] = l
+	}
 	return nil
 }
 
+// operators returns the operators' HTTP interface.
+func (n *Node) operators() *admin.Server {
+	h := submit.NewHandler(submit.NewSubmitter(submit.Over(n.store)), submit.Sources{
+		Now:   time.Now,
+		Head:  n.head,
+		Parts: func() map[string][]byte { return n.follow.Snapshot().Named() },
+		Await: n.await,
+		Moves: func() []move.Status { return nil },
+	})
+	return admin.New(n.ready.Load, func() any { return n.watcher.latest.Load() }, n.watcher.metrics, n.burnReport).
+		WithRoute(http.MethodPost, "/apply", h.Apply).
+		WithRoute(http.MethodGet, "/status", h.Status).
+		WithRoute(http.MethodGet, "/history", h.History)
+}
+
+// peerServer returns the service for other entry VMs.
+func (n *Node) peerServer() *peer.Server {
+	return peer.NewServer(n.exchange, n.parts, n.claimPeer, func() *wire.BurnReply {
+		ctx, stop := context.WithTimeout(context.Background(), time.Second)
+		defer stop()
+		return n.ledger.reply(ctx)
+	})
+}
+
+// claimPeer answers a peer that takes this VM for the soft owner of a slot.
+func (n *Node) claimPeer(context.Context, *wire.ClaimRequest) (*wire.ClaimReply, error) {
+	return nil, errors.New("claims are not served here")
+}
+
 // Addr returns the address of the callers' listener.
-func (n *Node) Addr() string { return n.callers.Addr().String() }
+func (n *Node) Addr() string { return n.listeners["callers"].Addr().String() }
+
+// AdminAddr returns the address of the operators' listener.
+func (n *Node) AdminAddr() string { return n.listeners["operators"].Addr().String() }
+
+// PeerAddr returns the address of the listener for other entry VMs, which the
+// platform's list names.
+func (n *Node) PeerAddr() string { return n.listeners["peers"].Addr().String() }
+
+// Revision returns the configuration revision in force, 0 for none.
+func (n *Node) Revision() uint64 {
+	if m := n.config.Load(); m != nil {
+		return m.Revision()
+	}
+	return 0
+}
 
 // Configure puts a configuration in force. A revision that is not higher than
 // the present one changes nothing.
@@ -188,14 +326,19 @@
 	case <-time.After(n.settings.Drain):
 	case <-ctx.Done():
 	}
-	err := n.server.Shutdown(ctx)
+	var failed error
+	for _, s := range n.servers {
+		failed = errors.CombineErrors(failed, s.Shutdown(ctx))
+	}
 	n.Close()
-	return errors.Wrap(err, "node: shutdown")
+	return errors.Wrap(failed, "node: shutdown")
 }
 
 // Close stops at once, as a crash would.
 func (n *Node) Close() {
-	_ = n.server.Close()
+	for _, s := range n.servers {
+		_ = s.Close()
+	}
 	n.halt()
 	n.duties.Wait()
 	n.engine.Close()
@@ -205,15 +348,37 @@
 	n.duties.Go(run)
 }
 
-func (n *Node) serve(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		n.log.Error().Err(err).Msg("node: A listener failed.")
+// serve starts the duty of a listener.
+func (n *Node) serve(name string, s *http.Server) {
+	n.servers = append(n.servers, s)
+	n.duty(func() {
+		if err := s.Serve(n.listeners[name]); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			n.log.Error().Err(err).Str("listener", name).Msg("node: A listener failed.")
+		}
+	})
+}
+
+// list returns the latest VM list.
+func (n *Node) list() []*world.VM {
+	if vms := n.vms.Load(); vms != nil {
+		return *vms
 	}
+	return nil
 }
 
+// publish hands a VM list to the duties that follow it.
 func (n *Node) publish(ctx context.Context, vms []*world.VM) {
+	n.vms.Store(&vms)
 	n.events.Put(ctx, message{event: router.NewMembers(vms)})
 	n.reporter.lists.Put(ctx, vms)
+	n.follow.SetMembers(vms)
+	entries := 0
+	for _, vm := range vms {
+		if vm.Kind() == world.Entry {
+			entries++
+		}
+	}
+	n.store.SetBudget(storeReads/float64(max(entries, 1)), storeWrites/float64(max(entries, 1)))
 }
 
 // generate hands a request to the dispatcher.
