--- a/cmd/clementinelab/main.go
+++ b/cmd/clementinelab/main.go
@@ -59,6 +59,12 @@
 		}); err != nil {
 		return errors.Wrap(err, "plain")
 	}
+	for name, c := range s.platform() {
+		if _, err := parser.AddCommand(name, "Run one simulated "+c.kind+".",
+			"Prints the address and runs until a signal.", c); err != nil {
+			return errors.Wrap(err, name)
+		}
+	}
 	if _, err := parser.AddCommand("demo", "Kill engines in the middle of responses.",
 		"Brings up a deployment on loopback, kills, hangs and resets engines, and checks that each response is whole.", &demoCommand{
 			session: s,
--- /dev/null
+++ b/cmd/clementinelab/platform.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"context"
+	"net"
+
+	"github.com/cockroachdb/errors"
+
+	"clementinelink.example/clementinelink/internal/simkv"
+	"clementinelink.example/clementinelink/internal/simvms"
+	"clementinelink.example/clementinelink/internal/simwts"
+)
+
+// platformCommand runs one stand-in of the platform. Its fields are exported
+// for go-flags.
+type platformCommand struct {
+	session *session
+	kind    string
+	serve   func(ctx context.Context, l net.Listener) error
+
+	Address string `long:"address" env:"CLEMENTINE_ADDRESS" default:"127.0.0.1:0" description:"listening address host:port"`
+}
+
+// Execute runs the stand-in until a signal.
+func (c *platformCommand) Execute([]string) error {
+	l, err := net.Listen("tcp", c.Address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	ctx, stop := context.WithCancel(c.session.ctx)
+	defer stop()
+	failed := make(chan error, 1)
+	go func() { failed <- c.serve(ctx, l) }()
+	if err := c.session.serve(c.kind, c.kind, l.Addr().String()); err != nil {
+		return err
+	}
+	stop()
+	return <-failed
+}
+
+// platform returns the stand-ins of the platform by subcommand.
+func (s *session) platform() map[string]*platformCommand {
+	return map[string]*platformCommand{
+		"store": {
+			session: s,
+			kind:    "Store",
+			serve:   simkv.New().Serve,
+		},
+		"vms": {
+			session: s,
+			kind:    "VM list",
+			serve:   simvms.New(0).Serve,
+		},
+		"weights": {
+			session: s,
+			kind:    "Weight store",
+			serve:   simwts.New(10, 10).Serve,
+		},
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -230,7 +230,7 @@
 		Handler:           n.peerServer().Handler(),
 		ReadHeaderTimeout: peerHeaderTimeout,
 	})
-	n.log.Info().Str("listen", n.Addr()).Msg("node: The VM is up.")
+	n.log.Info().Str("callers", n.Addr()).Str("operators", n.AdminAddr()).Str("peers", n.PeerAddr()).Msg("node: The VM is up.")
 	return nil
 }
 
