--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -210,10 +210,11 @@
 	return b
 }
 
-// priority orders requests on the engine: resumes first, then by class.
+// priority orders requests on the engine, the lowest first: by class, and
+// resumes before new requests of their class.
 func priority(q *relay.Request, resume bool) int {
-	p := 2 * int(world.Classes-q.Class())
-	if resume {
+	p := 2 * int(q.Class())
+	if !resume {
 		p++
 	}
 	return p
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"fmt"
+
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/fleet"
 	"clementinelink.example/clementinelink/internal/relay"
@@ -151,6 +153,20 @@
 // NewTick returns the event of passing time.
 func NewTick() Event { return Event{kind: Tick} }
 
+// String returns the event for traces.
+func (e Event) String() string {
+	switch e.kind {
+	case Token:
+		return fmt.Sprintf("token %s/%d %d id=%d %q", e.id, e.attempt, e.index, e.token, e.text)
+	case Finish:
+		return fmt.Sprintf("finish %s/%d %d %s prompt=%d", e.id, e.attempt, e.index, e.text, e.prompt)
+	case Lost:
+		return fmt.Sprintf("lost %s/%d %s", e.id, e.attempt, e.cause)
+	default:
+		return fmt.Sprintf("event %d %s", e.kind, e.id)
+	}
+}
+
 // Kind returns what happened.
 func (e Event) Kind() EventKind { return e.kind }
 
