Add random faults of all kinds and restarts of entry VMs

Cause: the trials struck one kind of fault at a time and never an entry VM, so nothing showed that responses stay whole when several faults overlap.

--- a/cmd/clementinelab/main.go
+++ b/cmd/clementinelab/main.go
@@ -71,6 +71,12 @@
 		}); err != nil {
 		return errors.Wrap(err, "resume")
 	}
+	if _, err := parser.AddCommand("storm", "Run responses under random faults.",
+		"Runs a small deployment under random faults of all kinds, entry VMs included, and prints the verdicts. It fails when a token is missing, repeated or mixed.", &stormCommand{
+			session: s,
+		}); err != nil {
+		return errors.Wrap(err, "storm")
+	}
 	return nil
 }
 
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -25,6 +25,10 @@
 const (
 	// cursorKey signs the cursors of a lab deployment.
 	cursorKey = "00112233445566778899aabbccddeeff"
+	// restartTries and restartPause bound the wait for an address that an
+	// outgoing connection uses for the moment.
+	restartTries = 50
+	restartPause = 20 * time.Millisecond
 )
 
 // Zone is a failure domain of a lab deployment.
@@ -53,7 +57,13 @@
 	// zoneOf holds the failure domain of each engine and entry VM by name.
 	zoneOf map[string]string
 	nodes  []*node.Node
-	store  *simkv.Server
+	// down holds the entry VMs that are crashed now.
+	down  map[int]bool
+	store *simkv.Server
+	// settings holds those of each entry VM, with its chosen address.
+	settings []*node.Settings
+	// config is the configuration that a restarted entry VM gets, or nil.
+	config *world.Map
 	// lists holds the VM list that each failure domain sees: the VMs of other
 	// domains are reached over the links.
 	lists map[string]*simvms.Server
@@ -64,8 +74,10 @@
 	// simple is the timeout of the baseline policy, or 0 for the cadence policy.
 	simple time.Duration
 	log    zerolog.Logger
-	stop   context.CancelFunc
-	tasks  sync.WaitGroup
+	// ctx ends with the deployment.
+	ctx   context.Context
+	stop  context.CancelFunc
+	tasks sync.WaitGroup
 	// options configures each engine.
 	options []simeng.Option
 	storeAt string
@@ -78,6 +90,7 @@
 	return &Site{
 		zones:   zones,
 		zoneOf:  make(map[string]string),
+		down:    make(map[int]bool),
 		lists:   make(map[string]*simvms.Server),
 		listAt:  make(map[string]string),
 		links:   make(map[[2]string]*Link),
@@ -102,6 +115,7 @@
 // Start brings everything up.
 func (s *Site) Start(ctx context.Context) error {
 	ctx, s.stop = context.WithCancel(ctx)
+	s.ctx = ctx
 	if err := s.platform(ctx); err != nil {
 		return err
 	}
@@ -124,8 +138,10 @@
 
 // Close stops everything.
 func (s *Site) Close() {
-	for _, n := range s.nodes {
-		n.Close()
+	for i, n := range s.nodes {
+		if !s.down[i] {
+			n.Close()
+		}
 	}
 	for _, e := range s.engines {
 		e.Close()
@@ -193,9 +209,9 @@
 
 // Configure puts a declaration in force on every entry VM.
 func (s *Site) Configure(ctx context.Context, revision uint64, d *decl.Declaration) {
-	m := build.World(revision, d)
+	s.config = build.World(revision, d)
 	for _, n := range s.nodes {
-		n.Configure(ctx, m)
+		n.Configure(ctx, s.config)
 	}
 }
 
@@ -316,19 +332,62 @@
 	if err := set.Check(); err != nil {
 		return errors.Wrapf(err, "lab: entry VM %s", name)
 	}
-	n, err := node.New(set, s.log.With().Str("vm", name).Logger())
+	n, err := s.boot(ctx, set)
 	if err != nil {
 		return err
 	}
+	set.Listen = n.Addr()
+	s.nodes = append(s.nodes, n)
+	s.settings = append(s.settings, set)
+	return s.enlist(ctx, name, world.Entry, n.Addr(), z, "")
+}
+
+// boot starts an entry VM. It knows the site's configuration before its first
+// caller, as a VM does that isn't ready before.
+func (s *Site) boot(ctx context.Context, set *node.Settings) (*node.Node, error) {
+	n, err := node.New(set, s.log.With().Str("vm", set.Name).Logger())
+	if err != nil {
+		return nil, err
+	}
 	if s.onReport != nil {
 		n.OnReport(func(_ time.Time, r *relay.Response) { s.onReport(r) })
 	}
 	if s.simple > 0 {
 		n.Simple(s.simple)
 	}
-	if err := n.Start(ctx); err != nil {
-		return err
+	if s.config != nil {
+		n.Configure(ctx, s.config)
 	}
-	s.nodes = append(s.nodes, n)
-	return s.enlist(ctx, name, world.Entry, n.Addr(), z, "")
+	return n, n.Start(ctx)
+}
+
+// Crash stops the numbered entry VM at once and reports whether it ran. One
+// duty at a time may crash and restart VMs.
+func (s *Site) Crash(i int) bool {
+	if s.down[i] {
+		return false
+	}
+	s.down[i] = true
+	s.nodes[i].Close()
+	return true
+}
+
+// Restart starts a crashed entry VM again, on its address and without any of
+// its state.
+func (s *Site) Restart(i int) error {
+	if !s.down[i] {
+		return nil
+	}
+	var last error
+	for range restartTries {
+		n, err := s.boot(s.ctx, s.settings[i])
+		if err == nil {
+			s.nodes[i] = n
+			delete(s.down, i)
+			return nil
+		}
+		last = err
+		time.Sleep(restartPause)
+	}
+	return errors.Wrapf(last, "lab: restart %s", s.settings[i].Name)
 }
--- a/internal/lab/trial.go
+++ b/internal/lab/trial.go
@@ -27,6 +27,7 @@
 	callers int
 	count   int
 	tokens  int
+	gap     time.Duration
 	seed    uint64
 }
 
@@ -44,6 +45,7 @@
 		callers: callers,
 		count:   count,
 		tokens:  100,
+		gap:     demoGap,
 		seed:    seed,
 	}
 	if deployment == "brno" {
@@ -97,7 +99,7 @@
 		resumes: hdrhistogram.New(timeMin, timeMax, timeDigits),
 	}
 	var lock sync.Mutex
-	site := NewSite(p.zones, log, simeng.WithGap(demoGap, 0)).WithDelays(p.domains, p.regions)
+	site := NewSite(p.zones, log, simeng.WithGap(p.gap, 0)).WithDelays(p.domains, p.regions)
 	site.onReport = func(r *relay.Response) {
 		lock.Lock()
 		defer lock.Unlock()
