Give attempts the engine's address with their action

Cause: an attempt read the engine's machine through the engine that the dispatcher owns, while a new VM list replaced it: a data race that the fault table found under the race detector.

Change: an action carries the machine from the time of the decision; the adapters read Action.Address instead of Engine().VM().

--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -114,7 +114,7 @@
 		d.halt(id, a.Attempt())
 	case relay.Cancel:
 		d.halt(id, a.Attempt())
-		d.cancel.put(ctx, a.Engine().VM().Address(), id, a.Attempt())
+		d.cancel.put(ctx, a.Address(), id, a.Attempt())
 	case relay.Emit:
 		return d.emit(ctx, id, a.Output())
 	case relay.End:
--- a/internal/relay/action.go
+++ b/internal/relay/action.go
@@ -3,6 +3,7 @@
 import (
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/fleet"
+	"clementinelink.example/clementinelink/internal/world"
 )
 
 // ActionKind tells what a driver has to do.
@@ -35,6 +36,9 @@
 	kind    ActionKind
 	request *Request
 	engine  *fleet.Engine
+	// vm is the engine's machine when the action was decided. Attempts read it
+	// while the dispatcher may give the engine another one.
+	vm      *world.VM
 	version string
 	// attempt is the number of the attempt that the action starts or stops.
 	attempt uint32
@@ -52,9 +56,13 @@
 // Request returns the request that the action belongs to.
 func (a Action) Request() *Request { return a.request }
 
-// Engine returns the engine of Open, Attach and Cancel.
+// Engine returns the engine of Open, Attach and Cancel. Only the dispatcher may
+// use it.
 func (a Action) Engine() *fleet.Engine { return a.engine }
 
+// Address returns the engine's host:port for Open, Attach and Cancel.
+func (a Action) Address() string { return a.vm.Address() }
+
 // Version returns the version of Open.
 func (a Action) Version() string { return a.version }
 
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -392,6 +392,7 @@
 		kind:    Open,
 		request: r.request,
 		engine:  e,
+		vm:      e.VM(),
 		version: r.version,
 		attempt: a.number,
 		prefix:  prefix,
@@ -407,6 +408,7 @@
 		kind:    Attach,
 		request: r.request,
 		engine:  e,
+		vm:      e.VM(),
 		version: r.version,
 		attempt: a.number,
 		source:  source,
@@ -536,6 +538,7 @@
 		kind:    Cancel,
 		request: r.request,
 		engine:  a.engine,
+		vm:      a.engine.VM(),
 		attempt: a.number,
 	})
 }
