Doubt an engine whose attempts keep breaking before a token

Cause: a dead engine behind a forwarder accepts connections and resets them. Resets before a first token changed nothing about the engine, so a response with no other local engine opened one attempt after the other on it and never reached the live engines of another region. The fault table saw a first token after 8.8 s where 1 s was due.

Change: the second attempt in a row that breaks before its first token makes the engine suspect; a token ends the count.

--- a/internal/fleet/engine.go
+++ b/internal/fleet/engine.go
@@ -46,6 +46,11 @@
 	// probation is the time after a suspicion from which a load report makes
 	// the engine live again; it doubles with each further suspicion.
 	probation = time.Second
+	// maxBreaks is the number of attempts in a row that break before a token and
+	// make the engine suspect. One break may be a connection that was idle for
+	// too long. A dead engine behind a forwarder accepts connections and resets
+	// each of them.
+	maxBreaks = 2
 	// maxDoubts bounds the doubling.
 	maxDoubts = 5
 )
@@ -69,6 +74,9 @@
 	// engine last produced a token.
 	doubted time.Time
 	doubts  int
+	// breaks counts the attempts that broke before a token since the engine
+	// last produced one.
+	breaks  int
 	cadence detect.Cadence
 }
 
@@ -140,6 +148,7 @@
 	if fresh {
 		e.incarnation = l.incarnation
 		e.cadence = detect.Cadence{}
+		e.breaks = 0
 		e.state = Live
 	}
 	changed := fresh || !slices.Equal(e.load.versions, l.versions)
@@ -179,6 +188,15 @@
 	}
 }
 
+// Broke counts an attempt that broke before its first token, and doubts the
+// engine after several in a row.
+func (e *Engine) Broke(now time.Time) {
+	e.breaks++
+	if e.breaks >= maxBreaks {
+		e.Doubt(now)
+	}
+}
+
 // Doubt marks a live engine as suspect. A load report alone does not clear it
 // at once, because an engine can answer reports while its streams hang.
 func (e *Engine) Doubt(now time.Time) {
@@ -193,6 +211,7 @@
 // whether the state changed.
 func (e *Engine) Trust() bool {
 	e.doubts = 0
+	e.breaks = 0
 	if e.state != Suspect {
 		return false
 	}
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -473,6 +473,10 @@
 // note records why an attempt ended, for membership and statistics.
 func (r *Response) note(now time.Time, a *attempt, cause Cause) {
 	switch cause {
+	case Reset:
+		if a.last.IsZero() {
+			a.engine.Broke(now)
+		}
 	case Unreachable:
 		a.engine.Fell()
 	case Departing:
