--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -21,6 +21,10 @@
 	// entry VMs together may use; operators and others need the rest.
 	storeReads  = 1800
 	storeWrites = 270
+	// startWait is how long a caller waits for the first configuration of a VM
+	// that has just started. It arrives within a second while store or peers
+	// answer.
+	startWait = 2 * time.Second
 )
 
 // newStore returns the store client; its budget follows the VM list.
@@ -90,6 +94,18 @@
 	}
 }
 
+// current returns the configuration in force. A VM that has just started waits
+// for its first one for a short time, so that callers are not refused.
+func (n *Node) current() *world.Map {
+	if m := n.config.Load(); m != nil {
+		return m
+	}
+	ctx, stop := context.WithTimeout(context.Background(), startWait)
+	defer stop()
+	n.await(ctx, 0)
+	return n.config.Load()
+}
+
 // head returns the record of the revision in force, with who made it.
 func (n *Node) head() *submit.Head {
 	h, err := submit.DecodeHead(n.follow.Snapshot().Encoded())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -181,7 +181,7 @@
 		take:  n.take,
 	}
 	n.follow.WithPublish(n.adopt)
-	n.front = front.New(p.Codec, n.config.Load, n.generate, n.leave).
+	n.front = front.New(p.Codec, n.current, n.generate, n.leave).
 		WithReady(n.ready.Load).
 		WithObserve(n.ledger.take)
 	n.OnReport(p.Watcher.report)
