Wait instead of retrying without retry budget

Cause: attempts after refusals and errors were not limited, and would add to an overload; refusing them would refuse work that capacity exists for. Change: the router's retry budget is 10% of arrivals plus 1 a second; without it a response waits 250 ms for its next attempt and holds up no other request.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -120,7 +120,7 @@
 }
 
 func newRouter(s *Settings, h *hooks) *router.Router {
-	return router.New(s.Region, s.Seed, nil, func(now time.Time, r *relay.Response) {
+	return router.New(s.Region, s.Seed, func(now time.Time, r *relay.Response) {
 		for _, f := range h.report {
 			f(now, r)
 		}
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -21,6 +21,8 @@
 	// maxRefusals bounds attempts that end before a token for other reasons
 	// than the loss of an engine.
 	maxRefusals = 8
+	// retryPause is the time between two attempts without retry budget.
+	retryPause = 250 * time.Millisecond
 )
 
 // Policy holds the choices that a response leaves to its surroundings.
@@ -87,6 +89,9 @@
 	opened  bool
 	// waiting is true while no engine accepts the next attempt.
 	waiting bool
+	// pause is the time before which a response without retry budget makes no
+	// attempt.
+	pause time.Time
 	// gone is the time at which the caller disconnected, or zero.
 	gone  time.Time
 	ended bool
@@ -174,6 +179,10 @@
 	return 0
 }
 
+// Paused reports whether the response waits for retry budget rather than for
+// an engine.
+func (r *Response) Paused(now time.Time) bool { return r.Waiting() && now.Before(r.pause) }
+
 // Ended reports whether the response is over.
 func (r *Response) Ended() bool { return r.ended }
 
@@ -292,11 +301,18 @@
 		return out
 	}
 	r.shun(a.engine)
-	if cause == Bad || cause == Refused || cause == Absent && !a.attached {
+	if cause == Bad || cause == Absent && !a.attached {
 		r.refusals++
-		if r.refusals > maxRefusals || !r.policy.retry(now) {
-			return r.fail(now, errs.New(errs.Unavailable, r.outcome(), "engines keep failing this request: %s", cause), out)
-		}
+	}
+	if r.refusals > maxRefusals {
+		return r.fail(now, errs.New(errs.Unavailable, r.outcome(), "engines keep failing this request: %s", cause), out)
+	}
+	if (cause == Bad || cause == Refused || cause == Absent && !a.attached) && !r.policy.retry(now) {
+		// Without budget the response waits for its turn instead of adding to a
+		// storm of retries.
+		r.waiting = true
+		r.pause = now.Add(retryPause)
+		return out
 	}
 	return r.open(now, out)
 }
@@ -318,7 +334,7 @@
 
 // Retry looks for an engine again while the response waits for one.
 func (r *Response) Retry(now time.Time, out []Action) []Action {
-	if !r.Waiting() {
+	if !r.Waiting() || r.Paused(now) {
 		return out
 	}
 	return r.open(now, out)
--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -12,7 +12,7 @@
 
 // fleetOf returns a router that knows n live engines and 360 entry VMs.
 func fleetOf(n int) *Router {
-	rt := New("r0", 1, nil, nil)
+	rt := New("r0", 1, nil)
 	m := world.NewModel("draft", "v1", world.NewContract(time.Hour))
 	rt.Step(epoch, NewConfig(world.NewMap(1, nil, nil, []*world.Service{m}, nil)))
 	var vms []*world.VM
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/admit"
+	"clementinelink.example/clementinelink/internal/budget"
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/fleet"
 	"clementinelink.example/clementinelink/internal/picker"
@@ -49,8 +50,8 @@
 	alarms *alarms
 	rng    *rand.Rand
 	policy *relay.Policy
-	// retry reports whether the retry budget allows another attempt.
-	retry func(now time.Time) bool
+	// retries limits the attempts that don't follow from the loss of an engine.
+	retries *budget.Retry
 	// report is called with each response that ended.
 	report func(now time.Time, r *relay.Response)
 	// pumped is the time of the last look at waiting responses.
@@ -78,9 +79,8 @@
 	duration time.Duration
 }
 
-// New returns a router of a VM in the region. The functions retry and report
-// may be nil.
-func New(region string, seed uint64, retry func(now time.Time) bool, report func(now time.Time, r *relay.Response)) *Router {
+// New returns a router of a VM in the region. The function report may be nil.
+func New(region string, seed uint64, report func(now time.Time, r *relay.Response)) *Router {
 	rt := &Router{
 		config:    world.NewMap(0, nil, nil, nil, nil),
 		estate:    newEstate(region),
@@ -89,16 +89,13 @@
 		queued:    make(map[string]*entry),
 		alarms:    newAlarms(),
 		rng:       rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
-		retry:     retry,
+		retries:   budget.NewRetry(budget.Ratio, budget.Floor, budget.Burst),
 		report:    report,
 	}
-	if rt.retry == nil {
-		rt.retry = func(time.Time) bool { return true }
-	}
 	if rt.report == nil {
 		rt.report = func(time.Time, *relay.Response) {}
 	}
-	rt.policy = relay.NewPolicy(rt.choose, rt.estate.find, rt.retry)
+	rt.policy = relay.NewPolicy(rt.choose, rt.estate.find, rt.retries.Take)
 	return rt
 }
 
@@ -184,6 +181,7 @@
 		rt.refuse(q, refusal(q.Service()))
 		return
 	}
+	rt.retries.Count(now)
 	if q.Resume() != nil {
 		rt.reconnect(now, d, q)
 		return
@@ -339,7 +337,7 @@
 			rt.settle(now, r)
 		}
 	}
-	return slices.ContainsFunc(d.stalled, func(r *relay.Response) bool { return !r.Continues() })
+	return slices.ContainsFunc(d.stalled, func(r *relay.Response) bool { return !r.Continues() && !r.Paused(now) })
 }
 
 // admit starts the response to a request and reports whether it has to wait
--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -27,7 +27,7 @@
 
 func newScript(seed uint64) *script {
 	s := &script{now: epoch}
-	s.router = New("gabrovo", seed, nil, func(_ time.Time, r *relay.Response) {
+	s.router = New("gabrovo", seed, func(_ time.Time, r *relay.Response) {
 		st := r.Stats()
 		s.ends = append(s.ends, fmt.Sprintf("report %s attempts=%d resume=%s extra=%d suspicions=%d truncated=%d",
 			r.Request().ID(), st.Attempts(), st.Resume(), st.Extra(), st.Suspicions(), st.Truncated()))
