--- a/cmd/clementinectl/main.go
+++ b/cmd/clementinectl/main.go
@@ -177,6 +177,20 @@
 				program: p,
 			},
 		},
+		{
+			name:  "burn",
+			short: "Show how much of the service levels is used up, from all VMs",
+			data: &burnCommand{
+				program: p,
+			},
+		},
+		{
+			name:  "upstreams",
+			short: "Show the upstreams as one VM sees them",
+			data: &upstreamsCommand{
+				program: p,
+			},
+		},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, "", c.data); err != nil {
 			return err
@@ -193,31 +207,38 @@
 	return "clementinectl " + info.Main.Version
 }
 
-// client returns a client for the next address.
-func (p *program) client() (*submit.Client, error) {
+// next returns the next address.
+func (p *program) next() (string, error) {
 	if len(p.settings.Address) == 0 {
-		return nil, inputError(errors.New("no --address and no CLEMENTINE_ADDRESS"))
+		return "", inputError(errors.New("no --address and no CLEMENTINE_ADDRESS"))
 	}
 	address := p.settings.Address[p.turn%len(p.settings.Address)]
 	p.turn++
-	return submit.NewClient(address, http.DefaultClient), nil
+	return address, nil
 }
 
 // retryPause is the time between attempts, so that a VM that is restarting is
 // not flooded.
 const retryPause = 300 * time.Millisecond
 
-// attempt calls f with the addresses in turn until it does not fail any more or
-// the time is over.
+// attempt calls f with a client of each address in turn, as reach does.
 func (p *program) attempt(f func(ctx context.Context, c *submit.Client) error) error {
+	return p.reach(func(ctx context.Context, address string) error {
+		return f(ctx, submit.NewClient(address, http.DefaultClient))
+	})
+}
+
+// reach calls f with the addresses in turn until it does not fail any more or
+// the time is over.
+func (p *program) reach(f func(ctx context.Context, address string) error) error {
 	ctx, cancel := context.WithTimeout(p.ctx, p.settings.Timeout)
 	defer cancel()
 	for {
-		c, err := p.client()
+		address, err := p.next()
 		if err != nil {
 			return err
 		}
-		if err = f(ctx, c); err == nil {
+		if err = f(ctx, address); err == nil {
 			return nil
 		}
 		select {
