Serve plain calls on the entry VM

Cause: internal/call and internal/claim had no driver, so an entry VM answered every request on a plain route with "no upstream is configured".

Change: internal/node gets the calls, keeper and peer duties. The keeper maps each store error to what it proves: a lost answer stays unsure, 429 and a used up budget are throttled, an outage proves that nothing was written. The claim core's write rate follows the VM list. Shutdown drains the desk: it ends once no call runs and every outcome is stored. An upstream that answers 503 with leaving gets no new work for 5 s. Desk.Serve takes the call's deadline from its context, and the problem format of the front, which had a second copy here.

--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -17,6 +17,9 @@
 	// refused is used last. Its failures are quick, so that it would otherwise
 	// have the least outstanding work.
 	rest = time.Second
+	// away is the time for which an upstream that is leaving gets no new work.
+	// The list names it as leaving within that time, or it has restarted.
+	away = 5 * time.Second
 	// again is the pause before an upstream is tried a second time.
 	again      = 20 * time.Millisecond
 	retryAfter = time.Second
@@ -56,7 +59,9 @@
 	// load counts the attempts in flight by upstream name.
 	load map[string]int
 	// tired holds the end of the rest by upstream name.
-	tired  map[string]time.Time
+	tired map[string]time.Time
+	// left holds the end of the absence of leaving upstreams by name.
+	left   map[string]time.Time
 	recent map[string]*latency
 	budget *budget.Retry
 	// live returns the upstreams of a service that take new work.
@@ -72,6 +77,7 @@
 		calls:  map[uint64]*state{},
 		load:   map[string]int{},
 		tired:  map[string]time.Time{},
+		left:   map[string]time.Time{},
 		recent: map[string]*latency{},
 		budget: b,
 		live:   live,
@@ -119,10 +125,19 @@
 	c.tidy(s)
 }
 
+// takers returns the live upstreams of a service that are not leaving.
+func (c *Core) takers(now time.Time, service string) []*world.VM {
+	live := c.live(service)
+	if len(c.left) == 0 {
+		return live
+	}
+	return slices.DeleteFunc(slices.Clone(live), func(v *world.VM) bool { return now.Before(c.left[v.Name()]) })
+}
+
 // open starts an attempt at the live upstream with the least outstanding work.
 // Upstreams that the call has not used come first, rested ones before tired.
 func (c *Core) open(now time.Time, s *state) bool {
-	live := c.live(s.service)
+	live := c.takers(now, s.service)
 	c.turn++
 	var best *world.VM
 	bestRank := 0
@@ -194,6 +209,9 @@
 		delete(c.load, name)
 	}
 	defer c.tidy(s)
+	if e.leaving {
+		c.left[name] = now.Add(away)
+	}
 	if s.finished {
 		return
 	}
@@ -222,7 +240,7 @@
 	if c.repeatable(now, s, p) {
 		s.hedgeAt = time.Time{}
 		s.retryAt = now
-		if c.fresh(s) == 0 {
+		if c.fresh(now, s) == 0 {
 			s.retryAt = now.Add(again << len(s.attempts))
 		}
 		c.wake(s.retryAt)
@@ -237,16 +255,16 @@
 	if len(s.attempts) >= maxAttempts || !now.Before(s.deadline) {
 		return false
 	}
-	if !s.idempotent && (p.Outcome() != errs.NotRun || c.fresh(s) == 0) {
+	if !s.idempotent && (p.Outcome() != errs.NotRun || c.fresh(now, s) == 0) {
 		return false
 	}
 	return c.budget.Take(now)
 }
 
 // fresh returns the number of live upstreams that the call has not used.
-func (c *Core) fresh(s *state) int {
+func (c *Core) fresh(now time.Time, s *state) int {
 	n := 0
-	for _, v := range c.live(s.service) {
+	for _, v := range c.takers(now, s.service) {
 		if !s.used(v) {
 			n++
 		}
@@ -319,7 +337,9 @@
 			c.tidy(s)
 		}
 	}
-	maps.DeleteFunc(c.tired, func(_ string, t time.Time) bool { return !now.Before(t) })
+	for _, m := range []map[string]time.Time{c.tired, c.left} {
+		maps.DeleteFunc(m, func(_ string, t time.Time) bool { return !now.Before(t) })
+	}
 }
 
 func (c *Core) expireCall(now time.Time, s *state) {
@@ -350,7 +370,7 @@
 		return
 	}
 	s.hedgeAt = time.Time{}
-	if c.fresh(s) > 0 && c.budget.Take(now) {
+	if c.fresh(now, s) > 0 && c.budget.Take(now) {
 		c.open(now, s)
 	}
 }
--- a/internal/call/core_test.go
+++ b/internal/call/core_test.go
@@ -97,6 +97,8 @@
 		s.step(Ended(uint64(number), try, claim.NewAnswer(200, "", nil), nil))
 	case "not-run":
 		s.step(Ended(uint64(number), try, nil, errs.New(errs.Unavailable, errs.NotRun, "refused").WithRetry(time.Second)))
+	case "leaving":
+		s.step(Ended(uint64(number), try, nil, errs.New(errs.Unavailable, errs.NotRun, "leaving").WithRetry(time.Second)).Leaving())
 	case "unknown":
 		s.step(Ended(uint64(number), try, nil, errs.New(errs.Upstream, errs.Unknown, "broken")))
 	case "gone":
--- a/internal/call/desk.go
+++ b/internal/call/desk.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"clementinelink.example/clementinelink/internal/claim"
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/plain"
@@ -39,6 +41,8 @@
 	tickets map[uint64]*ticket
 	cancels map[attemptKey]context.CancelFunc
 	peers   map[uint64]chan<- PeerReply
+	// drains are closed once no call runs and every outcome is stored.
+	drains []chan<- struct{}
 	// backlog holds the messages that the desk sends to itself.
 	backlog []message
 	// The seams. read and write start a store operation and return false when
@@ -101,6 +105,8 @@
 	// peer is set with the event of a peer's operation under ticket.
 	peer   chan<- PeerReply
 	ticket uint64
+	// drain is closed once the desk is idle.
+	drain chan<- struct{}
 }
 
 // NewDesk returns a desk that refuses bookings with a key until it has a store.
@@ -148,6 +154,28 @@
 // that shuts down waits until it is zero, or repeats get "unknown".
 func (d *Desk) Unsettled() int { return int(d.unsettled.Load()) }
 
+// Pace sets the number of slot writes a second for this VM, above 0. It waits
+// for room in the desk's ring until ctx ends.
+func (d *Desk) Pace(ctx context.Context, rate float64) {
+	d.results.Put(ctx, claimMessage(claim.Paced(rate)))
+}
+
+// Drain waits until no call runs and every outcome is in the store. It returns
+// an error when ctx ends first; new calls must not arrive meanwhile.
+func (d *Desk) Drain(ctx context.Context) error {
+	idle := make(chan struct{})
+	if d.results.Put(ctx, message{drain: idle}) {
+		select {
+		case <-idle:
+			return nil
+		case <-d.life.Done():
+			return errors.New("call: the desk ended before it was drained")
+		case <-ctx.Done():
+		}
+	}
+	return errors.Wrapf(ctx.Err(), "call: drain with %d outcomes that are not stored", d.Unsettled())
+}
+
 // Run serves calls until ctx ends. Calls that run then have no known outcome.
 func (d *Desk) Run(ctx context.Context) {
 	defer d.attempts.Wait()
@@ -173,7 +201,19 @@
 			d.handle(m)
 		}
 		d.unsettled.Store(int64(d.claims.Unsettled()))
+		d.drained()
+	}
+}
+
+// drained tells those who wait that the desk is idle.
+func (d *Desk) drained() {
+	if len(d.drains) == 0 || d.calls.Calls() > 0 || d.claims.Calls() > 0 || d.Unsettled() > 0 || d.arrivals.Len() > 0 {
+		return
+	}
+	for _, c := range d.drains {
+		close(c)
 	}
+	d.drains = nil
 }
 
 // wait returns the time until a core needs a tick.
@@ -213,6 +253,9 @@
 	if m.gone != nil {
 		d.leave(m.gone)
 	}
+	if m.drain != nil {
+		d.drains = append(d.drains, m.drain)
+	}
 }
 
 // leave handles a caller that left. A call that was sent runs on if it is not
@@ -357,6 +400,9 @@
 		defer cancel()
 		r := send(ctx, a.Upstream().Address(), t.call)
 		e := Ended(a.Number(), a.Attempt(), r.Answer(), r.Problem())
+		if r.Leaving() {
+			e = e.Leaving()
+		}
 		d.post(message{
 			call: &e,
 			over: keyOf(a),
--- a/internal/call/desk_test.go
+++ b/internal/call/desk_test.go
@@ -105,7 +105,7 @@
 		if r.Method == http.MethodGet {
 			rt = look
 		}
-		d.Serve(w, r, service, rt, world.NewWorkspace(r.Header.Get("Authorization"), "", 1, world.Batch))
+		d.Serve(r.Context(), w, r, service, rt, world.NewWorkspace(r.Header.Get("Authorization"), "", 1, world.Batch))
 	})
 }
 
--- a/internal/call/event.go
+++ b/internal/call/event.go
@@ -28,6 +28,7 @@
 	deadline   time.Time
 	answer     *claim.Answer
 	problem    *errs.Problem
+	leaving    bool
 }
 
 // Tick returns the event of passed time.
@@ -65,6 +66,13 @@
 	}
 }
 
+// Leaving returns a copy of e, the end of an attempt whose upstream states that
+// it takes no new work.
+func (e Event) Leaving() Event {
+	e.leaving = true
+	return e
+}
+
 // ActionKind tells what an action orders.
 type ActionKind uint8
 
--- a/internal/call/serve.go
+++ b/internal/call/serve.go
@@ -1,15 +1,13 @@
 package call
 
 import (
-	"encoding/json"
+	"context"
 	"io"
-	"math"
 	"net/http"
-	"strconv"
-	"time"
 
 	"clementinelink.example/clementinelink/internal/claim"
 	"clementinelink.example/clementinelink/internal/errs"
+	"clementinelink.example/clementinelink/internal/front"
 	"clementinelink.example/clementinelink/internal/plain"
 	"clementinelink.example/clementinelink/internal/world"
 	"github.com/google/uuid"
@@ -21,20 +19,20 @@
 	maxRequest = 4 << 20
 	// maxKey is the largest idempotency key in bytes.
 	maxKey = 255
-	// problemBase precedes a problem's slug in its type.
-	problemBase = "https://clementinelink.example/problems/"
 )
 
 // Serve answers a caller's request on a route of a plain service. It reads the
-// body, up to 4 MiB, and returns when the caller has its answer or has left.
-func (d *Desk) Serve(w http.ResponseWriter, r *http.Request, s *world.Service, rt *world.Route, ws *world.Workspace) {
-	t, problem := d.ticket(r, s, rt, ws)
+// body, up to 4 MiB, and returns when the caller has its answer or has left. The
+// call's deadline is that of ctx, or else the route's; r's own context ends when
+// the caller leaves.
+func (d *Desk) Serve(ctx context.Context, w http.ResponseWriter, r *http.Request, s *world.Service, rt *world.Route, ws *world.Workspace) {
+	t, problem := d.ticket(ctx, r, s, rt, ws)
 	if problem != nil {
-		WriteProblem(w, problem)
+		front.WriteProblem(w, problem)
 		return
 	}
 	if !d.arrivals.Put(r.Context(), t) {
-		WriteProblem(w, errs.New(errs.Overload, errs.NotRun, "too many calls wait").WithRetry(retryAfter))
+		front.WriteProblem(w, errs.New(errs.Overload, errs.NotRun, "too many calls wait").WithRetry(retryAfter))
 		return
 	}
 	select {
@@ -46,12 +44,15 @@
 			gone: t,
 		})
 	case <-d.life.Done():
-		WriteProblem(w, errs.New(errs.Unavailable, errs.Unknown, "the VM shuts down"))
+		front.WriteProblem(w, errs.New(errs.Unavailable, errs.Unknown, "the VM shuts down"))
 	}
 }
 
-func (d *Desk) ticket(r *http.Request, s *world.Service, rt *world.Route, ws *world.Workspace) (*ticket, *errs.Problem) {
-	deadline := d.now().Add(rt.Deadline())
+func (d *Desk) ticket(ctx context.Context, r *http.Request, s *world.Service, rt *world.Route, ws *world.Workspace) (*ticket, *errs.Problem) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = d.now().Add(rt.Deadline())
+	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxRequest+1))
 	if err != nil {
 		return nil, errs.New(errs.Invalid, errs.NotRun, "the body could not be read: %v", err)
@@ -85,7 +86,7 @@
 		w.Header().Set("Idempotency-Replayed", "true")
 	}
 	if p.problem != nil {
-		WriteProblem(w, p.problem)
+		front.WriteProblem(w, p.problem)
 		return
 	}
 	for k, v := range p.answer.Header() {
@@ -99,32 +100,3 @@
 	// answer.
 	_, _ = w.Write(p.answer.Body())
 }
-
-// problemBody is the RFC 9457 form of a problem.
-type problemBody struct {
-	Type    string `json:"type"`
-	Title   string `json:"title"`
-	Status  int    `json:"status"`
-	Detail  string `json:"detail"`
-	Outcome string `json:"outcome"`
-}
-
-// WriteProblem answers with application/problem+json, and with Retry-After in
-// whole seconds when a retry is safe.
-func WriteProblem(w http.ResponseWriter, p *errs.Problem) {
-	w.Header().Set("Content-Type", "application/problem+json")
-	if p.Retry() > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(seconds(p.Retry())))
-	}
-	w.WriteHeader(p.Status())
-	// A failed write means that the caller left.
-	_ = json.NewEncoder(w).Encode(problemBody{
-		Type:    problemBase + p.Kind().Slug(),
-		Title:   p.Title(),
-		Status:  p.Status(),
-		Detail:  p.Detail(),
-		Outcome: p.Outcome().String(),
-	})
-}
-
-func seconds(d time.Duration) int { return int(math.Ceil(d.Seconds())) }
--- a/internal/claim/core.go
+++ b/internal/claim/core.go
@@ -145,6 +145,8 @@
 		})
 	case replied:
 		c.replied(now, e)
+	case paced:
+		c.pace.set(now, e.rate)
 	}
 	c.expire(now)
 	c.pump(now)
--- a/internal/claim/event.go
+++ b/internal/claim/event.go
@@ -34,6 +34,7 @@
 	written
 	asked
 	replied
+	paced
 )
 
 // Event is something that the core is told of. The zero value is a tick.
@@ -50,11 +51,21 @@
 	ask      Ask
 	verdict  Verdict
 	record   *Record
+	rate     float64
 }
 
 // Tick returns the event of passed time.
 func Tick() Event { return Event{} }
 
+// Paced returns a change of the number of slot writes a second for this VM. It
+// must be above 0.
+func Paced(rate float64) Event {
+	return Event{
+		kind: paced,
+		rate: rate,
+	}
+}
+
 // Begin returns the arrival of call number with a key. The number is never
 // used again in this process.
 func Begin(number uint64, key, body Digest, deadline time.Time) Event {
--- a/internal/claim/write.go
+++ b/internal/claim/write.go
@@ -16,12 +16,18 @@
 }
 
 func newPace(rate float64) pace {
-	burst := max(rate/4, 4)
-	return pace{
-		rate:   rate,
-		burst:  burst,
-		tokens: burst,
-	}
+	var p pace
+	p.set(time.Time{}, rate)
+	p.tokens = p.burst
+	return p
+}
+
+// set changes the rate; what was saved up so far stays within the new burst.
+func (p *pace) set(now time.Time, rate float64) {
+	p.fill(now)
+	p.rate = rate
+	p.burst = max(rate/4, 4)
+	p.tokens = min(p.tokens, p.burst)
 }
 
 func (p *pace) fill(now time.Time) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"clementinelink.example/clementinelink/internal/engine"
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/front"
+	"clementinelink.example/clementinelink/internal/peer"
 	"clementinelink.example/clementinelink/internal/relay"
 	"clementinelink.example/clementinelink/internal/ring"
 	"clementinelink.example/clementinelink/internal/router"
@@ -42,6 +43,7 @@
 	members  *members
 	reporter *reporter
 	front    *front.Server
+	calls    *calls
 	// config is the configuration in force, published by the config duty.
 	config atomic.Pointer[world.Map]
 	// ready is false before the first configuration and during shutdown.
@@ -118,8 +120,10 @@
 		publish: n.publish,
 		failed:  func(err error) { listLog.Warn().Err(err).Msg("members: The VM list is unavailable.") },
 	}
+	n.calls = newCalls(s, peer.NewClient(func(int) {}), log)
 	n.front = front.New(codec, n.config.Load, n.generate, n.leave).
-		WithReady(n.ready.Load)
+		WithReady(n.ready.Load).
+		WithCall(n.calls.desk.Serve)
 	return n
 }
 
@@ -144,6 +148,7 @@
 	n.duty(func() { n.dispatch.run(ctx) })
 	n.duty(func() { n.members.run(ctx) })
 	n.duty(func() { n.reporter.run(ctx) })
+	n.calls.start(ctx, n.duty)
 	for range pollers {
 		n.duty(func() { n.reporter.poll(ctx) })
 	}
@@ -188,7 +193,7 @@
 	case <-time.After(n.settings.Drain):
 	case <-ctx.Done():
 	}
-	err := n.server.Shutdown(ctx)
+	err := errors.CombineErrors(n.server.Shutdown(ctx), n.calls.drain(ctx))
 	n.Close()
 	return errors.Wrap(err, "node: shutdown")
 }
@@ -199,6 +204,7 @@
 	n.halt()
 	n.duties.Wait()
 	n.engine.Close()
+	n.calls.close()
 }
 
 func (n *Node) duty(run func()) {
@@ -214,6 +220,7 @@
 func (n *Node) publish(ctx context.Context, vms []*world.VM) {
 	n.events.Put(ctx, message{event: router.NewMembers(vms)})
 	n.reporter.lists.Put(ctx, vms)
+	n.calls.follow(ctx, vms)
 }
 
 // generate hands a request to the dispatcher.
--- a/internal/plain/call.go
+++ b/internal/plain/call.go
@@ -40,6 +40,8 @@
 	outcome errs.Outcome
 	answer  *claim.Answer
 	problem *errs.Problem
+	// leaving is true when the upstream states that it takes no new work.
+	leaving bool
 }
 
 // Outcome returns what is proven of the call.
@@ -51,6 +53,9 @@
 // Problem returns the problem, or nil.
 func (r Result) Problem() *errs.Problem { return r.problem }
 
+// Leaving reports whether the upstream states that it takes no new work.
+func (r Result) Leaving() bool { return r.leaving }
+
 // Failed returns the result of a call that ended with a problem.
 func Failed(p *errs.Problem) Result {
 	return Result{
--- a/internal/plain/client.go
+++ b/internal/plain/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -21,6 +22,8 @@
 	// maxBody is the largest answer in bytes; an answer is held in memory until
 	// it is complete.
 	maxBody = 8 << 20
+	// maxStatement bounds the part of a refusal that is read, in bytes.
+	maxStatement = 4 << 10
 	// dialWait bounds the connection setup, which takes under 30 ms between
 	// regions.
 	dialWait = time.Second
@@ -168,7 +171,9 @@
 		return Failed(errs.New(errs.Upstream, errs.Unknown, "the upstream sent the answer of another request"))
 	}
 	if notRun(resp) {
-		return Failed(errs.New(errs.Unavailable, errs.NotRun, "the upstream states that it did not run the call").WithRetry(pause(resp)))
+		r := Failed(errs.New(errs.Unavailable, errs.NotRun, "the upstream states that it did not run the call").WithRetry(pause(resp)))
+		r.leaving = leaving(resp)
+		return r
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 	if err != nil {
@@ -204,6 +209,16 @@
 		(r.StatusCode == http.StatusTooManyRequests || r.StatusCode == http.StatusServiceUnavailable)
 }
 
+// leaving reports whether a 503 states that the upstream is leaving. A body
+// that can't be read or decoded states nothing.
+func leaving(r *http.Response) bool {
+	var body struct {
+		Leaving bool `json:"leaving"`
+	}
+	err := json.NewDecoder(io.LimitReader(r.Body, maxStatement)).Decode(&body)
+	return err == nil && body.Leaving && r.StatusCode == http.StatusServiceUnavailable
+}
+
 // pause returns the Retry-After in seconds of an answer, at least a second.
 func pause(r *http.Response) time.Duration {
 	n, err := strconv.Atoi(r.Header.Get("Retry-After"))
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -186,7 +186,7 @@
 	for try := 0; ; try++ {
 		err := c.reads.Wait(ctx)
 		if err != nil {
-			return errors.Mark(errors.Wrap(err, "store: read budget"), ErrUnavailable)
+			return errors.Mark(errors.Mark(errors.Wrap(err, "store: read budget"), errBudget), ErrUnavailable)
 		}
 		err = c.exchange(ctx, http.MethodGet, path, query, http.Header{}, nil, into)
 		if errors.Is(err, ErrUnknown) {
@@ -210,7 +210,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.deadline)
 	defer cancel()
 	if err := c.writes.Wait(ctx); err != nil {
-		return errors.Mark(errors.Wrap(err, "store: write budget"), ErrUnavailable)
+		return errors.Mark(errors.Mark(errors.Wrap(err, "store: write budget"), errBudget), ErrUnavailable)
 	}
 	return c.exchange(ctx, method, path, nil, header, body, into)
 }
--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -69,6 +69,17 @@
 
 func (e *busyError) Unwrap() error { return ErrUnavailable }
 
+// errBudget marks a call that was not sent because the client's budget is used
+// up.
+var errBudget = errors.New("store: budget used up")
+
+// Throttled reports whether an ErrUnavailable means an exceeded rate, of the
+// platform or of the client's budget, rather than an outage.
+func Throttled(err error) bool {
+	var busy *busyError
+	return errors.Is(err, errBudget) || errors.As(err, &busy) && busy.status == http.StatusTooManyRequests
+}
+
 // RetryAfter returns the delay that the store asked for, or 0.
 func RetryAfter(err error) time.Duration {
 	var busy *busyError
