Send bookings and lookups in the demo

Cause: the demo showed generations only; nothing compared what callers of bookings were told with what ran.

The demo sends bookings and lookups while engines fail, resets calls after they ran and kills a plain service, and fails if a reference ran twice or an outcome was false.

--- a/internal/lab/demo.go
+++ b/internal/lab/demo.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"clementinelink.example/clementinelink/internal/simeng"
+	"clementinelink.example/clementinelink/internal/simsvc"
 )
 
 const (
@@ -21,6 +22,13 @@
 	demoTokens = 80
 	// demoGap is the engines' token gap.
 	demoGap = 40 * time.Millisecond
+	// demoBookings is the least number of bookings; about 300 fit in.
+	demoBookings = 50
+	// demoReset and demoKill are the times between the faults of plain services.
+	demoReset = 1500 * time.Millisecond
+	demoKill  = 2 * time.Second
+	// resetCalls is the number of calls that the reset hits; half are bookings.
+	resetCalls = 4
 	// resumeLimit is the longest time that output may stop after a loss.
 	resumeLimit = 4 * time.Second
 	// settleTime lets the VM list and the first load reports come in.
@@ -32,14 +40,14 @@
 // DemoZones returns two regions with three failure domains.
 func DemoZones() []Zone {
 	return []Zone{
-		NewZone("gab-mill", "gabrovo", 1, 4),
-		NewZone("gab-annex", "gabrovo", 1, 4),
-		NewZone("plv-depot", "plovdiv", 1, 4),
+		NewZone("gab-mill", "gabrovo", 1, 4).WithPlains(1),
+		NewZone("gab-annex", "gabrovo", 1, 4).WithPlains(1),
+		NewZone("plv-depot", "plovdiv", 1, 4).WithPlains(1),
 	}
 }
 
 // Demo brings up a deployment, kills and hangs engines in the middle of
-// responses, and returns the measured result. The error tells which check
+// responses, kills and resets plain services between bookings, and returns the measured result. The error tells which check
 // failed. Progress goes to progress in plain lines.
 func Demo(ctx context.Context, progress io.Writer, log zerolog.Logger) (*Result, error) {
 	say := func(format string, args ...any) { fmt.Fprintf(progress, format+"\n", args...) }
@@ -49,9 +57,10 @@
 		return nil, err
 	}
 	defer site.Close()
-	say("started 2 regions, 3 failure domains, %d entry VMs, %d engines, the store and the VM list", len(site.Nodes()), len(site.Engines()))
+	say("started 2 regions, 3 failure domains, %d entry VMs, %d engines, %d plain services, the store and the VM list",
+		len(site.Nodes()), len(site.Engines()), len(site.Plains()))
 	site.Configure(ctx, 1, site.Declaration(time.Minute, 1))
-	say("applied the declaration: model service draft, version v1")
+	say("applied the declaration: model service draft, version v1, and plain service desk")
 	time.Sleep(settleTime)
 
 	caller := NewCaller(site.Entries(), Token(0))
@@ -64,12 +73,22 @@
 		}
 		return q
 	})
-	faults := make(chan error, 1)
+	booker := NewBooker(site.Entries(), Token(0))
+	defer booker.Close()
+	orders := NewOrders(booker)
+	ordering, stop := context.WithCancel(ctx)
+	defer stop()
+	orders.Start(ordering)
+	faults := make(chan error, 2)
 	go func() { faults <- demoFaults(ctx, site, say) }()
+	go func() { faults <- plainFaults(ctx, site, say) }()
 	load.Run(ctx, demoQuestions, result)
-	if err := <-faults; err != nil {
+	stop()
+	bookings, lookups, failed := orders.Wait()
+	if err := errors.CombineErrors(<-faults, <-faults); err != nil {
 		return nil, err
 	}
+	result.SetAudit(NewAudit(bookings, site.Ran()).WithLookups(lookups, len(failed)))
 	result.SetGenerated(site.Generated())
 	return result, demoCheck(result)
 }
@@ -117,6 +136,40 @@
 	return nil
 }
 
+// plainFaults resets calls of one plain service after it ran them, and kills
+// another.
+func plainFaults(ctx context.Context, site *Site, say func(format string, args ...any)) error {
+	steps := []struct {
+		after time.Duration
+		say   string
+		fault simsvc.Fault
+	}{
+		{
+			after: demoReset,
+			say:   "reset calls after they ran",
+			fault: simsvc.NewFault(simsvc.ResetAfter, 0).WithCount(resetCalls),
+		},
+		{
+			after: demoKill,
+			say:   "killed for 3 s",
+			fault: simsvc.NewFault(simsvc.Kill, 3*time.Second),
+		},
+	}
+	for i, s := range steps {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(s.after):
+		}
+		p := site.Plains()[i]
+		if err := p.Inject(s.fault); err != nil {
+			return errors.Wrapf(err, "demo: %s", p.Name())
+		}
+		say("%s: %s", p.Name(), s.say)
+	}
+	return nil
+}
+
 // busiest returns the engine that generates most over a short time, or nil.
 func busiest(engines []*simeng.Engine, except map[*simeng.Engine]bool) *simeng.Engine {
 	before := make(map[*simeng.Engine]uint64)
@@ -142,5 +195,8 @@
 	if longest := r.Longest(); longest == 0 || longest > resumeLimit {
 		return errors.Newf("demo: the longest interruption was %s, wanted one of at most %s", longest, resumeLimit)
 	}
-	return nil
+	if n := r.Audit().bookings; n < demoBookings {
+		return errors.Newf("demo: %d bookings, wanted %d", n, demoBookings)
+	}
+	return r.Audit().Check()
 }
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -32,6 +32,8 @@
 	first     *hdrhistogram.Histogram
 	gap       *hdrhistogram.Histogram
 	notes     []string
+	// audit is nil when no bookings were sent.
+	audit *Audit
 }
 
 // NewResult returns an empty result. A caller doesn't see a loss behind the
@@ -74,6 +76,12 @@
 // answers, for the ratio of extra tokens.
 func (r *Result) SetGenerated(tokens uint64) { r.generated = tokens }
 
+// SetAudit sets what was found about the bookings.
+func (r *Result) SetAudit(a *Audit) { r.audit = a }
+
+// Audit returns what was found about the bookings, or nil.
+func (r *Result) Audit() *Audit { return r.audit }
+
 // Count returns the number of answers with a verdict.
 func (r *Result) Count(v Verdict) int { return r.counts[v] }
 
@@ -121,6 +129,35 @@
 	First    spread  `json:"first_ms"`
 	Gap      spread  `json:"gap_ms"`
 	Extra    float64 `json:"extra_token_ratio"`
+	*auditBody
+}
+
+// auditBody is the part of a result about bookings.
+type auditBody struct {
+	Bookings    int `json:"bookings"`
+	RanTwice    int `json:"ran_twice"`
+	FalseNotRun int `json:"false_not_run"`
+	FalseRan    int `json:"false_ran"`
+	Unknown     int `json:"unknown"`
+	NotRun      int `json:"not_run"`
+	Lookups     int `json:"lookups"`
+	Wrong       int `json:"failed_lookups"`
+}
+
+func (a *Audit) body() *auditBody {
+	if a == nil {
+		return nil
+	}
+	return &auditBody{
+		Bookings:    a.bookings,
+		RanTwice:    a.ranTwice,
+		FalseNotRun: a.falseNotRun,
+		FalseRan:    a.falseRan,
+		Unknown:     a.unknown,
+		NotRun:      a.refused,
+		Lookups:     a.lookups,
+		Wrong:       a.failed,
+	}
 }
 
 // MarshalJSON returns the summary without the notes.
@@ -138,6 +175,8 @@
 		First:    quantiles(r.first),
 		Gap:      quantiles(r.gap),
 		Extra:    r.Extra(),
+
+		auditBody: r.audit.body(),
 	})
 	return data, errors.Wrap(err, "encode result")
 }
@@ -170,5 +209,9 @@
 	fmt.Fprintf(&b, "resume latency ms: p50 %.0f, p99 %.0f, max %.0f over %d interruptions\n", resume.P50, resume.P99, resume.Max, r.resume.TotalCount())
 	fmt.Fprintf(&b, "first token ms: p50 %.0f, p99 %.0f; token gap ms: p50 %.0f, p99 %.0f\n", first.P50, first.P99, gap.P50, gap.P99)
 	fmt.Fprintf(&b, "extra generated tokens: %.2f%% of delivered\n", 100*r.Extra())
+	if a := r.audit; a != nil {
+		fmt.Fprintf(&b, "bookings %d: %d ran_twice, %d false_not_run, %d false_ran, %d unknown, %d not run; lookups %d: %d failed\n",
+			a.bookings, a.ranTwice, a.falseNotRun, a.falseRan, a.unknown, a.refused, a.lookups, a.failed)
+	}
 	return b.String()
 }
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -17,6 +17,7 @@
 	"clementinelink.example/clementinelink/internal/relay"
 	"clementinelink.example/clementinelink/internal/simeng"
 	"clementinelink.example/clementinelink/internal/simkv"
+	"clementinelink.example/clementinelink/internal/simsvc"
 	"clementinelink.example/clementinelink/internal/simvms"
 	"clementinelink.example/clementinelink/internal/world"
 	"clementinelink.example/clementinelink/pkg/decl"
@@ -33,6 +34,7 @@
 	region  string
 	entries int
 	engines int
+	plains  int
 }
 
 // NewZone returns a failure domain with numbers of entry VMs and engines.
@@ -50,10 +52,14 @@
 type Site struct {
 	zones   []Zone
 	engines []*simeng.Engine
+	plains  []*simsvc.Service
 	// zoneOf holds the failure domain of each engine and entry VM by name.
 	zoneOf map[string]string
 	nodes  []*node.Node
-	store  *simkv.Server
+	// names and homes hold the name and failure domain of each entry VM.
+	names []string
+	homes []Zone
+	store *simkv.Server
 	// lists holds the VM list that each failure domain sees: the VMs of other
 	// domains are reached over the links.
 	lists map[string]*simvms.Server
@@ -64,8 +70,10 @@
 	// simple is the timeout of the baseline policy, or 0 for the cadence policy.
 	simple time.Duration
 	log    zerolog.Logger
-	stop   context.CancelFunc
-	tasks  sync.WaitGroup
+	// life ends with Close.
+	life  context.Context
+	stop  context.CancelFunc
+	tasks sync.WaitGroup
 	// options configures each engine.
 	options []simeng.Option
 	storeAt string
@@ -102,6 +110,7 @@
 // Start brings everything up.
 func (s *Site) Start(ctx context.Context) error {
 	ctx, s.stop = context.WithCancel(ctx)
+	s.life = ctx
 	if err := s.platform(ctx); err != nil {
 		return err
 	}
@@ -111,6 +120,11 @@
 				return err
 			}
 		}
+		for i := range z.plains {
+			if err := s.addPlain(ctx, z, i); err != nil {
+				return err
+			}
+		}
 	}
 	for _, z := range s.zones {
 		for i := range z.entries {
@@ -130,6 +144,9 @@
 	for _, e := range s.engines {
 		e.Close()
 	}
+	for _, p := range s.plains {
+		p.Close()
+	}
 	s.stop()
 	s.tasks.Wait()
 }
@@ -200,7 +217,8 @@
 }
 
 // Declaration returns the lab's declaration: the model service "draft" on
-// version v1, and workspaces with tokens "key-0", "key-1", and so on.
+// version v1, the plain service "desk" if a failure domain has one, and
+// workspaces with tokens "key-0", "key-1", and so on.
 func (s *Site) Declaration(deadline time.Duration, workspaces int) *decl.Declaration {
 	d := decl.New()
 	domains := make(map[string][]string)
@@ -218,6 +236,7 @@
 		d.Link(regions[0], regions[i], linkRate)
 	}
 	d.Model(decl.NewModel("draft", "v1", decl.NewContract(deadline)))
+	s.declarePlains(d)
 	for i := range workspaces {
 		d.Workspace(fmt.Sprintf("workspace-%d", i), Digest(Token(i)), 1, decl.Interactive)
 	}
@@ -299,6 +318,22 @@
 
 func (s *Site) addNode(ctx context.Context, z Zone, i int) error {
 	name := fmt.Sprintf("%s-entry-%d", z.name, i)
+	n, err := s.newNode(ctx, z, name)
+	if err != nil {
+		return err
+	}
+	s.nodes = append(s.nodes, n)
+	s.names = append(s.names, name)
+	s.homes = append(s.homes, z)
+	return nil
+}
+
+// newNode starts an entry VM and puts it on the VM lists.
+func (s *Site) newNode(ctx context.Context, z Zone, name string) (*node.Node, error) {
+	store, err := s.storeFor(ctx, z)
+	if err != nil {
+		return nil, err
+	}
 	set := &node.Settings{
 		Name:   name,
 		Region: z.region,
@@ -306,7 +341,7 @@
 		Listen: "127.0.0.1:0",
 		Admin:  "127.0.0.1:0",
 		Peer:   "127.0.0.1:0",
-		Store:  "http://" + s.storeAt,
+		Store:  "http://" + store,
 		VMs:    "http://" + s.listAt[z.name],
 		Keys:   cursorKey,
 		Seed:   uint64(len(s.nodes) + 1),
@@ -314,11 +349,11 @@
 		Format: "json",
 	}
 	if err := set.Check(); err != nil {
-		return errors.Wrapf(err, "lab: entry VM %s", name)
+		return nil, errors.Wrapf(err, "lab: entry VM %s", name)
 	}
 	n, err := node.New(set, s.log.With().Str("vm", name).Logger())
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if s.onReport != nil {
 		n.OnReport(func(_ time.Time, r *relay.Response) { s.onReport(r) })
@@ -327,8 +362,7 @@
 		n.Simple(s.simple)
 	}
 	if err := n.Start(ctx); err != nil {
-		return err
+		return nil, err
 	}
-	s.nodes = append(s.nodes, n)
-	return s.enlist(ctx, name, world.Entry, n.Addr(), z, "")
+	return n, s.enlist(ctx, name, world.Entry, n.Addr(), z, "")
 }
