--- a/cmd/clementinelab/main.go
+++ b/cmd/clementinelab/main.go
@@ -59,6 +59,12 @@
 		}); err != nil {
 		return errors.Wrap(err, "plain")
 	}
+	for name, c := range s.platform() {
+		if _, err := parser.AddCommand(name, "Run one simulated "+c.kind+".",
+			"Prints the address and runs until a signal.", c); err != nil {
+			return errors.Wrap(err, name)
+		}
+	}
 	if _, err := parser.AddCommand("demo", "Kill engines in the middle of responses.",
 		"Brings up a deployment on loopback, kills, hangs and resets engines, and checks that each response is whole.", &demoCommand{
 			session: s,
@@ -71,6 +77,12 @@
 		}); err != nil {
 		return errors.Wrap(err, "resume")
 	}
+	if _, err := parser.AddCommand("storm", "Run responses under random faults.",
+		"Runs a small deployment under random faults of all kinds, entry VMs included, and prints the verdicts. It fails when a token is missing, repeated or mixed.", &stormCommand{
+			session: s,
+		}); err != nil {
+		return errors.Wrap(err, "storm")
+	}
 	return nil
 }
 
--- a/internal/lab/plain.go
+++ b/internal/lab/plain.go
@@ -76,17 +76,3 @@
 	}
 	return s.Link(home.name, z.name).Forward(ctx, &s.tasks, s.storeAt)
 }
-
-// Crash stops an entry VM at once. It stays on the VM lists.
-func (s *Site) Crash(i int) { s.nodes[i].Close() }
-
-// Restart starts a new process in the place of a crashed entry VM. It knows
-// nothing of the old one's calls and has no configuration yet.
-func (s *Site) Restart(i int) error {
-	n, err := s.newNode(s.life, s.homes[i], s.names[i])
-	if err != nil {
-		return err
-	}
-	s.nodes[i] = n
-	return nil
-}
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -6,19 +6,20 @@
 	"encoding/hex"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
-	"clementinelink.example/clementinelink/internal/build"
 	"clementinelink.example/clementinelink/internal/node"
 	"clementinelink.example/clementinelink/internal/relay"
 	"clementinelink.example/clementinelink/internal/simeng"
 	"clementinelink.example/clementinelink/internal/simkv"
 	"clementinelink.example/clementinelink/internal/simsvc"
 	"clementinelink.example/clementinelink/internal/simvms"
+	"clementinelink.example/clementinelink/internal/submit"
 	"clementinelink.example/clementinelink/internal/world"
 	"clementinelink.example/clementinelink/pkg/decl"
 )
@@ -26,6 +27,10 @@
 const (
 	// cursorKey signs the cursors of a lab deployment.
 	cursorKey = "00112233445566778899aabbccddeeff"
+	// restartTries and restartPause bound the wait for an address that an
+	// outgoing connection uses for the moment.
+	restartTries = 50
+	restartPause = 20 * time.Millisecond
 )
 
 // Zone is a failure domain of a lab deployment.
@@ -56,10 +61,11 @@
 	// zoneOf holds the failure domain of each engine and entry VM by name.
 	zoneOf map[string]string
 	nodes  []*node.Node
-	// names and homes hold the name and failure domain of each entry VM.
-	names []string
-	homes []Zone
+	// down holds the entry VMs that are crashed now.
+	down  map[int]bool
 	store *simkv.Server
+	// settings holds those of each entry VM, with its chosen addresses.
+	settings []*node.Settings
 	// lists holds the VM list that each failure domain sees: the VMs of other
 	// domains are reached over the links.
 	lists map[string]*simvms.Server
@@ -70,8 +76,8 @@
 	// simple is the timeout of the baseline policy, or 0 for the cadence policy.
 	simple time.Duration
 	log    zerolog.Logger
-	// life ends with Close.
-	life  context.Context
+	// ctx ends with the deployment.
+	ctx   context.Context
 	stop  context.CancelFunc
 	tasks sync.WaitGroup
 	// options configures each engine.
@@ -86,6 +92,7 @@
 	return &Site{
 		zones:   zones,
 		zoneOf:  make(map[string]string),
+		down:    make(map[int]bool),
 		lists:   make(map[string]*simvms.Server),
 		listAt:  make(map[string]string),
 		links:   make(map[[2]string]*Link),
@@ -110,7 +117,7 @@
 // Start brings everything up.
 func (s *Site) Start(ctx context.Context) error {
 	ctx, s.stop = context.WithCancel(ctx)
-	s.life = ctx
+	s.ctx = ctx
 	if err := s.platform(ctx); err != nil {
 		return err
 	}
@@ -138,8 +145,10 @@
 
 // Close stops everything.
 func (s *Site) Close() {
-	for _, n := range s.nodes {
-		n.Close()
+	for i, n := range s.nodes {
+		if !s.down[i] {
+			n.Close()
+		}
 	}
 	for _, e := range s.engines {
 		e.Close()
@@ -208,14 +217,38 @@
 	return sum
 }
 
-// Configure puts a declaration in force on every entry VM.
-func (s *Site) Configure(ctx context.Context, revision uint64, d *decl.Declaration) {
-	m := build.World(revision, d)
+// Configure submits a declaration as the given revision through the first
+// entry VM, and returns when it is in force on all of them.
+func (s *Site) Configure(ctx context.Context, revision uint64, d *decl.Declaration) error {
+	parts, err := decl.Split(d)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithTimeout(ctx, applyTimeout)
+	defer stop()
+	c := submit.NewClient(s.nodes[0].AdminAddr(), http.DefaultClient)
+	r, _, err := c.Apply(ctx, submit.NewRequest(fmt.Sprintf("lab-%d", revision), "lab", revision-1, parts))
+	if err != nil {
+		return errors.Wrap(err, "lab: apply")
+	}
+	if r.State() != submit.Accepted {
+		return errors.Newf("lab: apply: %s: %v", r.State(), r.Lines())
+	}
 	for _, n := range s.nodes {
-		n.Configure(ctx, m)
+		for n.Revision() < revision {
+			select {
+			case <-ctx.Done():
+				return errors.Newf("lab: revision %d is not in force everywhere", revision)
+			case <-time.After(cutPoll):
+			}
+		}
 	}
+	return nil
 }
 
+// applyTimeout bounds the time until a declaration is in force on every VM.
+const applyTimeout = 10 * time.Second
+
 // Declaration returns the lab's declaration: the model service "draft" on
 // version v1, the plain service "desk" if a failure domain has one, and
 // workspaces with tokens "key-0", "key-1", and so on.
@@ -318,21 +351,9 @@
 
 func (s *Site) addNode(ctx context.Context, z Zone, i int) error {
 	name := fmt.Sprintf("%s-entry-%d", z.name, i)
-	n, err := s.newNode(ctx, z, name)
-	if err != nil {
-		return err
-	}
-	s.nodes = append(s.nodes, n)
-	s.names = append(s.names, name)
-	s.homes = append(s.homes, z)
-	return nil
-}
-
-// newNode starts an entry VM and puts it on the VM lists.
-func (s *Site) newNode(ctx context.Context, z Zone, name string) (*node.Node, error) {
 	store, err := s.storeFor(ctx, z)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	set := &node.Settings{
 		Name:   name,
@@ -349,9 +370,24 @@
 		Format: "json",
 	}
 	if err := set.Check(); err != nil {
-		return nil, errors.Wrapf(err, "lab: entry VM %s", name)
+		return errors.Wrapf(err, "lab: entry VM %s", name)
 	}
-	n, err := node.New(set, s.log.With().Str("vm", name).Logger())
+	n, err := s.boot(ctx, set)
+	if err != nil {
+		return err
+	}
+	set.Listen = n.Addr()
+	set.Admin = n.AdminAddr()
+	set.Peer = n.PeerAddr()
+	s.nodes = append(s.nodes, n)
+	s.settings = append(s.settings, set)
+	return s.enlist(ctx, name, world.Entry, n.PeerAddr(), z, "")
+}
+
+// boot starts an entry VM. It knows the site's configuration before its first
+// caller, as a VM does that isn't ready before.
+func (s *Site) boot(ctx context.Context, set *node.Settings) (*node.Node, error) {
+	n, err := node.New(set, s.log.With().Str("vm", set.Name).Logger())
 	if err != nil {
 		return nil, err
 	}
@@ -361,8 +397,36 @@
 	if s.simple > 0 {
 		n.Simple(s.simple)
 	}
-	if err := n.Start(ctx); err != nil {
-		return nil, err
+	return n, n.Start(ctx)
+}
+
+// Crash stops the numbered entry VM at once and reports whether it ran. One
+// duty at a time may crash and restart VMs.
+func (s *Site) Crash(i int) bool {
+	if s.down[i] {
+		return false
+	}
+	s.down[i] = true
+	s.nodes[i].Close()
+	return true
+}
+
+// Restart starts a crashed entry VM again, on its address and without any of
+// its state.
+func (s *Site) Restart(i int) error {
+	if !s.down[i] {
+		return nil
+	}
+	var last error
+	for range restartTries {
+		n, err := s.boot(s.ctx, s.settings[i])
+		if err == nil {
+			s.nodes[i] = n
+			delete(s.down, i)
+			return nil
+		}
+		last = err
+		time.Sleep(restartPause)
 	}
-	return n, s.enlist(ctx, name, world.Entry, n.Addr(), z, "")
+	return errors.Wrapf(last, "lab: restart %s", s.settings[i].Name)
 }
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -392,6 +392,7 @@
 		kind:    Open,
 		request: r.request,
 		engine:  e,
+		vm:      e.VM(),
 		version: r.version,
 		attempt: a.number,
 		prefix:  prefix,
@@ -407,6 +408,7 @@
 		kind:    Attach,
 		request: r.request,
 		engine:  e,
+		vm:      e.VM(),
 		version: r.version,
 		attempt: a.number,
 		source:  source,
@@ -471,6 +473,10 @@
 // note records why an attempt ended, for membership and statistics.
 func (r *Response) note(now time.Time, a *attempt, cause Cause) {
 	switch cause {
+	case Reset:
+		if a.last.IsZero() {
+			a.engine.Broke(now)
+		}
 	case Unreachable:
 		a.engine.Fell()
 	case Departing:
@@ -536,6 +542,7 @@
 		kind:    Cancel,
 		request: r.request,
 		engine:  a.engine,
+		vm:      a.engine.VM(),
 		attempt: a.number,
 	})
 }
