--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -17,6 +17,7 @@
 	"clementinelink.example/clementinelink/internal/relay"
 	"clementinelink.example/clementinelink/internal/simeng"
 	"clementinelink.example/clementinelink/internal/simkv"
+	"clementinelink.example/clementinelink/internal/simsvc"
 	"clementinelink.example/clementinelink/internal/simvms"
 	"clementinelink.example/clementinelink/internal/submit"
 	"clementinelink.example/clementinelink/internal/world"
@@ -38,6 +39,7 @@
 	region  string
 	entries int
 	engines int
+	plains  int
 }
 
 // NewZone returns a failure domain with numbers of entry VMs and engines.
@@ -55,6 +57,7 @@
 type Site struct {
 	zones   []Zone
 	engines []*simeng.Engine
+	plains  []*simsvc.Service
 	// zoneOf holds the failure domain of each engine and entry VM by name.
 	zoneOf map[string]string
 	nodes  []*node.Node
@@ -124,6 +127,11 @@
 				return err
 			}
 		}
+		for i := range z.plains {
+			if err := s.addPlain(ctx, z, i); err != nil {
+				return err
+			}
+		}
 	}
 	for _, z := range s.zones {
 		for i := range z.entries {
@@ -145,6 +153,9 @@
 	for _, e := range s.engines {
 		e.Close()
 	}
+	for _, p := range s.plains {
+		p.Close()
+	}
 	s.stop()
 	s.tasks.Wait()
 }
@@ -239,7 +250,8 @@
 const applyTimeout = 10 * time.Second
 
 // Declaration returns the lab's declaration: the model service "draft" on
-// version v1, and workspaces with tokens "key-0", "key-1", and so on.
+// version v1, the plain service "desk" if a failure domain has one, and
+// workspaces with tokens "key-0", "key-1", and so on.
 func (s *Site) Declaration(deadline time.Duration, workspaces int) *decl.Declaration {
 	d := decl.New()
 	domains := make(map[string][]string)
@@ -257,6 +269,7 @@
 		d.Link(regions[0], regions[i], linkRate)
 	}
 	d.Model(decl.NewModel("draft", "v1", decl.NewContract(deadline)))
+	s.declarePlains(d)
 	for i := range workspaces {
 		d.Workspace(fmt.Sprintf("workspace-%d", i), Digest(Token(i)), 1, decl.Interactive)
 	}
@@ -338,6 +351,10 @@
 
 func (s *Site) addNode(ctx context.Context, z Zone, i int) error {
 	name := fmt.Sprintf("%s-entry-%d", z.name, i)
+	store, err := s.storeFor(ctx, z)
+	if err != nil {
+		return err
+	}
 	set := &node.Settings{
 		Name:   name,
 		Region: z.region,
@@ -345,7 +362,7 @@
 		Listen: "127.0.0.1:0",
 		Admin:  "127.0.0.1:0",
 		Peer:   "127.0.0.1:0",
-		Store:  "http://" + s.storeAt,
+		Store:  "http://" + store,
 		VMs:    "http://" + s.listAt[z.name],
 		Keys:   cursorKey,
 		Seed:   uint64(len(s.nodes) + 1),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,7 @@
 	members  *members
 	reporter *reporter
 	front    *front.Server
+	calls    *calls
 	store    *store.Client
 	peers    *peer.Client
 	follow   *config.Duty
@@ -171,6 +172,7 @@
 		publish: n.publish,
 		failed:  func(err error) { p.Log.Warn().Err(err).Msg("members: The VM list is unavailable.") },
 	}
+	n.calls = newCalls(p.Settings, p.Peers, p.Log)
 	n.ledger = newLedger(p.Settings.Name, n.incarnation)
 	n.gossip = &gossip{
 		self:  p.Settings.Name,
@@ -183,7 +185,8 @@
 	n.follow.WithPublish(n.adopt)
 	n.front = front.New(p.Codec, n.current, n.generate, n.leave).
 		WithReady(n.ready.Load).
-		WithObserve(n.ledger.take)
+		WithObserve(n.ledger.take).
+		WithCall(n.calls.desk.Serve)
 	n.OnReport(p.Watcher.report)
 	n.OnReport(func(_ time.Time, r *relay.Response) {
 		if s := resumed(n.dispatch.router.Config(), r); s != nil {
@@ -215,6 +218,7 @@
 	n.duty(func() { n.ledger.run(ctx) })
 	n.duty(func() { n.gossip.run(ctx) })
 	n.duty(func() { _ = n.follow.Run(ctx) })
+	n.calls.start(ctx, n.duty)
 	for range pollers {
 		n.duty(func() { n.reporter.poll(ctx) })
 	}
@@ -277,11 +281,6 @@
 	})
 }
 
-// claimPeer answers a peer that takes this VM for the soft owner of a slot.
-func (n *Node) claimPeer(context.Context, *wire.ClaimRequest) (*wire.ClaimReply, error) {
-	return nil, errors.New("claims are not served here")
-}
-
 // Addr returns the address of the callers' listener.
 func (n *Node) Addr() string { return n.listeners["callers"].Addr().String() }
 
@@ -330,6 +329,7 @@
 	for _, s := range n.servers {
 		failed = errors.CombineErrors(failed, s.Shutdown(ctx))
 	}
+	failed = errors.CombineErrors(failed, n.calls.drain(ctx))
 	n.Close()
 	return errors.Wrap(failed, "node: shutdown")
 }
@@ -342,6 +342,7 @@
 	n.halt()
 	n.duties.Wait()
 	n.engine.Close()
+	n.calls.close()
 }
 
 func (n *Node) duty(run func()) {
@@ -371,6 +372,7 @@
 	n.vms.Store(&vms)
 	n.events.Put(ctx, message{event: router.NewMembers(vms)})
 	n.reporter.lists.Put(ctx, vms)
+	n.calls.follow(ctx, vms)
 	n.follow.SetMembers(vms)
 	entries := 0
 	for _, vm := range vms {
