Pause between attempts after engines refuse a request

Cause: a request failed after nine refusals or errors in a row. When the last engines in reach answered 500 for less than a second, nine attempts took some milliseconds, and a response with a minute left failed. A full engine (429) counted like an error, and a request that no engine had taken ended with the outcome unknown.

Change: after three of them a response pauses 50 ms to 500 ms before each further attempt, without holding up new requests; 429 no longer counts to the limit; attempts that an engine refused or that never reached it leave the outcome not-run.

--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -21,6 +21,13 @@
 	// maxRefusals bounds attempts that end before a token for other reasons
 	// than the loss of an engine.
 	maxRefusals = 8
+	// freeRefusals of them are followed by another attempt at once; each later
+	// one by a pause that doubles from restMin to restMax. The pauses add up to
+	// more than 1 s, so that a short fault of the last engines in reach does not
+	// fail a request that has time left.
+	freeRefusals = 3
+	restMin      = 50 * time.Millisecond
+	restMax      = 500 * time.Millisecond
 )
 
 // Policy holds the choices that a response leaves to its surroundings.
@@ -82,9 +89,13 @@
 	heir     *attempt
 	avoid    []*fleet.Engine
 	refusals int
+	// rest is the time until which no attempt is opened after refusals.
+	rest time.Time
 	// shortAt is one more than the index of a finish that came too early, or 0.
 	shortAt int
-	opened  bool
+	// taken counts the attempts that an engine may have taken. Those that it
+	// refused or that never reached it are not among them.
+	taken int
 	// waiting is true while no engine accepts the next attempt.
 	waiting bool
 	// gone is the time at which the caller disconnected, or zero.
@@ -292,15 +303,25 @@
 		return out
 	}
 	r.shun(a.engine)
-	if cause == Bad || cause == Refused || cause == Absent && !a.attached {
-		r.refusals++
-		if r.refusals > maxRefusals || !r.policy.retry(now) {
-			return r.fail(now, errs.New(errs.Unavailable, r.outcome(), "engines keep failing this request: %s", cause), out)
-		}
+	if cause != Bad && cause != Refused && (cause != Absent || a.attached) {
+		return r.open(now, out)
 	}
-	return r.open(now, out)
+	r.refusals++
+	// A full engine is no failure: the request waits until its deadline.
+	if cause != Refused && (r.refusals > maxRefusals || !r.policy.retry(now)) {
+		return r.fail(now, errs.New(errs.Unavailable, r.outcome(), "engines keep failing this request: %s", cause), out)
+	}
+	if r.refusals <= freeRefusals {
+		return r.open(now, out)
+	}
+	r.rest = now.Add(min(restMin<<min(r.refusals-freeRefusals-1, maxRefusals), restMax))
+	r.waiting = true
+	return out
 }
 
+// Resting reports whether the response pauses after refusals.
+func (r *Response) Resting(now time.Time) bool { return now.Before(r.rest) }
+
 // Gone handles the caller's disconnect. The generation goes on for the
 // request's grace, so that a reconnect can take it over.
 func (r *Response) Gone(now time.Time, out []Action) []Action {
@@ -318,7 +339,7 @@
 
 // Retry looks for an engine again while the response waits for one.
 func (r *Response) Retry(now time.Time, out []Action) []Action {
-	if !r.Waiting() {
+	if !r.Waiting() || r.Resting(now) {
 		return out
 	}
 	return r.open(now, out)
@@ -383,7 +404,7 @@
 		return out
 	}
 	a := r.begin(now, e)
-	r.opened = true
+	r.taken++
 	prefix := r.tokens[:len(r.tokens):len(r.tokens)]
 	if r.policy.restart {
 		prefix = nil
@@ -403,7 +424,7 @@
 func (r *Response) attach(now time.Time, e *fleet.Engine, source uint32, out []Action) []Action {
 	a := r.begin(now, e)
 	a.attached = true
-	r.opened = true
+	r.taken++
 	return append(out, Action{
 		kind:    Attach,
 		request: r.request,
@@ -484,6 +505,9 @@
 	case Bad:
 		r.stats.errors++
 	}
+	if !a.attached && (cause == Refused || cause == Departing || cause == Absent || cause == Unreachable) {
+		r.taken--
+	}
 	if cause != Refused && cause != Departing {
 		r.stats.lose(now)
 	}
@@ -552,7 +576,7 @@
 	switch {
 	case r.Continues():
 		return errs.Ran
-	case r.opened:
+	case r.taken > 0:
 		return errs.Unknown
 	default:
 		return errs.NotRun
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -339,7 +339,7 @@
 			rt.settle(now, r)
 		}
 	}
-	return slices.ContainsFunc(d.stalled, func(r *relay.Response) bool { return !r.Continues() })
+	return slices.ContainsFunc(d.stalled, func(r *relay.Response) bool { return !r.Continues() && !r.Resting(now) })
 }
 
 // admit starts the response to a request and reports whether it has to wait
