Bound the version under test in the router by the move's gate

The router drew versions from a split by share alone, which did not bound the count and did not end at the deadline. It now holds one gate for each declared move, takes its limits as an event, and admits nothing before limits are known or after the deadline. While a move is declared the old version is the base; the gate of a move that is done admits everything until the declaration drops the move.

Also add orders over HTTP to the engine client, count lost engines and broken connections for each response, and let moves shorter than five minutes be proven from their start, since evidence is counted by minute.

--- /dev/null
+++ b/internal/engine/order.go
@@ -0,0 +1,50 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"clementinelink.example/clementinelink/internal/order"
+	"clementinelink.example/clementinelink/internal/world"
+)
+
+// Order sends an order to an engine. With an error the reply is Unanswered:
+// the engine may have taken the order. An order is safe to send twice, because
+// an engine runs an id once.
+func (c *Client) Order(ctx context.Context, vm *world.VM, a order.Action) (order.Reply, error) {
+	body, err := json.Marshal(orderBody{
+		ID:      a.ID(),
+		Fence:   a.Fence(),
+		Op:      string(a.Op()),
+		Version: a.Version(),
+	})
+	if err != nil {
+		return order.Unanswered, errors.Wrap(err, "engine: order")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+vm.Address()+"/orders", bytes.NewReader(body))
+	if err != nil {
+		return order.Unanswered, errors.Wrap(err, "engine: order")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return order.Unanswered, errors.Wrap(err, "engine: order")
+	}
+	defer drain(resp)
+	if resp.StatusCode < http.StatusMultipleChoices {
+		return order.Taken, nil
+	}
+	if resp.StatusCode != http.StatusConflict {
+		return order.Refused, nil
+	}
+	var b orderAnswer
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLine)).Decode(&b); err == nil && b.Fence > a.Fence() {
+		return order.Fenced, nil
+	}
+	return order.Refused, nil
+}
--- a/internal/engine/wire.go
+++ b/internal/engine/wire.go
@@ -46,3 +46,16 @@
 	Versions    []string `json:"versions"`
 	Leaving     bool     `json:"leaving"`
 }
+
+// orderBody is the body of POST /orders.
+type orderBody struct {
+	ID      string `json:"id"`
+	Fence   uint64 `json:"fence"`
+	Op      string `json:"op"`
+	Version string `json:"version"`
+}
+
+// orderAnswer is the answer to an order; Fence is the highest number known.
+type orderAnswer struct {
+	Fence uint64 `json:"fence"`
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -79,6 +79,10 @@
 	return l.fence, true
 }
 
+// Until returns the time from which the holder may not act, if no renewal
+// moves it.
+func (l *Lease) Until() time.Time { return l.deadline }
+
 // within reports whether now is between ready and the deadline of a holding.
 func (l *Lease) within(now time.Time) bool {
 	return l.phase == holding && !now.Before(l.ready) &&
--- a/internal/move/control.go
+++ b/internal/move/control.go
@@ -50,8 +50,17 @@
 const dwell = 0.04
 
 // settle is how long before the deadline the last write of Done is sent, so
-// that it takes effect before every VM reverts on its own.
-const settle = 5 * time.Second
+// that it takes effect before every VM reverts on its own. A short move has
+// settleShare of its time instead.
+const (
+	settle      = 5 * time.Second
+	settleShare = 0.05
+)
+
+// shortest is the time of a move below which its stages don't last whole
+// minutes. Evidence is counted by minute, so a proof of such a move counts from
+// its start.
+const shortest = 5 * time.Minute
 
 // Watch is how long a move is judged after its deadline. The old version must
 // stay loaded until then.
@@ -164,7 +173,7 @@
 // stageStart returns the first full minute of the stage; a proof must come from
 // evidence at the stage's own share.
 func (c *Controller) stageStart() time.Time {
-	if c.input.record.at.IsZero() {
+	if c.input.record.at.IsZero() || c.span() < shortest {
 		return c.plan.Start()
 	}
 	return c.input.record.at.Add(59 * time.Second)
@@ -172,19 +181,13 @@
 
 // limit returns the limits that follow from the plan and what this VM knows.
 func (c *Controller) limit(now time.Time) Limits {
-	l := Limits{
-		count: math.Inf(1),
-		start: c.plan.Start(),
-		end:   c.plan.Deadline(),
-	}
+	l := NewLimits(0, math.Inf(1), c.plan.Start(), c.plan.Deadline())
 	r := c.input.record
 	switch {
 	case r.state == RolledBack, c.failed != "" && !c.closed(now):
 		return l
 	case r.state == Done:
-		l.share = 1
-		l.done = true
-		return l
+		return l.WithDone()
 	case now.Before(l.start) || !now.Before(l.end):
 		return l
 	case r.stage > 0:
@@ -213,8 +216,14 @@
 
 // at returns the time after a fraction of the move.
 func (c *Controller) at(fraction float64) time.Time {
-	span := c.plan.Deadline().Sub(c.plan.Start())
-	return c.plan.Start().Add(time.Duration(fraction * float64(span)))
+	return c.plan.Start().Add(time.Duration(fraction * float64(c.span())))
+}
+
+func (c *Controller) span() time.Duration { return c.plan.Deadline().Sub(c.plan.Start()) }
+
+// settled returns the last instant at which Done may be sent.
+func (c *Controller) settled() time.Time {
+	return c.plan.Deadline().Add(-min(settle, time.Duration(settleShare*float64(c.span()))))
 }
 
 // next returns the record that should replace the present one.
@@ -246,7 +255,7 @@
 	}
 	r.state = Done
 	r.reason = "proven at every stage"
-	return r, !now.Before(c.at(doneFrom)) && now.Before(c.plan.Deadline().Add(-settle))
+	return r, !now.Before(c.at(doneFrom)) && now.Before(c.settled())
 }
 
 // rested reports whether the present stage has lasted long enough.
@@ -255,8 +264,7 @@
 	if began.IsZero() {
 		began = c.plan.Start()
 	}
-	span := c.plan.Deadline().Sub(c.plan.Start())
-	return now.Sub(began) >= time.Duration(dwell*float64(span))
+	return now.Sub(began) >= time.Duration(dwell*float64(c.span()))
 }
 
 // write returns the record's next write when this VM may act.
@@ -276,7 +284,7 @@
 		revision: c.input.revision,
 	}
 	if r.state != RolledBack {
-		a.before = c.plan.Deadline().Add(-settle)
+		a.before = c.settled()
 	}
 	return a, true
 }
--- a/internal/move/gate.go
+++ b/internal/move/gate.go
@@ -15,6 +15,26 @@
 	end   time.Time
 }
 
+// NewLimits returns limits by share and by count, math.Inf(1) for none, that
+// admit nothing before start and from end on.
+func NewLimits(share, count float64, start, end time.Time) Limits {
+	return Limits{
+		share: share,
+		count: count,
+		start: start,
+		end:   end,
+	}
+}
+
+// WithDone returns a copy of l for a move that is done: the new version serves
+// everything regardless of the time.
+func (l Limits) WithDone() Limits {
+	l.share = 1
+	l.count = math.Inf(1)
+	l.done = true
+	return l
+}
+
 // Share returns the share of requests for the new version, from 0 to 1.
 func (l Limits) Share() float64 { return l.share }
 
--- a/internal/node/reporter.go
+++ b/internal/node/reporter.go
@@ -67,14 +67,17 @@
 	// fetch returns one engine's load report.
 	fetch  func(ctx context.Context, vm *world.VM) (fleet.Load, error)
 	events *ring.Ring[message]
+	// observe is called with each report, or the error instead of one.
+	observe func(ctx context.Context, vm *world.VM, l fleet.Load, err error)
 }
 
 func newReporter(events *ring.Ring[message], fetch func(ctx context.Context, vm *world.VM) (fleet.Load, error)) *reporter {
 	return &reporter{
-		lists:  ring.New[[]*world.VM](1, ring.DropOldest),
-		jobs:   ring.New[*world.VM](pollers, ring.Refuse),
-		fetch:  fetch,
-		events: events,
+		lists:   ring.New[[]*world.VM](1, ring.DropOldest),
+		jobs:    ring.New[*world.VM](pollers, ring.Refuse),
+		fetch:   fetch,
+		events:  events,
+		observe: func(context.Context, *world.VM, fleet.Load, error) {},
 	}
 }
 
@@ -123,6 +126,7 @@
 			limited, stop := context.WithTimeout(ctx, pollTimeout)
 			l, err := r.fetch(limited, vm)
 			stop()
+			r.observe(ctx, vm, l, err)
 			if err == nil {
 				r.events.Put(ctx, message{event: router.NewLoad(vm.Name(), l)})
 			}
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -473,8 +473,14 @@
 	switch cause {
 	case Unreachable:
 		a.engine.Fell()
+		r.stats.losses++
 	case Departing:
 		a.engine.Left()
+		r.stats.losses++
+	case Reset:
+		if a.last.IsZero() {
+			r.stats.breaks++
+		}
 	case Bad:
 		r.stats.errors++
 	}
--- a/internal/relay/stats.go
+++ b/internal/relay/stats.go
@@ -26,6 +26,10 @@
 	// extra counts received tokens that were not delivered.
 	extra  int
 	errors int
+	// losses counts attempts whose engine was found gone, and breaks those
+	// whose connection broke before a token.
+	losses int
+	breaks int
 	// truncated counts streams that broke off or finished too early although
 	// their engine lived.
 	truncated int
@@ -33,6 +37,9 @@
 	problem   *errs.Problem
 }
 
+// Started returns the time at which the response was admitted.
+func (s *Stats) Started() time.Time { return s.started }
+
 // First returns the time to the first token, or zero.
 func (s *Stats) First() time.Duration {
 	if s.first.IsZero() {
@@ -66,6 +73,14 @@
 // Errors returns the number of attempts that broke the protocol.
 func (s *Stats) Errors() int { return s.errors }
 
+// Losses returns the number of attempts whose engine could not be reached or
+// was leaving.
+func (s *Stats) Losses() int { return s.losses }
+
+// Breaks returns the number of attempts whose connection broke before a token.
+// An engine that crashes causes one, a version that fails causes several.
+func (s *Stats) Breaks() int { return s.breaks }
+
 // Truncated returns the number of streams that broke off or finished too early
 // although their engine lived.
 func (s *Stats) Truncated() int { return s.truncated }
--- a/internal/router/estate.go
+++ b/internal/router/estate.go
@@ -226,6 +226,21 @@
 	return l.Allow(now, len(q.Prompt())+len(q.Messages())+left*bytesPerToken)
 }
 
+// serves reports whether a live engine of any region has the version.
+func (s *estate) serves(service, version string) bool {
+	for _, region := range s.regions {
+		p := s.pools[poolKey{
+			service: service,
+			version: version,
+			region:  region,
+		}]
+		if p != nil && s.usable(p) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *estate) usable(p *picker.Pool) bool { return s.usableBeyond(p, nil) }
 
 // usableBeyond reports whether the pool has a live engine outside avoid.
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -3,6 +3,7 @@
 import (
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/fleet"
+	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/relay"
 	"clementinelink.example/clementinelink/internal/world"
 )
@@ -30,7 +31,7 @@
 	Members
 	// Config is a new configuration.
 	Config
-	// Shares are the traffic shares of a service's versions.
+	// Shares are the limits of the version that a service's move tests.
 	Shares
 	// Tick is the passing of time.
 	Tick
@@ -50,7 +51,9 @@
 	load    fleet.Load
 	vms     []*world.VM
 	config  *world.Map
-	shares  Split
+	version string
+	limits  move.Limits
+	banned  bool
 }
 
 // NewArrive returns the event of a caller's request.
@@ -139,12 +142,15 @@
 	}
 }
 
-// NewShares returns the event of a service's new traffic split.
-func NewShares(service string, s Split) Event {
+// NewShares returns the event of new limits of the version that a service's
+// move tests. A banned version gets no new work, whatever the limits are.
+func NewShares(service, version string, l move.Limits, banned bool) Event {
 	return Event{
-		kind:   Shares,
-		id:     service,
-		shares: s,
+		kind:    Shares,
+		id:      service,
+		version: version,
+		limits:  l,
+		banned:  banned,
 	}
 }
 
@@ -157,29 +163,6 @@
 // ID returns the id of the request, engine or service that the event is about.
 func (e Event) ID() string { return e.id }
 
-// Split is the traffic split of a service during a move. The zero value sends
-// everything to the stable version.
-type Split struct {
-	to string
-	// share is the part of new requests that go to the version, from 0 to 1.
-	share float64
-	// banned is a version that gets no new work, or "".
-	banned string
-}
-
-// NewSplit returns a split that sends the share of new requests to a version.
-func NewSplit(to string, share float64) Split {
-	return Split{
-		to:    to,
-		share: share,
-	}
-}
-
-// Ban returns a split in which the version gets no new work.
-func Ban(version string) Split {
-	return Split{banned: version}
-}
-
 // refusal is the problem of a request that names what is not declared.
 func refusal(service string) *errs.Problem {
 	return errs.New(errs.NotFound, errs.NotRun, "no model service is named %q", service)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -74,7 +74,7 @@
 	queue   *admit.Queue
 	// stalled holds admitted responses that no engine accepts now.
 	stalled  []*relay.Response
-	split    Split
+	trial    *trial
 	duration time.Duration
 }
 
@@ -135,7 +135,7 @@
 	case Config:
 		rt.configure(now, ev.config)
 	case Shares:
-		rt.divide(now, ev.id, ev.shares)
+		rt.divide(now, ev)
 	}
 	if rt.estate.dirty {
 		rt.estate.refresh(now)
@@ -345,34 +345,22 @@
 // admit starts the response to a request and reports whether it has to wait
 // for an engine.
 func (rt *Router) admit(now time.Time, d *desk, q *relay.Request) bool {
-	r := relay.NewResponse(q, rt.version(d), rt.policy)
+	r := relay.NewResponse(q, d.version(now, q), rt.policy)
 	rt.responses[q.ID()] = r
 	rt.actions = r.Start(now, rt.actions)
-	if r.Waiting() && r.Version() != d.service.Stable() {
-		r.Rebind(d.service.Stable())
+	if r.Waiting() && d.leaves(r, rt.estate) {
+		r.Rebind(d.base())
 		rt.actions = r.Retry(now, rt.actions)
 	}
 	rt.settle(now, r)
 	return r.Waiting()
 }
 
-// version draws the version of a new request.
-func (rt *Router) version(d *desk) string {
-	s := d.split
-	if s.to != "" && s.share > 0 && rt.rng.Float64() < s.share {
-		return s.to
-	}
-	if s.banned == d.service.Stable() && d.service.Move() != nil {
-		return d.service.Move().From()
-	}
-	return d.service.Stable()
-}
-
 // choose returns the engine for an attempt, in the local region if it can. A
 // response without a token leaves a version that gets no new work.
 func (rt *Router) choose(now time.Time, r *relay.Response, avoid []*fleet.Engine) *fleet.Engine {
-	if d, ok := rt.services[r.Request().Service()]; ok && d.split.banned == r.Version() {
-		r.Rebind(rt.version(d))
+	if d, ok := rt.services[r.Request().Service()]; ok && d.banned(r.Version()) {
+		r.Rebind(d.base())
 	}
 	return rt.estate.choose(now, rt.rng, r, avoid)
 }
@@ -393,30 +381,33 @@
 			rt.services[name] = d
 		}
 		d.service = s
+		d.follow(s.Move(), rt.rng)
 	}
 	for name, d := range rt.services {
 		if m.Service(name) == nil {
-			d.split = Split{}
+			d.follow(nil, rt.rng)
 		}
 	}
 	rt.estate.configure(now, m)
 	rt.pump(now)
 }
 
-// divide applies a traffic split. Responses without a token leave a version
-// that got no more work.
-func (rt *Router) divide(now time.Time, service string, s Split) {
-	d, ok := rt.services[service]
-	if !ok {
+// divide applies the limits of the version that a service's move tests.
+// Responses without a token leave a version that is banned.
+func (rt *Router) divide(now time.Time, ev Event) {
+	d, ok := rt.services[ev.id]
+	if !ok || d.trial == nil || d.trial.plan.To() != ev.version {
 		return
 	}
-	d.split = s
-	if s.banned == "" {
+	d.trial.gate.Set(ev.limits)
+	d.trial.done = ev.limits.Done()
+	d.trial.banned = ev.banned
+	if !ev.banned {
 		return
 	}
 	for _, r := range d.stalled {
-		if r.Version() == s.banned {
-			r.Rebind(rt.version(d))
+		if d.banned(r.Version()) {
+			r.Rebind(d.base())
 		}
 	}
 	rt.pump(now)
--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"clementinelink.example/clementinelink/internal/fleet"
+	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/relay"
 	"clementinelink.example/clementinelink/internal/world"
 )
@@ -21,6 +23,8 @@
 	router *Router
 	now    time.Time
 	vms    []*world.VM
+	// met counts the requests of the meet command.
+	met int
 	// ends holds the report of each response that ended.
 	ends []string
 }
@@ -111,10 +115,10 @@
 		step(NewGone(text(t, d, "id", "r1")))
 	case "stall":
 		step(NewStall(text(t, d, "id", "r1")))
-	case "ban":
-		step(NewShares(text(t, d, "service", "draft"), Ban(text(t, d, "version", ""))))
-	case "share":
-		step(NewShares(text(t, d, "service", "draft"), NewSplit(text(t, d, "version", ""), float64(number(t, d, "percent", 0))/100)))
+	case "limits":
+		step(s.limits(t, d))
+	case "meet":
+		b.WriteString(s.meet(t, d))
 	case "after":
 		s.after(span(t, d, "d", 0), step)
 	case "pause":
@@ -137,10 +141,37 @@
 		world.NewWorkspace("small", "k1", 1, world.Interactive),
 		world.NewWorkspace("large", "k2", 1, world.Interactive),
 	}
+	if d.HasArg("move") {
+		m = m.WithMove(world.NewMove("m", "v1", text(t, d, "move", ""), epoch, epoch.Add(time.Hour), 0.05))
+	}
 	link := world.NewLink("gabrovo", "plovdiv", int64(number(t, d, "link", 3_750_000)))
 	return world.NewMap(s.router.Config().Revision()+1, nil, []*world.Link{link}, []*world.Service{m}, ws)
 }
 
+// limits returns the event of limits that begin at the epoch and end after an
+// hour, as the plan of the config command has it.
+func (s *script) limits(t *testing.T, d *datadriven.TestData) Event {
+	l := move.NewLimits(float64(number(t, d, "percent", 0))/100, float64(number(t, d, "count", math.MaxInt)), epoch, epoch.Add(time.Hour))
+	if d.HasArg("done") {
+		l = l.WithDone()
+	}
+	return NewShares("draft", text(t, d, "version", "v2"), l, d.HasArg("ban"))
+}
+
+// meet counts the requests that each version serves, one after the other.
+func (s *script) meet(t *testing.T, d *datadriven.TestData) string {
+	served := make(map[string]int)
+	for range number(t, d, "count", 1) {
+		s.met++
+		q := relay.NewRequest(fmt.Sprintf("m%d", s.met), "draft", "small", world.Interactive, s.now.Add(time.Minute)).WithPrompt("p", 0)
+		for _, a := range s.router.Step(s.now, NewArrive(q)) {
+			served[a.Version()]++
+		}
+		s.router.Step(s.now, NewGone(q.ID()))
+	}
+	return fmt.Sprintf("v1 %d, v2 %d\n", served["v1"], served["v2"])
+}
+
 // engines lists engines e1, e2, ... and gives each a load report.
 func (s *script) engines(t *testing.T, d *datadriven.TestData, step func(Event)) {
 	first := number(t, d, "first", 1)
@@ -157,7 +188,7 @@
 
 func (s *script) load(t *testing.T, d *datadriven.TestData) fleet.Load {
 	return fleet.NewLoad(text(t, d, "incarnation", "a"), number(t, d, "running", 0), number(t, d, "waiting", 0),
-		number(t, d, "slots", 4), []string{text(t, d, "version", "v1")}, d.HasArg("leaving"), span(t, d, "age", 0))
+		number(t, d, "slots", 4), strings.Split(text(t, d, "version", "v1"), "+"), d.HasArg("leaving"), span(t, d, "age", 0))
 }
 
 func (s *script) arrive(t *testing.T, d *datadriven.TestData, step func(Event)) {
