Run moves on each entry VM

The move controller had no driver. Package mover is a duty that feeds the controller of each declared move with outcomes, load reports and the stored record, holds the lease among three contenders, writes the record by compare-and-swap, sends load orders and gives limits to the router. It offers evidence and verdicts for the peer exchange.

--- /dev/null
+++ b/internal/node/mover.go
@@ -0,0 +1,35 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"clementinelink.example/clementinelink/internal/engine"
+	"clementinelink.example/clementinelink/internal/fleet"
+	"clementinelink.example/clementinelink/internal/move"
+	"clementinelink.example/clementinelink/internal/mover"
+	"clementinelink.example/clementinelink/internal/ring"
+	"clementinelink.example/clementinelink/internal/router"
+	"clementinelink.example/clementinelink/internal/store"
+	"clementinelink.example/clementinelink/internal/world"
+)
+
+// newMover joins the mover to the store, the engines, the dispatcher and the
+// load reports.
+func newMover(s *Settings, log zerolog.Logger, events *ring.Ring[message], e *engine.Client, h *hooks, rep *reporter) *mover.Duty {
+	incarnation := uint64(time.Now().UnixNano())
+	d := mover.New(s.Name, incarnation, log.With().Str("part", "move").Logger()).
+		WithStore(store.New(s.Store, incarnation)).
+		WithOrders(e.Order, s.Pulls).
+		WithLimit(func(ctx context.Context, service, version string, l move.Limits, banned bool) {
+			events.Put(ctx, message{event: router.NewShares(service, version, l, banned)})
+		})
+	h.report = append(h.report, d.Report)
+	rep.observe = func(_ context.Context, vm *world.VM, l fleet.Load, err error) { d.SetLoad(vm, l, err) }
+	return d
+}
+
+// Mover returns the duty that runs the moves, for peers and the status page.
+func (n *Node) Mover() *mover.Duty { return n.mover }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"clementinelink.example/clementinelink/internal/engine"
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/front"
+	"clementinelink.example/clementinelink/internal/mover"
 	"clementinelink.example/clementinelink/internal/relay"
 	"clementinelink.example/clementinelink/internal/ring"
 	"clementinelink.example/clementinelink/internal/router"
@@ -41,6 +42,7 @@
 	cancel   *canceller
 	members  *members
 	reporter *reporter
+	mover    *mover.Duty
 	front    *front.Server
 	// config is the configuration in force, published by the config duty.
 	config atomic.Pointer[world.Map]
@@ -67,6 +69,7 @@
 		newList,
 		func(e *engine.Client) *canceller { return newCanceller(e.Cancel) },
 		func(events *ring.Ring[message], e *engine.Client) *reporter { return newReporter(events, e.Load) },
+		newMover,
 		newNode,
 	} {
 		if err := c.Provide(f); err != nil {
@@ -101,7 +104,7 @@
 func newList(s *Settings) *vmlist.Client { return vmlist.New(s.VMs) }
 
 func newNode(s *Settings, log zerolog.Logger, events *ring.Ring[message], rt *router.Router, e *engine.Client,
-	h *hooks, cancel *canceller, rep *reporter, list *vmlist.Client, codec *cursor.Codec) *Node {
+	h *hooks, cancel *canceller, rep *reporter, mv *mover.Duty, list *vmlist.Client, codec *cursor.Codec) *Node {
 	n := &Node{
 		settings: s,
 		log:      log,
@@ -110,6 +113,7 @@
 		hooks:    h,
 		cancel:   cancel,
 		reporter: rep,
+		mover:    mv,
 	}
 	n.dispatch = newDispatcher(rt, events, e, cancel, func(time.Time, *router.Router) {})
 	listLog := log.With().Str("part", "members").Logger()
@@ -144,6 +148,7 @@
 	n.duty(func() { n.dispatch.run(ctx) })
 	n.duty(func() { n.members.run(ctx) })
 	n.duty(func() { n.reporter.run(ctx) })
+	n.duty(func() { n.mover.Run(ctx) })
 	for range pollers {
 		n.duty(func() { n.reporter.poll(ctx) })
 	}
@@ -175,6 +180,7 @@
 		}
 	}
 	n.events.Put(ctx, message{event: router.NewConfig(m)})
+	n.mover.SetConfig(m)
 	n.ready.Store(true)
 	n.log.Info().Uint64("revision", m.Revision()).Msg("config: A revision is in force.")
 }
@@ -214,6 +220,7 @@
 func (n *Node) publish(ctx context.Context, vms []*world.VM) {
 	n.events.Put(ctx, message{event: router.NewMembers(vms)})
 	n.reporter.lists.Put(ctx, vms)
+	n.mover.SetMembers(vms)
 }
 
 // generate hands a request to the dispatcher.
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -25,6 +25,7 @@
 	Keys   string        `long:"keys" env:"CLEMENTINE_KEYS" required:"true" description:"comma-separated hex keys for cursors, the same on all VMs; the first signs, all are accepted"`
 	Drain  time.Duration `long:"drain" env:"CLEMENTINE_DRAIN" default:"5s" description:"time for the load balancer to notice a shutdown"`
 	Seed   uint64        `long:"seed" env:"CLEMENTINE_SEED" description:"seed of random choices; 0 draws one"`
+	Pulls  time.Duration `long:"pulls" env:"CLEMENTINE_PULLS" default:"1s" description:"shortest time between two load orders of one move, as the weight store's rate allows"`
 	Level  string        `long:"level" env:"CLEMENTINE_LEVEL" default:"info" description:"least severe log level: debug, info, warn or error"`
 	Format string        `long:"format" env:"CLEMENTINE_FORMAT" default:"json" description:"log format: json or text"`
 }
