--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -505,11 +505,14 @@
 	case Reset:
 		if a.last.IsZero() {
 			a.engine.Broke(now)
+			r.stats.breaks++
 		}
 	case Unreachable:
 		a.engine.Fell()
+		r.stats.losses++
 	case Departing:
 		a.engine.Left()
+		r.stats.losses++
 	case Bad:
 		r.stats.errors++
 	}
