--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -23,12 +23,12 @@
 	maxFailures = 8
 	// freeRefusals attempts that end so are followed by another one at once, as
 	// far as the retry budget goes. Each further one is followed by a pause that
-	// doubles from restMin to restMax. The pauses add up to more than 1 s, so
+	// doubles from shortRest to longRest. The pauses add up to more than 1 s, so
 	// that a short fault of the last engines in reach does not fail a request
 	// that has time left.
 	freeRefusals = 3
-	restMin      = 50 * time.Millisecond
-	restMax      = 500 * time.Millisecond
+	shortRest    = 50 * time.Millisecond
+	longRest     = 500 * time.Millisecond
 )
 
 // Policy holds the choices that a response leaves to its surroundings.
@@ -322,7 +322,7 @@
 	if r.refusals <= freeRefusals && r.policy.retry(now) {
 		return r.open(now, out)
 	}
-	r.rest = now.Add(min(restMin<<min(max(r.refusals-freeRefusals-1, 0), maxFailures), restMax))
+	r.rest = now.Add(min(shortRest<<min(max(r.refusals-freeRefusals-1, 0), maxFailures), longRest))
 	r.waiting = true
 	return out
 }
