Predict no wait while no engine is known

Cause: a VM that had just restarted, or whose engines were all down for a moment, took the number of its places as 1. After 29 requests it predicted a wait of 58 s and refused the next ones, although its engines became free within a second: refusals while there was capacity.

Change: without a live engine the predicted wait is 0, so requests wait until what their work needs is left of the deadline.

--- a/internal/router/estate.go
+++ b/internal/router/estate.go
@@ -240,6 +240,10 @@
 	return max(int(overcommit*float64(s.slots[service])/float64(s.entries)), 1)
 }
 
+// known reports whether any engine of the service is live. Without one, as on a
+// VM that just started, no wait can be predicted.
+func (s *estate) known(service string) bool { return s.slots[service] > 0 }
+
 // find returns the engine with the name. An engine that is not listed here is
 // reached at the address of an authenticated cursor.
 func (s *estate) find(name, address string) *fleet.Engine {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -426,6 +426,9 @@
 func (rt *Router) open() *desk {
 	d := &desk{duration: defaultDuration}
 	d.queue = admit.NewQueue(d.reserve, func() time.Duration {
+		if !rt.estate.known(d.service.Name()) {
+			return 0
+		}
 		return d.duration / time.Duration(rt.estate.places(d.service.Name()))
 	})
 	return d
