Strike each fault at each position of a response

Cause: the trials struck at random times, so no test stated that a response is whole when a given fault comes before the first token, in the middle or before the last token, streamed or in one body.

The engine stand-in can send its finish twice.

--- a/cmd/clementinelab/main.go
+++ b/cmd/clementinelab/main.go
@@ -77,6 +77,12 @@
 		}); err != nil {
 		return errors.Wrap(err, "storm")
 	}
+	if _, err := parser.AddCommand("drill", "Run one response against each fault.",
+		"Strikes before the first token, in the middle and before the last token of a response, and prints the verdict and the longest interruption.", &drillCommand{
+			session: s,
+		}); err != nil {
+		return errors.Wrap(err, "drill")
+	}
 	return nil
 }
 
--- a/internal/lab/storm.go
+++ b/internal/lab/storm.go
@@ -181,7 +181,7 @@
 
 // bad makes an engine answer wrongly in one of the ways of the stand-in.
 func bad(s *Site, rng *rand.Rand) func() {
-	kinds := []string{simeng.BadError, simeng.BadTruncate, simeng.BadRepeat, simeng.BadSkip, simeng.BadCross}
+	kinds := []string{simeng.BadError, simeng.BadTruncate, simeng.BadRepeat, simeng.BadSkip, simeng.BadCross, simeng.BadFinish}
 	_ = victim(s, rng).Inject(simeng.NewFault(simeng.Bad, stormLasts).WithKind(kinds[rng.IntN(len(kinds))]))
 	return nil
 }
--- a/internal/simeng/engine.go
+++ b/internal/simeng/engine.go
@@ -172,6 +172,9 @@
 // and including cancelled attempts.
 func (e *Engine) Generated() uint64 { return e.counts.generated.Load() }
 
+// Started returns the number of attempts taken since New, over restarts.
+func (e *Engine) Started() uint64 { return e.counts.started.Load() }
+
 // Start listens and serves.
 func (e *Engine) Start() error {
 	e.guard.Lock()
--- a/internal/simeng/faults.go
+++ b/internal/simeng/faults.go
@@ -44,6 +44,8 @@
 	BadSkip = "skip"
 	// BadCross labels tokens with the id of another request.
 	BadCross = "cross"
+	// BadFinish sends the finish twice.
+	BadFinish = "finish"
 )
 
 // Fault is a fault to inject.
@@ -110,7 +112,7 @@
 
 func (f Fault) checkKind() error {
 	switch f.kind {
-	case BadError, BadTruncate, BadRepeat, BadSkip, BadCross:
+	case BadError, BadTruncate, BadRepeat, BadSkip, BadCross, BadFinish:
 		return nil
 	}
 	return errors.Newf("unknown kind of bad output %q", f.kind)
--- a/internal/simeng/write.go
+++ b/internal/simeng/write.go
@@ -59,13 +59,17 @@
 	case sigClose:
 		return false
 	case sigFinish:
-		send(w, finishBody{
+		body := finishBody{
 			Request:      o.key.request,
 			Attempt:      o.key.attempt,
 			Index:        e.index,
 			Finish:       e.finish,
 			PromptTokens: promptTokens(o.stream.prompt),
-		})
+		}
+		send(w, body)
+		if o.stream.bad == BadFinish {
+			send(w, body)
+		}
 		return false
 	}
 	return d.token(w, o, e, sent)
