--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -22,12 +22,12 @@
 	// than the loss of an engine.
 	maxRefusals = 8
 	// freeRefusals of them are followed by another attempt at once; each later
-	// one by a pause that doubles from restMin to restMax. The pauses add up to
+	// one by a pause that doubles from restFirst to restLongest. The pauses add up to
 	// more than 1 s, so that a short fault of the last engines in reach does not
 	// fail a request that has time left.
 	freeRefusals = 3
-	restMin      = 50 * time.Millisecond
-	restMax      = 500 * time.Millisecond
+	restFirst    = 50 * time.Millisecond
+	restLongest  = 500 * time.Millisecond
 )
 
 // Policy holds the choices that a response leaves to its surroundings.
@@ -314,7 +314,7 @@
 	if r.refusals <= freeRefusals {
 		return r.open(now, out)
 	}
-	r.rest = now.Add(min(restMin<<min(r.refusals-freeRefusals-1, maxRefusals), restMax))
+	r.rest = now.Add(min(restFirst<<min(r.refusals-freeRefusals-1, maxRefusals), restLongest))
 	r.waiting = true
 	return out
 }
