Test moves on real nodes, fall back from a failing version

A request that an unproven version failed was retried on that version up to eight times and then refused. It now goes to the old version after the first failure, which still counts against the version that it left.

Step short moves more often than once a second, and unload a version that is rolled back only after the deadline of its last streams.

The race detector found attempts that read the engine's VM while the dispatcher replaced it; an Open or Attach now carries the address.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -63,7 +63,7 @@
 		c.lost(ctx, a, relay.Bad)
 		return
 	}
-	url := "http://" + a.Engine().VM().Address() + "/v1/completions"
+	url := "http://" + a.Address() + "/v1/completions"
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		c.lost(ctx, a, relay.Bad)
@@ -77,7 +77,7 @@
 // The engine renames it, so that the earlier attempt is fenced there too.
 func (c *Client) Attach(ctx context.Context, a relay.Action) {
 	url := fmt.Sprintf("http://%s/v1/streams/%s/%d?offset=%d&as=%d",
-		a.Engine().VM().Address(), a.Request().ID(), a.Source(), a.Offset(), a.Attempt())
+		a.Address(), a.Request().ID(), a.Source(), a.Offset(), a.Attempt())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		c.lost(ctx, a, relay.Bad)
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -63,9 +63,11 @@
 	onReport func(r *relay.Response)
 	// simple is the timeout of the baseline policy, or 0 for the cadence policy.
 	simple time.Duration
-	log    zerolog.Logger
-	stop   context.CancelFunc
-	tasks  sync.WaitGroup
+	// pulls is the shortest time between two load orders, or 0 for the default.
+	pulls time.Duration
+	log   zerolog.Logger
+	stop  context.CancelFunc
+	tasks sync.WaitGroup
 	// options configures each engine.
 	options []simeng.Option
 	storeAt string
@@ -99,6 +101,12 @@
 	return s
 }
 
+// WithPulls sets the shortest time between two load orders of a move.
+func (s *Site) WithPulls(d time.Duration) *Site {
+	s.pulls = d
+	return s
+}
+
 // Start brings everything up.
 func (s *Site) Start(ctx context.Context) error {
 	ctx, s.stop = context.WithCancel(ctx)
@@ -310,6 +318,7 @@
 		VMs:    "http://" + s.listAt[z.name],
 		Keys:   cursorKey,
 		Seed:   uint64(len(s.nodes) + 1),
+		Pulls:  s.pulls,
 		Level:  "warn",
 		Format: "json",
 	}
--- a/internal/mover/duty.go
+++ b/internal/mover/duty.go
@@ -19,8 +19,12 @@
 )
 
 const (
-	// stepEvery is the time between two steps of each controller.
-	stepEvery = time.Second
+	// stepMost and stepLeast bound the time between two steps of the moves, and
+	// stepShare is that time as a part of the shortest move: a move of a few
+	// seconds, as in tests, passes through its stages in time.
+	stepMost  = time.Second
+	stepLeast = 100 * time.Millisecond
+	stepShare = 1.0 / 60
 	// outcomeRing holds about 4 s of responses at 2,000 a second.
 	outcomeRing = 8192
 	loadRing    = 1024
@@ -79,7 +83,8 @@
 	entries []string
 	leaving bool
 	gossip  gossip
-	// stepped is the time of the last step of all moves.
+	// every is the time between two steps of all moves, stepped that of the last.
+	every   time.Duration
 	stepped time.Time
 
 	evidence atomic.Pointer[[]*wire.Evidence]
@@ -136,6 +141,7 @@
 		tracks:   make(map[string]*track),
 		engines:  make(map[string]*host),
 		gossip:   newGossip(),
+		every:    stepMost,
 	}
 	d.begin = func(run func()) { d.workers.Go(run) }
 	return d
@@ -166,7 +172,7 @@
 }
 
 // WithLimit sets the function that gives limits to the router; banned means
-// that the version gets no new work. It is called once a second for each move.
+// that the version gets no new work. It is called once a second for each move, and when the record changes.
 // Call it before Run.
 func (d *Duty) WithLimit(limit func(ctx context.Context, service, version string, l move.Limits, banned bool)) *Duty {
 	d.limit = limit
@@ -210,7 +216,7 @@
 // Run performs the duty until ctx ends.
 func (d *Duty) Run(ctx context.Context) {
 	defer d.workers.Wait()
-	timer := time.NewTimer(stepEvery)
+	timer := time.NewTimer(d.every)
 	defer timer.Stop()
 	for {
 		select {
@@ -238,7 +244,7 @@
 
 // due returns the time of the next wake.
 func (d *Duty) due() time.Time {
-	at := d.stepped.Add(stepEvery)
+	at := d.stepped.Add(d.every)
 	for _, t := range d.tracks {
 		if !t.wake.IsZero() && t.wake.Before(at) {
 			at = t.wake
@@ -255,7 +261,7 @@
 			t.contend(ctx, now, lease.Tick())
 		}
 	}
-	if !now.Before(d.stepped.Add(stepEvery)) {
+	if !now.Before(d.stepped.Add(d.every)) {
 		d.step(ctx, now)
 	}
 }
@@ -293,6 +299,11 @@
 		d.tracks[name] = newTrack(d, s)
 		d.decide("start", d.tracks[name]).Time("deadline", s.Move().Deadline()).Msg("move: A move is declared.")
 	}
+	d.every = stepMost
+	for _, t := range d.tracks {
+		span := float64(t.plan.Deadline().Sub(t.plan.Start()))
+		d.every = min(d.every, max(time.Duration(stepShare*span), stepLeast))
+	}
 }
 
 // decide counts a decision and returns its log entry.
--- a/internal/mover/engines.go
+++ b/internal/mover/engines.go
@@ -144,9 +144,9 @@
 	return from, to, all
 }
 
-// orderable returns the live engines of a service for the planner. Reports do
-// not tell the version of a stream, so an engine with any work counts as busy
-// with all its versions.
+// orderable returns the live engines of a service for the planner. Reports lag
+// and do not tell the version of a stream, so an engine always counts as busy
+// with all its versions, and unloads wait for the streams' deadline.
 func (d *Duty) orderable(s *world.Service) []order.Engine {
 	var list []order.Engine
 	for _, h := range d.engines {
@@ -157,10 +157,7 @@
 		if s.Fenced() {
 			e = e.WithFencing()
 		}
-		if h.load.Running()+h.load.Waiting() > 0 {
-			e = e.WithBusy(h.load.Versions()...)
-		}
-		list = append(list, e)
+		list = append(list, e.WithBusy(h.load.Versions()...))
 	}
 	return list
 }
--- a/internal/mover/outcome.go
+++ b/internal/mover/outcome.go
@@ -21,6 +21,8 @@
 type outcome struct {
 	service string
 	version string
+	// left is the version under test that failed the response before, or "".
+	left    string
 	class   string
 	started time.Time
 	// first and gap are zero for a response without tokens.
@@ -43,6 +45,7 @@
 	d.outcomes.Put(context.Background(), outcome{
 		service:   r.Request().Service(),
 		version:   r.Version(),
+		left:      s.Left(),
 		class:     r.Request().Class().String(),
 		started:   s.Started(),
 		first:     s.First(),
@@ -64,12 +67,21 @@
 	if t == nil || o.version != t.plan.From() && o.version != t.plan.To() {
 		return
 	}
-	k := move.NewKey(d.name, d.incarnation, o.service, o.version, route, o.class, o.started)
+	if o.left == t.plan.To() {
+		// The time that it lost there says nothing of the version that served it.
+		d.set.Count(d.key(o, o.left), move.NewOutcome(move.Errors))
+		return
+	}
 	if r, ok := o.result(t.service.Contract()); ok {
-		d.set.Count(k, r)
+		d.set.Count(d.key(o, o.version), r)
 	}
 }
 
+// key returns the key of this VM's row for a version that o met.
+func (d *Duty) key(o outcome, version string) move.Key {
+	return move.NewKey(d.name, d.incarnation, o.service, version, route, o.class, o.started)
+}
+
 // result judges a response by its contract. ok is false for a response that
 // says nothing of its version.
 func (o outcome) result(c *world.Contract) (r move.Outcome, ok bool) {
--- a/internal/mover/track.go
+++ b/internal/mover/track.go
@@ -21,16 +21,15 @@
 	// leaseSettle bounds the time from the last check of the lease to the
 	// effect of an order.
 	leaseSettle = orderTimeout + time.Second
-	// pollMost and pollLeast bound the time between two reads of a record.
-	pollMost  = 2 * time.Second
-	pollLeast = 200 * time.Millisecond
-	// pollShare is the fraction of a move's time between two reads.
-	pollShare = 0.02
 	// pollRate bounds the reads a second of all VMs for one move; the store
 	// takes about 2,000.
 	pollRate = 100
 )
 
+// unloadGrace is the time for every VM to stop using a version that is rolled
+// back, before the last streams of it get their deadline to end.
+const unloadGrace = 5 * time.Second
+
 // track is one declared move on this VM.
 type track struct {
 	duty    *Duty
@@ -63,8 +62,8 @@
 	next   time.Time
 	// failed is the verdict of failure of this VM or a peer, or "".
 	failed string
-	// release is until when streams may hold up the unloading of a version
-	// that is rolled back; zero before that.
+	// release is when a version that is rolled back is unloaded, after the last
+	// streams of it; zero before the roll-back.
 	release time.Time
 }
 
@@ -97,9 +96,6 @@
 	return h.Sum64()
 }
 
-// span returns the time between start and deadline.
-func (t *track) span() time.Duration { return t.plan.Deadline().Sub(t.plan.Start()) }
-
 // over reports whether nothing is left to decide or to unload.
 func (t *track) over(now time.Time) bool {
 	return t.record.State() != move.Running && now.After(t.plan.Deadline().Add(move.Watch))
@@ -183,10 +179,10 @@
 	})
 }
 
-// poll returns the time between two reads of the record.
+// poll returns the time between two reads of the record: that between two
+// steps, or more for a large fleet.
 func (t *track) poll() time.Duration {
-	p := min(max(time.Duration(pollShare*float64(t.span())), pollLeast), pollMost)
-	return max(p, time.Duration(len(t.duty.entries))*time.Second/pollRate)
+	return max(t.duty.every, time.Duration(len(t.duty.entries))*time.Second/pollRate)
 }
 
 // fetch reads the record.
@@ -227,6 +223,7 @@
 		t.known = true
 		t.record, t.revision = r, revision
 		t.step(ctx, now)
+		t.duty.publish(now)
 	}
 }
 
@@ -244,11 +241,12 @@
 		t.failed = a.Reason()
 		t.duty.decide("bad", t).Str("reason", a.Reason()).Msg("move: The version is bad.")
 	case move.Load:
+		t.release = time.Time{}
 		if t.planner != nil {
 			t.planner.Want(a.Version(), a.Fraction(), a.Before())
 		}
 	case move.Stop:
-		t.release = now.Add(t.service.Contract().Deadline())
+		t.release = now.Add(unloadGrace + t.service.Contract().Deadline())
 		t.duty.decide("stop", t).Str("reason", a.Reason()).Msg("move: Loading ends.")
 	}
 }
--- a/internal/relay/action.go
+++ b/internal/relay/action.go
@@ -35,6 +35,9 @@
 	kind    ActionKind
 	request *Request
 	engine  *fleet.Engine
+	// address is the engine's at the time of Open or Attach: the engine itself
+	// belongs to the dispatcher, and an attempt runs beside it.
+	address string
 	version string
 	// attempt is the number of the attempt that the action starts or stops.
 	attempt uint32
@@ -52,7 +55,11 @@
 // Request returns the request that the action belongs to.
 func (a Action) Request() *Request { return a.request }
 
-// Engine returns the engine of Open, Attach and Cancel.
+// Address returns the engine's host:port for Open and Attach.
+func (a Action) Address() string { return a.address }
+
+// Engine returns the engine of Open, Attach and Cancel. Only the duty that owns
+// the engines may use it.
 func (a Action) Engine() *fleet.Engine { return a.engine }
 
 // Version returns the version of Open.
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -180,9 +180,11 @@
 // Stats returns the response's measurements.
 func (r *Response) Stats() *Stats { return &r.stats }
 
-// Rebind moves a response that has no token yet to another version.
+// Rebind moves a response that has no token yet to another version. Failures
+// so far stay those of the version that it leaves.
 func (r *Response) Rebind(version string) {
-	if !r.Continues() && len(r.live) == 0 {
+	if !r.Continues() && len(r.live) == 0 && version != r.version {
+		r.stats.leave(r.version)
 		r.version = version
 	}
 }
@@ -392,6 +394,7 @@
 		kind:    Open,
 		request: r.request,
 		engine:  e,
+		address: e.VM().Address(),
 		version: r.version,
 		attempt: a.number,
 		prefix:  prefix,
@@ -407,6 +410,7 @@
 		kind:    Attach,
 		request: r.request,
 		engine:  e,
+		address: e.VM().Address(),
 		version: r.version,
 		attempt: a.number,
 		source:  source,
--- a/internal/relay/stats.go
+++ b/internal/relay/stats.go
@@ -33,6 +33,8 @@
 	// truncated counts streams that broke off or finished too early although
 	// their engine lived.
 	truncated int
+	// left is the version that the response left after a failure of it, or "".
+	left      string
 	abandoned bool
 	problem   *errs.Problem
 }
@@ -85,6 +87,10 @@
 // although their engine lived.
 func (s *Stats) Truncated() int { return s.truncated }
 
+// Left returns the version that the response left because an attempt on it
+// failed, or "". Errors, Breaks and Truncated don't count its attempts.
+func (s *Stats) Left() string { return s.left }
+
 // Abandoned reports whether the caller left before the end.
 func (s *Stats) Abandoned() bool { return s.abandoned }
 
@@ -115,6 +121,14 @@
 	}
 }
 
+// leave forgets the failures of a version that the response leaves.
+func (s *Stats) leave(version string) {
+	if s.errors+s.breaks+s.truncated > 0 {
+		s.left = version
+	}
+	s.errors, s.breaks, s.truncated = 0, 0, 0
+}
+
 func (s *Stats) finish(now time.Time) { s.ended = now }
 
 func (s *Stats) fail(now time.Time, p *errs.Problem) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -357,9 +357,10 @@
 }
 
 // choose returns the engine for an attempt, in the local region if it can. A
-// response without a token leaves a version that gets no new work.
+// response without a token leaves a version that gets no new work, and one that
+// is not proven and failed it.
 func (rt *Router) choose(now time.Time, r *relay.Response, avoid []*fleet.Engine) *fleet.Engine {
-	if d, ok := rt.services[r.Request().Service()]; ok && d.banned(r.Version()) {
+	if d, ok := rt.services[r.Request().Service()]; ok && (d.banned(r.Version()) || d.failed(r)) {
 		r.Rebind(d.base())
 	}
 	return rt.estate.choose(now, rt.rng, r, avoid)
--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -169,6 +169,7 @@
 		}
 		s.router.Step(s.now, NewGone(q.ID()))
 	}
+	s.ends = nil
 	return fmt.Sprintf("v1 %d, v2 %d\n", served["v1"], served["v2"])
 }
 
--- a/internal/router/trial.go
+++ b/internal/router/trial.go
@@ -69,3 +69,11 @@
 func (d *desk) leaves(r *relay.Response, s *estate) bool {
 	return r.Version() != d.base() && (d.trial == nil || !d.trial.done || !s.serves(d.service.Name(), r.Version()))
 }
+
+// failed reports whether an attempt on a version that is not proven failed the
+// response. It then goes to the old version, so that callers of a bad version
+// get their responses too.
+func (d *desk) failed(r *relay.Response) bool {
+	s := r.Stats()
+	return d.trial != nil && !d.trial.done && r.Version() == d.trial.plan.To() && s.Errors()+s.Breaks() > 0
+}
