--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -196,9 +196,11 @@
 // Stats returns the response's measurements.
 func (r *Response) Stats() *Stats { return &r.stats }
 
-// Rebind moves a response that has no token yet to another version.
+// Rebind moves a response that has no token yet to another version. Failures
+// so far stay those of the version that it leaves.
 func (r *Response) Rebind(version string) {
-	if !r.Continues() && len(r.live) == 0 {
+	if !r.Continues() && len(r.live) == 0 && version != r.version {
+		r.stats.leave(r.version)
 		r.version = version
 	}
 }
