Measure the cost of each part by size

clementinelab capacity runs 35 probes at four sizes each, fits a line with gonum and prints intercept, slope, errors and the cost at full size. Processor time is that of the whole process, the lowest of three. Entry VMs run as child processes of the lab command with a store, a VM list and engines of their own.

--- a/cmd/clementinelab/main.go
+++ b/cmd/clementinelab/main.go
@@ -83,6 +83,18 @@
 		}); err != nil {
 		return errors.Wrap(err, "storm")
 	}
+	if _, err := parser.AddCommand("capacity", "Measure what each part costs by size.",
+		"Measures each part at four sizes or more, fits a line and prints the cost at full size. The figures behind docs/CAPACITY.md.", &capacityCommand{
+			session: s,
+		}); err != nil {
+		return errors.Wrap(err, "capacity")
+	}
+	if _, err := parser.AddCommand("entry", "Run one entry VM for the capacity command.",
+		"Prints what the process uses at the start and after each line of input, as JSON, and ends with its input.", &entryCommand{
+			session: s,
+		}); err != nil {
+		return errors.Wrap(err, "entry")
+	}
 	return nil
 }
 
