Let the arrival probes end their responses

The arrivals were ended by a finish without a token, which the router treats as a failed attempt, so responses piled up: 115 us instead of 6 us. The same sequence in BenchmarkArrive of internal/router has this fault too.

The probe now sends a token first and fails when a response is left. The exchange probe waits for the server's last write, which it missed in one of four sizes.

--- a/internal/slope/route.go
+++ b/internal/slope/route.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"clementinelink.example/clementinelink/internal/cursor"
 	"clementinelink.example/clementinelink/internal/fleet"
 	"clementinelink.example/clementinelink/internal/relay"
@@ -178,11 +180,25 @@
 
 func arrive(ctx context.Context, b *Bench, size int) (float64, error) {
 	e := newEstate(size)
-	return b.loop(ctx, func(i int) {
+	var failed error
+	cost, err := b.loop(ctx, func(i int) {
 		q := e.ask(i)
+		e.now = e.now.Add(time.Millisecond)
 		e.router.Step(e.now, router.NewArrive(q))
-		e.router.Step(e.now, router.NewFinish(q.ID(), 1, 0, "stop", 1))
+		e.router.Step(e.now, router.NewToken(q.ID(), 1, 0, 7, " word"))
+		e.router.Step(e.now, router.NewFinish(q.ID(), 1, 1, "stop", 1))
+		failed = e.settled(failed)
 	})
+	return cost, errors.CombineErrors(err, failed)
+}
+
+// settled returns err, or an error when the router still has responses: a
+// measured sequence must end all of its responses, or later ones cost more.
+func (e *estate) settled(err error) error {
+	if n := e.router.Live() + e.router.Queued(); err == nil && n > 0 {
+		return errors.Newf("%d responses did not end", n)
+	}
+	return err
 }
 
 func loadReport(ctx context.Context, b *Bench, size int) (float64, error) {
@@ -209,7 +225,9 @@
 // arrivals.
 func resume(ctx context.Context, b *Bench, size int) (float64, error) {
 	e := newEstate(2200)
-	return b.loop(ctx, func(i int) {
+	var failed error
+	cost, err := b.loop(ctx, func(i int) {
+		e.now = e.now.Add(time.Millisecond)
 		for r := range size {
 			q := e.ask(i*size + r)
 			e.router.Step(e.now, router.NewArrive(q))
@@ -224,7 +242,9 @@
 		for r := range size {
 			e.router.Step(e.now, router.NewGone(requestName(i*size+r)))
 		}
+		failed = e.settled(failed)
 	})
+	return cost, errors.CombineErrors(err, failed)
 }
 
 // encode signs cursors of the usual length.
--- a/internal/slope/state.go
+++ b/internal/slope/state.go
@@ -176,13 +176,14 @@
 		carried:  &carried,
 	}
 	s.Start()
-	defer s.Close()
 	_, err := peer.NewClient(func(int) {}).Exchange(ctx, s.Listener.Addr().String(), &wire.ExchangeRequest{
 		Vm:          reply.GetVm(),
 		Incarnation: reply.GetIncarnation(),
 		Revision:    reply.GetRevision(),
 		Evidence:    reply.GetEvidence(),
 	})
+	// The server counts its last write only after the client has read it.
+	s.Close()
 	return float64(carried.Load()), err
 }
 
