Count the store calls of a configuration change

The store's read and write rates are fixed while changes grow, and how many calls one submission makes was not measured.

--- a/internal/slope/conf.go
+++ b/internal/slope/conf.go
@@ -13,7 +13,9 @@
 	"clementinelink.example/clementinelink/internal/build"
 	"clementinelink.example/clementinelink/internal/config"
 	"clementinelink.example/clementinelink/internal/lab"
+	"clementinelink.example/clementinelink/internal/simkv"
 	"clementinelink.example/clementinelink/internal/simvms"
+	"clementinelink.example/clementinelink/internal/store"
 	"clementinelink.example/clementinelink/internal/submit"
 	"clementinelink.example/clementinelink/internal/vmlist"
 	"clementinelink.example/clementinelink/internal/world"
@@ -83,6 +85,30 @@
 			once:    true,
 			measure: headBytes,
 		},
+		{
+			name:   "submit/reads",
+			size:   "changes",
+			unit:   "reads",
+			sizes:  []int{5, 10, 20, 40},
+			target: changes,
+			once:   true,
+			measure: func(ctx context.Context, _ *Bench, size int) (float64, error) {
+				s, err := submitted(ctx, size)
+				return float64(s.Reads()), err
+			},
+		},
+		{
+			name:   "submit/writes",
+			size:   "changes",
+			unit:   "writes",
+			sizes:  []int{5, 10, 20, 40},
+			target: changes,
+			once:   true,
+			measure: func(ctx context.Context, _ *Bench, size int) (float64, error) {
+				s, err := submitted(ctx, size)
+				return float64(s.Writes()), err
+			},
+		},
 		{
 			name:    "config/members",
 			size:    "entry VMs",
@@ -208,6 +234,30 @@
 	return float64(len(raw)), err
 }
 
+// submitted returns the store's counts after a number of submissions that each
+// change one workspace.
+func submitted(ctx context.Context, size int) (simkv.Stats, error) {
+	server := simkv.New().WithRates(1e6, 1e6)
+	base, stop, err := server.Start()
+	if err != nil {
+		return simkv.Stats{}, err
+	}
+	s := submit.NewSubmitter(submit.Over(store.New(base, 1).WithBudget(1e6, 1e6)))
+	for i := range size {
+		parts, err := decl.Split(declaration(100).Workspace("extra", lab.Digest("extra"), i+1, decl.Interactive))
+		if err != nil {
+			return simkv.Stats{}, errors.CombineErrors(err, stop())
+		}
+		at := epoch.Add(time.Duration(i) * day / changes)
+		r := s.Apply(ctx, at, submit.NewRequest(fmt.Sprintf("change-%d", i), "operator", uint64(i), parts))
+		if r.State() != submit.Accepted {
+			return simkv.Stats{}, errors.CombineErrors(errors.Newf("change %d: %v", i, r.Lines()), stop())
+		}
+	}
+	counts := server.Stats()
+	return counts, stop()
+}
+
 // configHeap returns the heap of the parts, the objects decoded from them and
 // the built configuration.
 func configHeap(_ context.Context, _ *Bench, size int) (float64, error) {
