--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -17,10 +17,14 @@
 )
 
 const (
-	// storeReads and storeWrites are the parts of the platform's limits that all
-	// entry VMs together may use; operators and others need the rest.
-	storeReads  = 1800
-	storeWrites = 270
+	// storeReads and storeWrites are the parts of the platform's limits that
+	// configuration and moves of all entry VMs together may use; claims have a
+	// budget of their own.
+	storeReads  = 1200
+	storeWrites = 60
+	// submitReads and submitWrites are the budget of one VM's submissions.
+	submitReads  = 500
+	submitWrites = 100
 	// startWait is how long a caller waits for the first configuration of a VM
 	// that has just started. It arrives within a second while store or peers
 	// answer.
--- a/internal/relay/response.go
+++ b/internal/relay/response.go
@@ -18,11 +18,17 @@
 	// avoidLast is the number of engines that failed this response last and
 	// are not chosen for it again while others accept.
 	avoidLast = 3
-	// maxRefusals bounds attempts that end before a token for other reasons
-	// than the loss of an engine.
-	maxRefusals = 8
-	// retryPause is the time between two attempts without retry budget.
-	retryPause = 250 * time.Millisecond
+	// maxFailures bounds attempts that end before a token for other reasons than
+	// the loss of an engine or a full one.
+	maxFailures = 8
+	// freeRefusals attempts that end so are followed by another one at once, as
+	// far as the retry budget goes. Each further one is followed by a pause that
+	// doubles from shortRest to longRest. The pauses add up to more than 1 s, so
+	// that a short fault of the last engines in reach does not fail a request
+	// that has time left.
+	freeRefusals = 3
+	shortRest    = 50 * time.Millisecond
+	longRest     = 500 * time.Millisecond
 )
 
 // Policy holds the choices that a response leaves to its surroundings.
@@ -81,17 +87,22 @@
 	// source is the attempt that gave the latest token.
 	source *attempt
 	// heir is the attempt of an earlier response that this one takes over.
-	heir     *attempt
-	avoid    []*fleet.Engine
+	heir  *attempt
+	avoid []*fleet.Engine
+	// refusals counts the attempts that ended before a token for other reasons
+	// than the loss of an engine, and failures those of them on an engine that
+	// was not full.
 	refusals int
+	failures int
+	// rest is the time until which no attempt is opened after refusals.
+	rest time.Time
 	// shortAt is one more than the index of a finish that came too early, or 0.
 	shortAt int
-	opened  bool
+	// taken counts the attempts that an engine may have taken. Those that it
+	// refused or that never reached it are not among them.
+	taken int
 	// waiting is true while no engine accepts the next attempt.
 	waiting bool
-	// pause is the time before which a response without retry budget makes no
-	// attempt.
-	pause time.Time
 	// gone is the time at which the caller disconnected, or zero.
 	gone  time.Time
 	ended bool
@@ -179,10 +190,6 @@
 	return 0
 }
 
-// Paused reports whether the response waits for retry budget rather than for
-// an engine.
-func (r *Response) Paused(now time.Time) bool { return r.Waiting() && now.Before(r.pause) }
-
 // Ended reports whether the response is over.
 func (r *Response) Ended() bool { return r.ended }
 
@@ -301,22 +308,28 @@
 		return out
 	}
 	r.shun(a.engine)
-	if cause == Bad || cause == Absent && !a.attached {
-		r.refusals++
+	if cause != Bad && cause != Refused && (cause != Absent || a.attached) {
+		return r.open(now, out)
+	}
+	r.refusals++
+	// A full engine is no failure: the request waits until its deadline.
+	if cause != Refused {
+		r.failures++
 	}
-	if r.refusals > maxRefusals {
+	if r.failures > maxFailures {
 		return r.fail(now, errs.New(errs.Unavailable, r.outcome(), "engines keep failing this request: %s", cause), out)
 	}
-	if (cause == Bad || cause == Refused || cause == Absent && !a.attached) && !r.policy.retry(now) {
-		// Without budget the response waits for its turn instead of adding to a
-		// storm of retries.
-		r.waiting = true
-		r.pause = now.Add(retryPause)
-		return out
+	if r.refusals <= freeRefusals && r.policy.retry(now) {
+		return r.open(now, out)
 	}
-	return r.open(now, out)
+	r.rest = now.Add(min(shortRest<<min(max(r.refusals-freeRefusals-1, 0), maxFailures), longRest))
+	r.waiting = true
+	return out
 }
 
+// Resting reports whether the response pauses after refusals.
+func (r *Response) Resting(now time.Time) bool { return now.Before(r.rest) }
+
 // Gone handles the caller's disconnect. The generation goes on for the
 // request's grace, so that a reconnect can take it over.
 func (r *Response) Gone(now time.Time, out []Action) []Action {
@@ -334,7 +347,7 @@
 
 // Retry looks for an engine again while the response waits for one.
 func (r *Response) Retry(now time.Time, out []Action) []Action {
-	if !r.Waiting() || r.Paused(now) {
+	if !r.Waiting() || r.Resting(now) {
 		return out
 	}
 	return r.open(now, out)
@@ -399,7 +412,7 @@
 		return out
 	}
 	a := r.begin(now, e)
-	r.opened = true
+	r.taken++
 	prefix := r.tokens[:len(r.tokens):len(r.tokens)]
 	if r.policy.restart {
 		prefix = nil
@@ -419,7 +432,7 @@
 func (r *Response) attach(now time.Time, e *fleet.Engine, source uint32, out []Action) []Action {
 	a := r.begin(now, e)
 	a.attached = true
-	r.opened = true
+	r.taken++
 	return append(out, Action{
 		kind:    Attach,
 		request: r.request,
@@ -492,14 +505,20 @@
 	case Reset:
 		if a.last.IsZero() {
 			a.engine.Broke(now)
+			r.stats.breaks++
 		}
 	case Unreachable:
 		a.engine.Fell()
+		r.stats.losses++
 	case Departing:
 		a.engine.Left()
+		r.stats.losses++
 	case Bad:
 		r.stats.errors++
 	}
+	if !a.attached && (cause == Refused || cause == Departing || cause == Absent || cause == Unreachable) {
+		r.taken--
+	}
 	if cause != Refused && cause != Departing {
 		r.stats.lose(now)
 	}
@@ -568,7 +587,7 @@
 	switch {
 	case r.Continues():
 		return errs.Ran
-	case r.opened:
+	case r.taken > 0:
 		return errs.Unknown
 	default:
 		return errs.NotRun
--- a/internal/router/estate.go
+++ b/internal/router/estate.go
@@ -226,6 +226,21 @@
 	return l.Allow(now, len(q.Prompt())+len(q.Messages())+left*bytesPerToken)
 }
 
+// serves reports whether a live engine of any region has the version.
+func (s *estate) serves(service, version string) bool {
+	for _, region := range s.regions {
+		p := s.pools[poolKey{
+			service: service,
+			version: version,
+			region:  region,
+		}]
+		if p != nil && s.usable(p) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *estate) usable(p *picker.Pool) bool { return s.usableBeyond(p, nil) }
 
 // usableBeyond reports whether the pool has a live engine outside avoid.
@@ -240,6 +255,10 @@
 	return max(int(overcommit*float64(s.slots[service])/float64(s.entries)), 1)
 }
 
+// known reports whether any engine of the service is live. Without one, as on a
+// VM that just started, no wait can be predicted.
+func (s *estate) known(service string) bool { return s.slots[service] > 0 }
+
 // find returns the engine with the name. An engine that is not listed here is
 // reached at the address of an authenticated cursor.
 func (s *estate) find(name, address string) *fleet.Engine {
