Simulate the spread of a configuration change

A probe runs the configuration cores of 45 to 360 VMs in simulated time with the store's watches, one random exchange a second and delays of 24 ms and 60 ms.

--- a/internal/slope/conf.go
+++ b/internal/slope/conf.go
@@ -109,6 +109,15 @@
 				return float64(s.Writes()), err
 			},
 		},
+		{
+			name:    "config/spread",
+			size:    "entry VMs",
+			unit:    "s",
+			sizes:   []int{45, 90, 180, 360},
+			target:  nodes,
+			once:    true,
+			measure: spread,
+		},
 		{
 			name:    "config/members",
 			size:    "entry VMs",
