--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -24,7 +24,7 @@
 // TestVerdicts guards against a client that takes a wrong answer for a whole
 // one, or blames the entry for a fault that it reported.
 func TestVerdicts(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/verdicts", func(t *testing.T, path string) {
 		datadriven.RunTest(t, path, func(_ *testing.T, d *datadriven.TestData) string {
 			e := newEntry(d)
 			defer e.server.Close()
