--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -19,10 +19,10 @@
 )
 
 const (
-	// platformWrites and platformReads are the store's limits for all VMs, a
-	// second.
-	platformWrites = 300.0
-	platformReads  = 2000.0
+	// platformWrites and platformReads are the parts of the store's limits that
+	// the claims of all VMs may use; the rest is for configuration and moves.
+	platformWrites = 230.0
+	platformReads  = 700.0
 	// claimShare is the part of the platform's writes that claims may use; the
 	// rest is for configuration, leases and verdicts.
 	claimShare = 0.95
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -72,16 +72,22 @@
 		Vm:          n.settings.Name,
 		Incarnation: n.incarnation,
 		Revision:    n.follow.Snapshot().Revision(),
+		Verdicts:    n.mover.Verdicts(),
+		Evidence:    n.mover.Evidence(evidenceLimit),
 	}
 }
 
 // take applies a peer's answer.
 func (n *Node) take(vm string, out *wire.ExchangeReply) {
 	n.follow.Hear(vm, out.GetRevision(), out.GetHead())
+	n.mover.TakeVerdicts(out.GetVerdicts())
+	n.mover.TakeEvidence(out.GetEvidence())
 }
 
 // exchange answers a peer: its news is taken, and it gets what it lacks.
 func (n *Node) exchange(_ context.Context, in *wire.ExchangeRequest) *wire.ExchangeReply {
+	n.mover.TakeVerdicts(in.GetVerdicts())
+	n.mover.TakeEvidence(in.GetEvidence())
 	s := n.follow.Snapshot()
 	if in.GetRevision() > s.Revision() {
 		n.follow.Hear(in.GetVm(), in.GetRevision(), nil)
@@ -90,6 +96,8 @@
 		Vm:          n.settings.Name,
 		Incarnation: n.incarnation,
 		Revision:    s.Revision(),
+		Verdicts:    n.mover.Verdicts(),
+		Evidence:    n.mover.Evidence(evidenceLimit),
 	}
 	if in.GetRevision() < s.Revision() {
 		out.Head = s.Encoded()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,7 +20,7 @@
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/front"
 	"clementinelink.example/clementinelink/internal/meter"
-	"clementinelink.example/clementinelink/internal/move"
+	"clementinelink.example/clementinelink/internal/mover"
 	"clementinelink.example/clementinelink/internal/peer"
 	"clementinelink.example/clementinelink/internal/relay"
 	"clementinelink.example/clementinelink/internal/ring"
@@ -52,6 +52,7 @@
 	cancel   *canceller
 	members  *members
 	reporter *reporter
+	mover    *mover.Duty
 	front    *front.Server
 	calls    *calls
 	store    *store.Client
@@ -101,6 +102,7 @@
 		newWatcher,
 		func(e *engine.Client) *canceller { return newCanceller(e.Cancel) },
 		func(events *ring.Ring[message], e *engine.Client) *reporter { return newReporter(events, e.Load) },
+		newMover,
 		newNode,
 	} {
 		if err := c.Provide(f); err != nil {
@@ -121,7 +123,7 @@
 }
 
 func newRouter(s *Settings, h *hooks) *router.Router {
-	return router.New(s.Region, s.Seed, nil, func(now time.Time, r *relay.Response) {
+	return router.New(s.Region, s.Seed, func(now time.Time, r *relay.Response) {
 		for _, f := range h.report {
 			f(now, r)
 		}
@@ -148,6 +150,7 @@
 	Peers    *peer.Client
 	Follow   *config.Duty
 	Watcher  *watcher
+	Mover    *mover.Duty
 }
 
 func newNode(p parts) *Node {
@@ -163,6 +166,7 @@
 		peers:       p.Peers,
 		follow:      p.Follow,
 		watcher:     p.Watcher,
+		mover:       p.Mover,
 		incarnation: uint64(time.Now().UnixNano()),
 		listeners:   make(map[string]net.Listener),
 	}
@@ -219,6 +223,7 @@
 	n.duty(func() { n.gossip.run(ctx) })
 	n.duty(func() { _ = n.follow.Run(ctx) })
 	n.calls.start(ctx, n.duty)
+	n.duty(func() { n.mover.Run(ctx) })
 	for range pollers {
 		n.duty(func() { n.reporter.poll(ctx) })
 	}
@@ -259,12 +264,15 @@
 
 // operators returns the operators' HTTP interface.
 func (n *Node) operators() *admin.Server {
-	h := submit.NewHandler(submit.NewSubmitter(submit.Over(n.store)), submit.Sources{
+	// A submission writes up to 35 parts at once and is rare, so it has a budget
+	// of its own.
+	submissions := store.New(n.settings.Store, n.incarnation).WithBudget(submitReads, submitWrites)
+	h := submit.NewHandler(submit.NewSubmitter(submit.Over(submissions)), submit.Sources{
 		Now:   time.Now,
 		Head:  n.head,
 		Parts: func() map[string][]byte { return n.follow.Snapshot().Named() },
 		Await: n.await,
-		Moves: func() []move.Status { return nil },
+		Moves: n.mover.Status,
 	})
 	return admin.New(n.ready.Load, func() any { return n.watcher.latest.Load() }, n.watcher.metrics, n.burnReport).
 		WithRoute(http.MethodPost, "/apply", h.Apply).
@@ -312,6 +320,7 @@
 		}
 	}
 	n.events.Put(ctx, message{event: router.NewConfig(m)})
+	n.mover.SetConfig(m)
 	n.ready.Store(true)
 	n.log.Info().Uint64("revision", m.Revision()).Msg("config: A revision is in force.")
 }
@@ -381,6 +390,7 @@
 		}
 	}
 	n.store.SetBudget(storeReads/float64(max(entries, 1)), storeWrites/float64(max(entries, 1)))
+	n.mover.SetMembers(vms)
 }
 
 // generate hands a request to the dispatcher.
