Measure goodput and fairness under overload

Cause: nothing showed what admission does at and over the capacity.

Change: the subcommand load measures the capacity of a small deployment (2 entry VMs, 4 engines of 8 slots, deadline 4 s), and then goodput, refusals, shares and waits at 0.8, 1.0 and 2.0 times of it, for one large workspace with 70% of the requests and five small ones.

--- a/cmd/clementinelab/main.go
+++ b/cmd/clementinelab/main.go
@@ -83,6 +83,12 @@
 		}); err != nil {
 		return errors.Wrap(err, "drill")
 	}
+	if _, err := parser.AddCommand("load", "Measure goodput and fairness under overload.",
+		"Runs a small deployment below, at and over its capacity with one large and several small workspaces, and prints goodput, refusals and shares, with first come first served beside it.", &loadCommand{
+			session: s,
+		}); err != nil {
+		return errors.Wrap(err, "load")
+	}
 	return nil
 }
 
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -73,6 +73,8 @@
 	reserve func(i *Item) time.Duration
 	// estimate is the expected spacing while none is measured.
 	estimate func() time.Duration
+	// plain makes the queue serve in order of arrival and refuse nothing.
+	plain bool
 }
 
 // lane is the queue of one class.
@@ -101,10 +103,19 @@
 	return q
 }
 
+// Plain makes the queue serve in order of arrival, without classes, shares and
+// early refusal. It is the baseline that admission is measured against.
+func (q *Queue) Plain() { q.plain = true }
+
 // Push queues the item, or returns the refusal: Overload with the time after
 // which a retry makes sense.
 func (q *Queue) Push(now time.Time, i *Item) *errs.Problem {
 	i.arrived = now
+	if q.plain {
+		i.class = 0
+		q.insert(&q.classes[0], i)
+		return nil
+	}
 	l := &q.classes[i.class]
 	i.tag = max(l.clock, l.last[i.workspace]) + float64(i.cost)/float64(i.weight)
 	wait := q.wait(i)
--- a/internal/lab/answer.go
+++ b/internal/lab/answer.go
@@ -12,6 +12,7 @@
 type Answer struct {
 	question *Question
 	sent     time.Time
+	took     time.Duration
 	text     strings.Builder
 	// cursor is the id of the last event that carried text.
 	cursor string
@@ -28,6 +29,8 @@
 	done    bool
 	status  int
 	outcome string
+	// retry is the Retry-After header of the last response, or "".
+	retry   string
 	problem string
 
 	verdict Verdict
@@ -69,6 +72,12 @@
 // Outcome returns the outcome that a problem stated, or "".
 func (a *Answer) Outcome() string { return a.outcome }
 
+// Retry returns the Retry-After header of the last response, or "".
+func (a *Answer) Retry() string { return a.retry }
+
+// Took returns the time from sending to the end of the answer.
+func (a *Answer) Took() time.Duration { return a.took }
+
 // Note says what is wrong with an answer that isn't whole, or "".
 func (a *Answer) Note() string { return a.note }
 
--- a/internal/lab/caller.go
+++ b/internal/lab/caller.go
@@ -83,6 +83,7 @@
 		turn++
 		sleep(ctx, c.pause)
 	}
+	a.took = time.Since(a.sent)
 	a.judge()
 	return a
 }
@@ -105,6 +106,7 @@
 	}
 	defer resp.Body.Close()
 	a.status = resp.StatusCode
+	a.retry = resp.Header.Get("Retry-After")
 	if a.status != http.StatusOK || !a.question.stream {
 		return whole(resp.Body, a)
 	}
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -37,7 +37,10 @@
 
 // Run sends count questions, or questions until ctx ends if count is 0, waits
 // for all answers and adds them to the result.
-func (l *Load) Run(ctx context.Context, count int, to *Result) {
+func (l *Load) Run(ctx context.Context, count int, to *Result) { l.Each(ctx, count, to.Add) }
+
+// Each is Run with a function that takes each answer, one at a time.
+func (l *Load) Each(ctx context.Context, count int, add func(a *Answer)) {
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	numbers := ring.New[int](1, ring.Wait)
@@ -51,7 +54,7 @@
 	for got := 0; got != sent; {
 		select {
 		case a := <-answers.Out():
-			to.Add(a)
+			add(a)
 			got++
 		case sent = <-total:
 		}
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -73,7 +73,9 @@
 	onReport func(r *relay.Response)
 	// simple is the timeout of the baseline policy, or 0 for the cadence policy.
 	simple time.Duration
-	log    zerolog.Logger
+	// plain selects the baseline admission.
+	plain bool
+	log   zerolog.Logger
 	// ctx ends with the deployment.
 	ctx   context.Context
 	stop  context.CancelFunc
@@ -355,6 +357,9 @@
 	if s.simple > 0 {
 		n.Simple(s.simple)
 	}
+	if s.plain {
+		n.Plain()
+	}
 	if s.config != nil {
 		n.Configure(ctx, s.config)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -133,6 +133,10 @@
 // called before Start.
 func (n *Node) Simple(timeout time.Duration) { n.dispatch.router.Simple(timeout) }
 
+// Plain makes the node use the baseline admission of router.Plain. It must be
+// called before Start.
+func (n *Node) Plain() { n.dispatch.router.Plain() }
+
 // Start opens the listeners and starts the duties.
 func (n *Node) Start(ctx context.Context) error {
 	l, err := net.Listen("tcp", n.settings.Listen)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -49,6 +49,8 @@
 	alarms *alarms
 	rng    *rand.Rand
 	policy *relay.Policy
+	// plain makes admission first come, first served.
+	plain bool
 	// retry reports whether the retry budget allows another attempt.
 	retry func(now time.Time) bool
 	// report is called with each response that ended.
@@ -111,6 +113,10 @@
 	}
 }
 
+// Plain makes the router admit requests first come, first served, without
+// early refusal. It is a baseline and must be called before the first event.
+func (rt *Router) Plain() { rt.plain = true }
+
 // Step applies one event and returns the actions that follow from it. The
 // slice is valid until the next call.
 func (rt *Router) Step(now time.Time, ev Event) []relay.Action {
@@ -201,7 +207,11 @@
 		request: q,
 		item:    i,
 	}
-	rt.alarms.set(q.ID(), q.Deadline().Add(-d.reserve(i)))
+	last := q.Deadline()
+	if !rt.plain {
+		last = last.Add(-d.reserve(i))
+	}
+	rt.alarms.set(q.ID(), last)
 	rt.pump(now)
 }
 
@@ -431,6 +441,9 @@
 		}
 		return d.duration / time.Duration(rt.estate.places(d.service.Name()))
 	})
+	if rt.plain {
+		d.queue.Plain()
+	}
 	return d
 }
 
