Reserve more of a deadline than the average work needs

Cause: a queued request was admitted until the average duration of responses was left of its deadline.

Change: the reserve is the average and three average deviations, and a response that its deadline cut off counts for both where it took longer.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -18,6 +18,10 @@
 	// durationWeight is the weight of a new observation in the average
 	// duration of a service's responses.
 	durationWeight = 0.1
+	// spreadFactor is the number of average deviations that are added to the
+	// average duration when a request's work must fit before its deadline. The
+	// average alone leaves half of the latest admitted ones unfinished.
+	spreadFactor = 3
 	// defaultDuration is assumed until a response has ended.
 	defaultDuration = 2 * time.Second
 	// maxReserve is the largest part of a deadline that is kept free for the
@@ -78,6 +82,8 @@
 	stalled  []*relay.Response
 	split    Split
 	duration time.Duration
+	// spread is the average deviation of the durations.
+	spread time.Duration
 }
 
 // New returns a router of a VM in the region. The functions retry and report
@@ -277,9 +283,7 @@
 	rt.alarms.clear(id)
 	if d, ok := rt.services[r.Request().Service()]; ok {
 		d.stalled = slices.DeleteFunc(d.stalled, func(o *relay.Response) bool { return o == r })
-		if s := r.Stats(); s.Problem() == nil && !s.Abandoned() {
-			d.duration += time.Duration(durationWeight * float64(s.Total()-d.duration))
-		}
+		d.observe(r.Stats())
 	}
 	rt.report(now, r)
 }
@@ -449,7 +453,19 @@
 
 // reserve returns the part of a request's deadline that its work needs.
 func (d *desk) reserve(i *admit.Item) time.Duration {
-	return min(d.duration, time.Duration(maxReserve*float64(i.Deadline().Sub(i.Arrived()))))
+	return min(d.duration+spreadFactor*d.spread, time.Duration(maxReserve*float64(i.Deadline().Sub(i.Arrived()))))
+}
+
+// observe records the duration of a response. One that its deadline cut off
+// counts where it took longer than expected.
+func (d *desk) observe(s *relay.Stats) {
+	miss := s.Total() - d.duration
+	p := s.Problem()
+	if s.Abandoned() || p != nil && (p.Kind() != errs.Expired || miss < 0) {
+		return
+	}
+	d.duration += time.Duration(durationWeight * float64(miss))
+	d.spread += time.Duration(durationWeight * float64(miss.Abs()-d.spread))
 }
 
 func (rt *Router) stall(r *relay.Response) {
