--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -77,6 +77,8 @@
 	simple time.Duration
 	// pulls is the shortest time between two load orders, or 0 for the default.
 	pulls time.Duration
+	// plain selects the baseline admission.
+	plain bool
 	log   zerolog.Logger
 	// ctx ends with the deployment.
 	ctx   context.Context
@@ -406,6 +408,9 @@
 	if s.simple > 0 {
 		n.Simple(s.simple)
 	}
+	if s.plain {
+		n.Plain()
+	}
 	return n, n.Start(ctx)
 }
 
