Do not transfer an unchanged VM list, send less evidence

Cause: the VM list takes 6.1 KB/s a node at 47 VMs and 348 KB/s at 2,560, and 24 rows of evidence 6.4 KB/s, against 4 KB/s for all control (clementinelab capacity). Change: the list is fetched with If-None-Match; eight rows a message. Result: go test ./internal/vmlist passes; a poll of an unchanged list transfers headers only.

--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -14,9 +14,10 @@
 	// gossipEvery is the time between two exchanges with one random peer. News
 	// reaches 360 VMs in about nine rounds, well within 13 s.
 	gossipEvery = time.Second
-	// evidenceLimit bounds the counters of one message; at about 60 bytes each
-	// they stay within the control budget of 4 KB/s.
-	evidenceLimit = 24
+	// evidenceLimit bounds the counters of one message. A row takes 118 bytes both
+	// ways and a VM takes part in two exchanges a second, so eight rows use 1.9 of
+	// the 4 KB/s allowed for control.
+	evidenceLimit = 8
 )
 
 // gossip is the duty that exchanges state with one peer after the other.
--- a/internal/simvms/server.go
+++ b/internal/simvms/server.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
 
@@ -209,7 +211,7 @@
 	return r
 }
 
-func (s *Server) show(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) show(w http.ResponseWriter, r *http.Request) {
 	if s.down.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -218,10 +220,21 @@
 	for _, v := range s.Shown() {
 		bodies = append(bodies, encode(v))
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{
+	list, err := json.Marshal(map[string]any{
 		"vms": bodies,
 	})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf("\"%x\"", xxhash.Sum64(list))
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	_, _ = w.Write(append(list, '\n'))
 }
 
 func (s *Server) post(w http.ResponseWriter, r *http.Request) {
--- a/internal/vmlist/client.go
+++ b/internal/vmlist/client.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,6 +28,14 @@
 	base string
 	// send performs one HTTP exchange.
 	send func(*http.Request) (*http.Response, error)
+	// last is the list read last, with its entity tag.
+	last atomic.Pointer[tagged]
+}
+
+// tagged is a list with the entity tag under which the platform gave it.
+type tagged struct {
+	tag string
+	vms []*world.VM
 }
 
 // New returns a client of the list at base, such as http://127.0.0.1:7001.
@@ -50,7 +59,8 @@
 	} `json:"vms"`
 }
 
-// List returns the VMs that the platform lists. The list lags, so a VM's own
+// List returns the VMs that the platform lists. A list that has not changed is
+// not transferred again, because at 2,560 VMs it takes 348 KB. The list lags, so a VM's own
 // observations take precedence. A VM of an unknown kind is omitted. Any failure
 // is ErrUnavailable.
 func (c *Client) List(ctx context.Context) ([]*world.VM, error) {
@@ -60,11 +70,18 @@
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "vmlist: address"), ErrUnavailable)
 	}
+	last := c.last.Load()
+	if last != nil && last.tag != "" {
+		req.Header.Set("If-None-Match", last.tag)
+	}
 	resp, err := c.send(req)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "vmlist: read"), ErrUnavailable)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusNotModified && last != nil {
+		return last.vms, nil
+	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Wrapf(ErrUnavailable, "status %d", resp.StatusCode)
 	}
@@ -72,7 +89,12 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&b); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "vmlist: decode"), ErrUnavailable)
 	}
-	return b.vms(), nil
+	vms := b.vms()
+	c.last.Store(&tagged{
+		tag: resp.Header.Get("ETag"),
+		vms: vms,
+	})
+	return vms, nil
 }
 
 func (b body) vms() []*world.VM {
