--- a/internal/move/after.go
+++ b/internal/move/after.go
@@ -50,11 +50,16 @@
 		losses: [2]int{j.lossCount(j.from), j.lossCount(j.to)},
 	}
 	var sums [Metrics]ratios
+	totals := make(map[cell]*pair)
 	for _, at := range slices.Sorted(maps.Keys(j.set.totals)) {
 		if at >= end {
-			j.minuteAfter(f, at, control, &sums)
+			j.minuteAfter(f, at, control, totals, &sums)
 		}
 	}
+	whole := compareTotals(totals)
+	for m := range sums {
+		sums[m].lower(whole[m])
+	}
 	x := &mixture{}
 	for m := range Metrics {
 		x.add(1/float64(Metrics), sums[m], cause{metric: m})
@@ -67,8 +72,21 @@
 	return f
 }
 
+// compareTotals compares all minutes after the move at once. The minutes share
+// one control, and a control that happens to have no bad request would count
+// against each of them anew; the total counts it once.
+func compareTotals(totals map[cell]*pair) [Metrics]ratios {
+	var whole [Metrics]ratios
+	for _, k := range slices.SortedFunc(maps.Keys(totals), compareCells) {
+		for m, r := range compareAll(totals[k].next, totals[k].old) {
+			whole[m].add(r)
+		}
+	}
+	return whole
+}
+
 // minuteAfter adds one minute after the move to the sums.
-func (j *Judge) minuteAfter(f *Finding, at int64, control map[cell]*pair, sums *[Metrics]ratios) {
+func (j *Judge) minuteAfter(f *Finding, at int64, control, totals map[cell]*pair, sums *[Metrics]ratios) {
 	var minute [Metrics]ratios
 	groups := j.set.totals[at]
 	for _, g := range slices.SortedFunc(maps.Keys(groups), compareGroups) {
@@ -77,6 +95,12 @@
 			continue
 		}
 		f.next.add(Counts{}, *next)
+		if totals[g.cell] == nil {
+			totals[g.cell] = &pair{
+				old: old.old,
+			}
+		}
+		totals[g.cell].add(next, nil)
 		for m, r := range compareAll(*next, old.old) {
 			minute[m].add(r)
 		}
--- a/internal/move/ratio.go
+++ b/internal/move/ratio.go
@@ -22,6 +22,13 @@
 	}
 }
 
+// lower reduces each ratio to at most that of s.
+func (r *ratios) lower(s ratios) {
+	for i := range r {
+		r[i] = min(r[i], s[i])
+	}
+}
+
 // compareCounts returns the log likelihood ratios of x bad requests among n of
 // the new version, given y bad ones among o of the old version. The total of
 // bad requests is held fixed (Fisher's noncentral hypergeometric distribution
