--- a/internal/mover/track.go
+++ b/internal/mover/track.go
@@ -238,6 +238,9 @@
 	case move.Write:
 		t.store(ctx, a)
 	case move.Tell:
+		if t.failed != "" || t.record.State() == move.RolledBack {
+			return
+		}
 		t.failed = a.Reason()
 		t.duty.decide("bad", t).Str("reason", a.Reason()).Msg("move: The version is bad.")
 	case move.Load:
