--- a/internal/lab/move_test.go
+++ b/internal/lab/move_test.go
@@ -23,24 +23,10 @@
 // version through orders, a good version is done by the deadline, one whose
 // engines answer errors is rolled back and unloaded, and no caller notices.
 func TestMoves(t *testing.T) {
-	for _, c := range []struct {
-		name  string
-		bad   bool
-		state move.State
-	}{
-		{
-			name:  "good",
-			state: move.Done,
-		},
-		{
-			name:  "bad",
-			bad:   true,
-			state: move.RolledBack,
-		},
-	} {
-		t.Run(c.name, func(t *testing.T) {
+	for name, want := range map[string]move.State{"good": move.Done, "bad": move.RolledBack} {
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			runMove(t, c.bad, c.state)
+			runMove(t, name == "bad", want)
 		})
 	}
 }
--- a/internal/mover/script_test.go
+++ b/internal/mover/script_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 	"clementinelink.example/clementinelink/internal/lease"
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/order"
+	"clementinelink.example/clementinelink/internal/simkv"
 	"clementinelink.example/clementinelink/internal/store"
 	"clementinelink.example/clementinelink/internal/world"
 )
@@ -49,18 +51,20 @@
 	})
 }
 
-// site holds the VMs and stands in for the store and the engines.
+// site holds the VMs, the store and the engines.
 type site struct {
 	now     time.Time
 	config  *world.Map
 	vms     []*entryVM
 	engines []*simEngine
-	// entries, leases and fence stand in for the store.
-	entries map[string]store.Entry
-	leases  map[string]time.Time
-	fence   uint64
-	down    bool
-	lose    bool
+	// clock holds now for the store.
+	clock atomic.Int64
+	store *simkv.Server
+	base  string
+	down  bool
+	lose  bool
+	// decisions are those since the last command.
+	decisions []string
 }
 
 type entryVM struct {
@@ -68,8 +72,7 @@
 	duty *Duty
 	gate *move.Gate
 	// met counts the requests that the new version served.
-	met       int
-	decisions []string
+	met int
 }
 
 // simEngine has v1, and v2 from the time that an order gave it on.
@@ -82,10 +85,15 @@
 
 func newSite(t *testing.T, d *datadriven.TestData) *site {
 	s := &site{
-		now:     epoch,
-		entries: make(map[string]store.Entry),
-		leases:  make(map[string]time.Time),
+		now: epoch,
+	}
+	s.store = simkv.New().WithRates(1e6, 1e6).WithNow(func() time.Time { return epoch.Add(time.Duration(s.clock.Load())) })
+	base, stop, err := s.store.Start()
+	if err != nil {
+		t.Fatal(err)
 	}
+	t.Cleanup(func() { _ = stop() })
+	s.base = base
 	n := 0
 	d.ScanArgs(t, "vms", &n)
 	m := world.NewMove("m", "v1", "v2", epoch.Add(30*time.Second), epoch.Add(30*time.Second+span(t, d, "span")), 0.05)
@@ -124,80 +132,42 @@
 			v.gate.Set(l)
 		}).
 		WithCount(func(decision string) {
-			if decision != "record" && decision != "order" {
-				v.decisions = append(v.decisions, fmt.Sprintf("%s %s %s\n", s.now.Sub(epoch), v.name, decision))
+			if slices.Contains([]string{"held", "lost", "write", "bad", "told"}, decision) {
+				s.decisions = append(s.decisions, fmt.Sprintf("%s %s %s", s.now.Sub(epoch), v.name, decision))
 			}
 		})
 	d.now = func() time.Time { return s.now }
 	d.begin = func(run func()) { run() }
-	d.read = func(_ context.Context, key string) (store.Entry, error) { return s.get(key) }
-	d.write = s.put
-	d.hold = s.hold
+	s.connect(d)
 	v.duty = d
 	d.configure(context.Background(), s.config)
 }
 
-func (s *site) get(key string) (store.Entry, error) {
-	if s.down {
-		return store.Entry{}, store.ErrUnavailable
-	}
-	e := s.entries[key]
-	if e.Lease() != "" && !s.now.Before(s.leases[e.Lease()]) {
-		return store.Entry{}, nil
-	}
-	return e, nil
-}
-
-func (s *site) put(_ context.Context, key string, value []byte, expect uint64) (uint64, error) {
-	revision, err := s.bind(key, value, expect, "")
-	if err == nil && s.lose {
-		s.lose = false
-		return 0, store.ErrUnknown
-	}
-	return revision, err
-}
-
-func (s *site) bind(key string, value []byte, expect uint64, lease string) (uint64, error) {
-	e, err := s.get(key)
-	if err != nil {
-		return 0, err
-	}
-	if e.Revision() != expect {
-		return 0, store.ErrConflict
-	}
-	s.fence++
-	s.entries[key] = store.NewEntry(key, value, s.fence, lease)
-	return s.fence, nil
-}
-
-func (s *site) hold(_ context.Context, settings lease.Settings, key, value string, a lease.Action) (lease.Event, bool) {
-	if s.down {
-		return lease.Failed(a.Op(), lease.Unavailable), true
+// connect joins a VM to the store, which is away while s.down.
+func (s *site) connect(d *Duty) {
+	d.WithStore(store.New(s.base, 1).WithBudget(1e6, 1e6))
+	read, write, hold := d.read, d.write, d.hold
+	d.read = func(ctx context.Context, key string) (store.Entry, error) {
+		if s.down {
+			return store.Entry{}, store.ErrUnavailable
+		}
+		return read(ctx, key)
 	}
-	switch a.Kind() {
-	case lease.Grant:
-		s.fence++
-		id := fmt.Sprint(s.fence)
-		s.leases[id] = s.now.Add(settings.TTL())
-		return lease.Granted(a.Op(), id), true
-	case lease.Store:
-		revision, err := s.bind(key, []byte(value), 0, a.Lease())
-		if err != nil {
-			return lease.Failed(a.Op(), lease.Conflict), true
+	d.write = func(ctx context.Context, key string, value []byte, expect uint64) (uint64, error) {
+		if s.down {
+			return 0, store.ErrUnavailable
 		}
-		return lease.Stored(a.Op(), revision), true
-	case lease.Read:
-		e, _ := s.get(key)
-		return lease.Found(a.Op(), e.Lease(), e.Revision()), true
-	case lease.Renew:
-		if !s.now.Before(s.leases[a.Lease()]) {
-			return lease.Failed(a.Op(), lease.Expired), true
+		if s.lose {
+			s.lose = !s.store.Inject(simkv.Lose(1))
 		}
-		s.leases[a.Lease()] = s.now.Add(settings.TTL())
-	case lease.Revoke:
-		delete(s.leases, a.Lease())
+		return write(ctx, key, value, expect)
+	}
+	d.hold = func(ctx context.Context, l lease.Settings, key, value string, a lease.Action) (lease.Event, bool) {
+		if s.down {
+			return lease.Failed(a.Op(), lease.Unavailable), true
+		}
+		return hold(ctx, l, key, value, a)
 	}
-	return lease.Done(a.Op()), true
 }
 
 func (s *site) order(_ context.Context, vm *world.VM, a order.Action) (order.Reply, error) {
@@ -218,27 +188,28 @@
 	return []string{"v1", "v2"}
 }
 
-// run lets time pass and prints decisions, then the state.
+// run lets time pass and prints decisions, then each VM's record, stage and
+// share.
 func (s *site) run(t *testing.T, d *datadriven.TestData) string {
 	bad := 0
 	d.MaybeScanArgs(t, "bad", &bad)
 	s.down, s.lose = d.HasArg("down"), s.lose || d.HasArg("lose")
 	for end := s.now.Add(span(t, d, "for")); s.now.Before(end); s.now = s.now.Add(time.Second) {
+		s.clock.Store(int64(s.now.Sub(epoch)))
 		for _, v := range s.vms {
 			if v.duty != nil {
 				s.second(v, bad, d.HasArg("cut"))
 			}
 		}
 	}
-	var b strings.Builder
 	met, loaded := 0, 0
+	out := s.decisions
+	s.decisions = nil
 	for _, v := range s.vms {
-		b.WriteString(strings.Join(v.decisions, ""))
-		v.decisions = nil
 		met += v.met
 		if v.duty != nil {
 			r := v.duty.Status()[0]
-			fmt.Fprintf(&b, "%s: %s stage %d share %.2f\n", v.name, r.Record().State(), r.Record().Stage(), r.Share())
+			out = append(out, fmt.Sprintf("%s %s %d %.2f", v.name, r.Record().State(), r.Record().Stage(), r.Share()))
 		}
 	}
 	for _, e := range s.engines {
@@ -246,8 +217,7 @@
 			loaded++
 		}
 	}
-	fmt.Fprintf(&b, "v2 met %d requests, is on %d engines\n", met, loaded)
-	return b.String()
+	return fmt.Sprintf("%s\nv2 met %d requests, is on %d engines\n", strings.Join(out, ", "), met, loaded)
 }
 
 // second is what one VM does in a second: lists, reports, peers and requests.
@@ -255,11 +225,10 @@
 	ctx := context.Background()
 	var vms []*world.VM
 	for _, o := range s.vms {
-		if o.duty == nil {
-			continue
+		if o.duty != nil {
+			vms = append(vms, world.NewVM(o.name, world.Entry, "", "", ""))
 		}
-		vms = append(vms, world.NewVM(o.name, world.Entry, "", "", ""))
-		if o != v && !cut {
+		if o.duty != nil && o != v && !cut {
 			v.duty.hear(news{
 				evidence: o.duty.Evidence(64),
 				verdicts: o.duty.Verdicts(),
@@ -283,16 +252,13 @@
 		o := outcome{
 			service: "draft",
 			version: "v1",
-			class:   "batch",
 			started: s.now,
 			first:   time.Millisecond,
 		}
 		if v.gate.Admit(s.now) {
 			v.met++
 			o.version = "v2"
-			if (v.met+i)%100 < bad {
-				o.errors = 1
-			}
+			o.errors = max(0, min(bad-(v.met+i)%100, 1))
 		}
 		v.duty.judge(o)
 	}
--- a/internal/simkv/server.go
+++ b/internal/simkv/server.go
@@ -90,6 +90,13 @@
 	return s
 }
 
+// WithNow replaces the clock by which leases and faults end. Call it before
+// Start or Serve.
+func (s *Server) WithNow(now func() time.Time) *Server {
+	s.now = now
+	return s
+}
+
 // limiter allows a burst of a tenth of a second.
 func limiter(perSecond float64) *rate.Limiter {
 	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond/10)))
