--- a/internal/lab/move_test.go
+++ b/internal/lab/move_test.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"io"
-	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -22,24 +21,10 @@
 // version through orders, a good version is done by the deadline, one whose
 // engines answer errors is rolled back and unloaded, and no caller notices.
 func TestMoves(t *testing.T) {
-	for _, c := range []struct {
-		name  string
-		bad   bool
-		state move.State
-	}{
-		{
-			name:  "good",
-			state: move.Done,
-		},
-		{
-			name:  "bad",
-			bad:   true,
-			state: move.RolledBack,
-		},
-	} {
-		t.Run(c.name, func(t *testing.T) {
+	for name, want := range map[string]move.State{"good": move.Done, "bad": move.RolledBack} {
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			runMove(t, c.bad, c.state)
+			runMove(t, name == "bad", want)
 		})
 	}
 }
@@ -94,7 +79,7 @@
 				}
 			}
 		}
-		return holds(t, site, "v2") == !bad
+		return !slices.ContainsFunc(site.Engines(), func(e *simeng.Engine) bool { return e.Holds("v2") == bad })
 	}
 	for !decided() && load.Err() == nil {
 		time.Sleep(100 * time.Millisecond)
@@ -114,22 +99,3 @@
 		t.Errorf("%d of %d responses were whole: %v", whole, result.Requests(), result.Notes())
 	}
 }
-
-// holds reports whether any engine has a version loaded.
-func holds(t *testing.T, site *Site, version string) bool {
-	for _, e := range site.Engines() {
-		resp, err := http.Get("http://" + e.Address() + "/load")
-		if err != nil {
-			t.Fatal(err)
-		}
-		body, err := io.ReadAll(resp.Body)
-		_ = resp.Body.Close()
-		if err != nil {
-			t.Fatal(err)
-		}
-		if strings.Contains(string(body), `"`+version+`"`) {
-			return true
-		}
-	}
-	return false
-}
