--- a/cmd/clementinelab/main.go
+++ b/cmd/clementinelab/main.go
@@ -83,6 +83,12 @@
 		}); err != nil {
 		return errors.Wrap(err, "storm")
 	}
+	if _, err := parser.AddCommand("orders", "Run bookings under random faults.",
+		"Runs bookings and lookups under random faults of entry VMs, links, plain services and store. It fails when a booking ran twice or an outcome was false.", &ordersCommand{
+			session: s,
+		}); err != nil {
+		return errors.Wrap(err, "orders")
+	}
 	return nil
 }
 
--- /dev/null
+++ b/cmd/clementinelab/orders.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"clementinelink.example/clementinelink/internal/lab"
+)
+
+// ordersCommand runs bookings under random faults. Its fields are exported for
+// go-flags.
+type ordersCommand struct {
+	session *session
+
+	Time    time.Duration `long:"time" default:"60s" description:"time for which bookings are sent"`
+	Workers int           `long:"workers" default:"64" description:"bookings at a time"`
+	Seed    uint64        `long:"seed" description:"seed of the faults; 0 draws one"`
+}
+
+// Execute prints what callers were told and fails when a booking ran twice or
+// an outcome was false.
+func (c *ordersCommand) Execute([]string) error {
+	seed := c.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	if _, err := fmt.Fprintf(c.session.out, "seed %d\n", seed); err != nil {
+		return errors.Wrap(err, "print seed")
+	}
+	storm := lab.NewOrderStorm()
+	a, err := storm.Orders(c.session.ctx, seed, c.Workers, c.Time, c.session.log.Level(zerolog.ErrorLevel))
+	if err != nil {
+		return err
+	}
+	if err := storm.Print(c.session.out); err != nil {
+		return errors.Wrap(err, "print strikes")
+	}
+	data, err := json.Marshal(a)
+	if err != nil {
+		return errors.Wrap(err, "encode result")
+	}
+	if _, err := fmt.Fprintf(c.session.out, "%s\n", data); err != nil {
+		return errors.Wrap(err, "print result")
+	}
+	return a.Check()
+}
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -144,6 +144,12 @@
 	Wrong       int `json:"failed_lookups"`
 }
 
+// MarshalJSON returns the counts without the notes.
+func (a *Audit) MarshalJSON() ([]byte, error) {
+	data, err := json.Marshal(a.body())
+	return data, errors.Wrap(err, "encode audit")
+}
+
 func (a *Audit) body() *auditBody {
 	if a == nil {
 		return nil
