--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -272,7 +272,7 @@
 		Head:  n.head,
 		Parts: func() map[string][]byte { return n.follow.Snapshot().Named() },
 		Await: n.await,
-		Moves: n.mover.Status,
+		Moves: n.Moves,
 	})
 	return admin.New(n.ready.Load, func() any { return n.watcher.latest.Load() }, n.watcher.metrics, n.burnReport).
 		WithRoute(http.MethodPost, "/apply", h.Apply).
