--- a/cmd/clementinectl/main.go
+++ b/cmd/clementinectl/main.go
@@ -229,10 +229,12 @@
 }
 
 // reach calls f with the addresses in turn until it does not fail any more or
-// the time is over.
+// the time is over. The error is that of the last call that was not cut short by
+// the time, because that one tells the cause.
 func (p *program) reach(f func(ctx context.Context, address string) error) error {
 	ctx, cancel := context.WithTimeout(p.ctx, p.settings.Timeout)
 	defer cancel()
+	var cause error
 	for {
 		address, err := p.next()
 		if err != nil {
@@ -241,9 +243,12 @@
 		if err = f(ctx, address); err == nil {
 			return nil
 		}
+		if cause == nil || ctx.Err() == nil {
+			cause = err
+		}
 		select {
 		case <-ctx.Done():
-			return err
+			return cause
 		case <-time.After(retryPause):
 		}
 	}
