--- a/internal/guide/stage.go
+++ b/internal/guide/stage.go
@@ -74,6 +74,7 @@
 		"kill":     s.kill,
 		"crash":    s.crash,
 		"restart":  s.restart,
+		"bad":      s.bad,
 		"leave":    s.leave,
 		"unlist":   s.unlist,
 		"shutdown": s.shutDown,
@@ -215,6 +216,20 @@
 	return nil
 }
 
+// bad makes a version answer with errors on every engine.
+func (s *Stage) bad(args []string) error {
+	version, err := argument(args)
+	if err != nil {
+		return err
+	}
+	for _, e := range s.site.Engines() {
+		if err := e.Inject(simeng.NewFault(simeng.Bad, 0).WithKind(simeng.BadError).WithVersion(version)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (s *Stage) entry(args []string) (int, error) {
 	name, err := argument(args)
 	if err != nil {
@@ -328,7 +343,7 @@
 		defer caller.Close()
 		result := lab.NewResult(time.Second)
 		lab.NewLoad(caller, workers, func(n int) *lab.Question {
-			return lab.NewQuestion("draft", fmt.Sprintf("pattern %d", first+n), []string{"v1"}, uint64(first+n), tokens)
+			return lab.NewQuestion("draft", fmt.Sprintf("pattern %d", first+n), []string{"v1", "v2"}, uint64(first+n), tokens)
 		}).Run(context.Background(), count, result)
 		if got := result.Count(want); got != count {
 			err = errors.Newf("load: %d of %d responses are %s: %v", got, count, want, result.Notes())
--- a/internal/lab/control.go
+++ b/internal/lab/control.go
@@ -49,19 +49,11 @@
 	return s.nodes[i].Shutdown(ctx)
 }
 
-// LoseDomain kills every engine and plain service and crashes every entry VM of
-// a failure domain.
+// LoseDomain crashes every entry VM of a failure domain and cuts its links, so
+// that nobody reaches its engines and plain services. The store stands in the
+// first domain and goes with it.
 func (s *Site) LoseDomain(name string) {
-	for _, e := range s.engines {
-		if s.zoneOf[e.Name()] == name {
-			e.Kill()
-		}
-	}
-	for _, p := range s.plains {
-		if s.zoneOf[p.Name()] == name {
-			p.Kill()
-		}
-	}
+	s.cutDomain(name, true)
 	for i, set := range s.settings {
 		if set.Domain == name {
 			s.Crash(i)
@@ -69,22 +61,9 @@
 	}
 }
 
-// RestoreDomain starts what LoseDomain ended.
+// RestoreDomain ends what LoseDomain did.
 func (s *Site) RestoreDomain(name string) error {
-	for _, e := range s.engines {
-		if s.zoneOf[e.Name()] == name {
-			if err := e.Restart(); err != nil {
-				return err
-			}
-		}
-	}
-	for _, p := range s.plains {
-		if s.zoneOf[p.Name()] == name {
-			if err := p.Restart(); err != nil {
-				return err
-			}
-		}
-	}
+	s.cutDomain(name, false)
 	for i, set := range s.settings {
 		if set.Domain != name {
 			continue
@@ -95,3 +74,11 @@
 	}
 	return nil
 }
+
+func (s *Site) cutDomain(name string, cut bool) {
+	for _, z := range s.zones {
+		if z.name != name {
+			s.Link(name, z.name).Cut(cut)
+		}
+	}
+}
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -28,8 +28,8 @@
 	// cursorKey signs the cursors of a lab deployment.
 	cursorKey = "00112233445566778899aabbccddeeff"
 	// restartTries and restartPause bound the wait for an address that an
-	// outgoing connection uses for the moment.
-	restartTries = 50
+	// outgoing connection uses for the moment, to 10 s.
+	restartTries = 500
 	restartPause = 20 * time.Millisecond
 )
 
