--- a/cmd/clementinelab/main.go
+++ b/cmd/clementinelab/main.go
@@ -83,12 +83,30 @@
 		}); err != nil {
 		return errors.Wrap(err, "storm")
 	}
+	if _, err := parser.AddCommand("capacity", "Measure what each part costs by size.",
+		"Measures each part at four sizes or more, fits a line and prints the cost at full size. The figures behind docs/CAPACITY.md.", &capacityCommand{
+			session: s,
+		}); err != nil {
+		return errors.Wrap(err, "capacity")
+	}
+	if _, err := parser.AddCommand("entry", "Run one entry VM for the capacity command.",
+		"Prints what the process uses at the start and after each line of input, as JSON, and ends with its input.", &entryCommand{
+			session: s,
+		}); err != nil {
+		return errors.Wrap(err, "entry")
+	}
 	if _, err := parser.AddCommand("drill", "Run one response against each fault.",
 		"Strikes before the first token, in the middle and before the last token of a response, and prints the verdict and the longest interruption.", &drillCommand{
 			session: s,
 		}); err != nil {
 		return errors.Wrap(err, "drill")
 	}
+	if _, err := parser.AddCommand("load", "Measure goodput and fairness under overload.",
+		"Runs a small deployment below, at and over its capacity with one large and several small workspaces, and prints goodput, refusals and shares, with first come first served beside it.", &loadCommand{
+			session: s,
+		}); err != nil {
+		return errors.Wrap(err, "load")
+	}
 	return nil
 }
 
--- a/internal/node/mover.go
+++ b/internal/node/mover.go
@@ -30,3 +30,6 @@
 	rep.observe = func(_ context.Context, vm *world.VM, l fleet.Load, err error) { d.SetLoad(vm, l, err) }
 	return d
 }
+
+// Moves returns the moves as this VM sees them.
+func (n *Node) Moves() []move.Status { return n.mover.Status() }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -210,6 +210,10 @@
 // called before Start.
 func (n *Node) Simple(timeout time.Duration) { n.dispatch.router.Simple(timeout) }
 
+// Plain makes the node use the baseline admission of router.Plain. It must be
+// called before Start.
+func (n *Node) Plain() { n.dispatch.router.Plain() }
+
 // Start opens the listeners and starts the duties.
 func (n *Node) Start(ctx context.Context) error {
 	if err := n.listen(); err != nil {
@@ -272,7 +276,7 @@
 		Head:  n.head,
 		Parts: func() map[string][]byte { return n.follow.Snapshot().Named() },
 		Await: n.await,
-		Moves: n.mover.Status,
+		Moves: n.Moves,
 	})
 	return admin.New(n.ready.Load, func() any { return n.watcher.latest.Load() }, n.watcher.metrics, n.burnReport).
 		WithRoute(http.MethodPost, "/apply", h.Apply).
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -19,6 +19,10 @@
 	// durationWeight is the weight of a new observation in the average
 	// duration of a service's responses.
 	durationWeight = 0.1
+	// spreadFactor is the number of average deviations that are added to the
+	// average duration when a request's work must fit before its deadline. The
+	// average alone leaves half of the latest admitted ones unfinished.
+	spreadFactor = 3
 	// defaultDuration is assumed until a response has ended.
 	defaultDuration = 2 * time.Second
 	// maxReserve is the largest part of a deadline that is kept free for the
@@ -50,6 +54,8 @@
 	alarms *alarms
 	rng    *rand.Rand
 	policy *relay.Policy
+	// plain makes admission first come, first served.
+	plain bool
 	// retries limits the attempts that don't follow from the loss of an engine.
 	retries *budget.Retry
 	// report is called with each response that ended.
@@ -77,6 +83,8 @@
 	stalled  []*relay.Response
 	trial    *trial
 	duration time.Duration
+	// spread is the average deviation of the durations.
+	spread time.Duration
 }
 
 // New returns a router of a VM in the region. The function report may be nil.
@@ -108,6 +116,10 @@
 	}
 }
 
+// Plain makes the router admit requests first come, first served, without
+// early refusal. It is a baseline and must be called before the first event.
+func (rt *Router) Plain() { rt.plain = true }
+
 // Step applies one event and returns the actions that follow from it. The
 // slice is valid until the next call.
 func (rt *Router) Step(now time.Time, ev Event) []relay.Action {
@@ -199,7 +211,11 @@
 		request: q,
 		item:    i,
 	}
-	rt.alarms.set(q.ID(), q.Deadline().Add(-d.reserve(i)))
+	last := q.Deadline()
+	if !rt.plain {
+		last = last.Add(-d.reserve(i))
+	}
+	rt.alarms.set(q.ID(), last)
 	rt.pump(now)
 }
 
@@ -265,9 +281,7 @@
 	rt.alarms.clear(id)
 	if d, ok := rt.services[r.Request().Service()]; ok {
 		d.stalled = slices.DeleteFunc(d.stalled, func(o *relay.Response) bool { return o == r })
-		if s := r.Stats(); s.Problem() == nil && !s.Abandoned() {
-			d.duration += time.Duration(durationWeight * float64(s.Total()-d.duration))
-		}
+		d.observe(r.Stats())
 	}
 	rt.report(now, r)
 }
@@ -355,9 +369,10 @@
 }
 
 // choose returns the engine for an attempt, in the local region if it can. A
-// response without a token leaves a version that gets no new work.
+// response without a token leaves a version that gets no new work, and one that
+// is not proven and failed it.
 func (rt *Router) choose(now time.Time, r *relay.Response, avoid []*fleet.Engine) *fleet.Engine {
-	if d, ok := rt.services[r.Request().Service()]; ok && d.banned(r.Version()) {
+	if d, ok := rt.services[r.Request().Service()]; ok && (d.banned(r.Version()) || d.failed(r)) {
 		r.Rebind(d.base())
 	}
 	return rt.estate.choose(now, rt.rng, r, avoid)
@@ -420,12 +435,27 @@
 		}
 		return d.duration / time.Duration(rt.estate.places(d.service.Name()))
 	})
+	if rt.plain {
+		d.queue.Plain()
+	}
 	return d
 }
 
 // reserve returns the part of a request's deadline that its work needs.
 func (d *desk) reserve(i *admit.Item) time.Duration {
-	return min(d.duration, time.Duration(maxReserve*float64(i.Deadline().Sub(i.Arrived()))))
+	return min(d.duration+spreadFactor*d.spread, time.Duration(maxReserve*float64(i.Deadline().Sub(i.Arrived()))))
+}
+
+// observe records the duration of a response. One that its deadline cut off
+// counts where it took longer than expected.
+func (d *desk) observe(s *relay.Stats) {
+	miss := s.Total() - d.duration
+	p := s.Problem()
+	if s.Abandoned() || p != nil && (p.Kind() != errs.Expired || miss < 0) {
+		return
+	}
+	d.duration += time.Duration(durationWeight * float64(miss))
+	d.spread += time.Duration(durationWeight * float64(miss.Abs()-d.spread))
 }
 
 func (rt *Router) stall(r *relay.Response) {
