--- a/internal/guide/stage.go
+++ b/internal/guide/stage.go
@@ -74,6 +74,7 @@
 		"kill":     s.kill,
 		"crash":    s.crash,
 		"restart":  s.restart,
+		"bad":      s.bad,
 		"leave":    s.leave,
 		"unlist":   s.unlist,
 		"shutdown": s.shutDown,
@@ -215,6 +216,20 @@
 	return nil
 }
 
+// bad makes a version answer with errors on every engine.
+func (s *Stage) bad(args []string) error {
+	version, err := argument(args)
+	if err != nil {
+		return err
+	}
+	for _, e := range s.site.Engines() {
+		if err := e.Inject(simeng.NewFault(simeng.Bad, 0).WithKind(simeng.BadError).WithVersion(version)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (s *Stage) entry(args []string) (int, error) {
 	name, err := argument(args)
 	if err != nil {
@@ -305,7 +320,8 @@
 }
 
 // begin starts a load of a number of generations through all entry VMs. Each
-// must be whole, or refused where the directive says so.
+// must be whole, or refused where the directive says so; with "any" the load is
+// there for its effects on a version that fails.
 func (s *Stage) begin(args []string) error {
 	if s.load != nil || len(args) == 0 {
 		return errors.New("load: needs a number, one at a time")
@@ -315,6 +331,7 @@
 		return err
 	}
 	want := lab.Whole
+	judged := len(args) < 2 || args[1] != "any"
 	if len(args) == 2 && args[1] == lab.Refused.String() {
 		want = lab.Refused
 	}
@@ -328,9 +345,9 @@
 		defer caller.Close()
 		result := lab.NewResult(time.Second)
 		lab.NewLoad(caller, workers, func(n int) *lab.Question {
-			return lab.NewQuestion("draft", fmt.Sprintf("pattern %d", first+n), []string{"v1"}, uint64(first+n), tokens)
+			return lab.NewQuestion("draft", fmt.Sprintf("pattern %d", first+n), []string{"v1", "v2"}, uint64(first+n), tokens)
 		}).Run(context.Background(), count, result)
-		if got := result.Count(want); got != count {
+		if got := result.Count(want); judged && got != count {
 			err = errors.Newf("load: %d of %d responses are %s: %v", got, count, want, result.Notes())
 		}
 		ended <- err
