Give each lab deployment a loopback address of its own

Cause: TestDrills failed once: a restarted engine could not bind its port, which an outgoing connection of another test had taken from the same address.

--- a/internal/lab/plain.go
+++ b/internal/lab/plain.go
@@ -47,7 +47,7 @@
 
 func (s *Site) addPlain(ctx context.Context, z Zone, i int) error {
 	name := fmt.Sprintf("%s-plain-%d", z.name, i)
-	p := simsvc.New(name)
+	p := simsvc.New(name, simsvc.WithAddress(s.host+":0"))
 	if err := p.Start(); err != nil {
 		return errors.Wrapf(err, "lab: plain service %s", name)
 	}
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -86,10 +88,23 @@
 	tasks sync.WaitGroup
 	// options configures each engine.
 	options []simeng.Option
+	// host is the IP address of all machines.
+	host    string
 	storeAt string
 	listAt  map[string]string
 }
 
+// sites counts the deployments of this process.
+var sites atomic.Uint32
+
+// hostAddress returns a loopback address of its own for the machines of a
+// deployment. Outgoing connections leave from 127.0.0.1, so that their ports
+// never take that of a machine that is restarting.
+func hostAddress() string {
+	n := sites.Add(1) + uint32(os.Getpid())*16
+	return fmt.Sprintf("127.%d.%d.%d", 1+n>>16%200, n>>8%256, 1+n%250)
+}
+
 // NewSite returns a deployment with the failure domains. The options apply to
 // every engine.
 func NewSite(zones []Zone, log zerolog.Logger, options ...simeng.Option) *Site {
@@ -103,6 +118,7 @@
 		delay:   func(Zone, Zone) time.Duration { return 0 },
 		log:     log,
 		options: options,
+		host:    hostAddress(),
 	}
 }
 
@@ -351,7 +367,7 @@
 
 func (s *Site) addEngine(ctx context.Context, z Zone, i int) error {
 	name := fmt.Sprintf("%s-engine-%d", z.name, i)
-	e := simeng.New(name, s.options...)
+	e := simeng.New(name, append([]simeng.Option{simeng.WithAddress(s.host + ":0")}, s.options...)...)
 	if err := e.Start(); err != nil {
 		return errors.Wrapf(err, "lab: engine %s", name)
 	}
@@ -369,9 +385,9 @@
 		Name:   name,
 		Region: z.region,
 		Domain: z.name,
-		Listen: "127.0.0.1:0",
-		Admin:  "127.0.0.1:0",
-		Peer:   "127.0.0.1:0",
+		Listen: s.host + ":0",
+		Admin:  s.host + ":0",
+		Peer:   s.host + ":0",
 		Store:  "http://" + store,
 		VMs:    "http://" + s.listAt[z.name],
 		Keys:   cursorKey,
