--- a/internal/guide/curl.go
+++ b/internal/guide/curl.go
@@ -39,7 +39,7 @@
 		case a == "-d":
 			body = value()
 			method = http.MethodPost
-		case strings.HasPrefix(a, "http://127.0.0.1:"):
+		case strings.HasPrefix(a, "http://127."):
 			url = a
 		default:
 			return errors.Newf("curl: unsupported argument %q", a)
