--- a/cmd/clementined/main.go
+++ b/cmd/clementined/main.go
@@ -92,7 +92,10 @@
 	level, _ := zerolog.ParseLevel(s.Level)
 	var l zerolog.Logger
 	if s.Format == "text" {
-		l = zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr})
+		l = zerolog.New(zerolog.ConsoleWriter{
+			Out:     os.Stderr,
+			NoColor: true,
+		})
 	} else {
 		l = zerolog.New(os.Stderr)
 	}
