Count refusals of all calls, see dead idle engines, wait for the VM list

Cause: refused plain calls had no metric; an engine that died idle stayed live until work on it failed; a VM was ready before it knew its upstreams; requests that waited for an engine were not counted as queued.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -127,6 +127,9 @@
 	return fleet.NewLoad(strconv.FormatUint(b.Incarnation, 10), b.Running, b.Waiting, b.Slots, b.Versions, b.Leaving, age), nil
 }
 
+// Unreachable reports whether err is that of a host that can't be connected to.
+func Unreachable(err error) bool { return dialCause(err) == relay.Unreachable }
+
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"go.uber.org/dig"
 
 	"clementinelink.example/clementinelink/internal/admin"
+	"clementinelink.example/clementinelink/internal/burn"
 	"clementinelink.example/clementinelink/internal/config"
 	"clementinelink.example/clementinelink/internal/cursor"
 	"clementinelink.example/clementinelink/internal/engine"
@@ -68,8 +69,8 @@
 	changed notice
 	// config is the configuration in force, published by the config duty.
 	config atomic.Pointer[world.Map]
-	// ready is false before the first configuration and during shutdown.
-	ready     atomic.Bool
+	// leaving is true from the beginning of a shutdown.
+	leaving   atomic.Bool
 	duties    sync.WaitGroup
 	listeners map[string]net.Listener
 	servers   []*http.Server
@@ -188,8 +189,11 @@
 	}
 	n.follow.WithPublish(n.adopt)
 	n.front = front.New(p.Codec, n.current, n.generate, n.leave).
-		WithReady(n.ready.Load).
-		WithObserve(n.ledger.take).
+		WithReady(n.ready).
+		WithObserve(func(s *burn.Sample) {
+			n.watcher.sample(s)
+			n.ledger.take(s)
+		}).
 		WithCall(n.calls.desk.Serve)
 	n.OnReport(p.Watcher.report)
 	n.OnReport(func(_ time.Time, r *relay.Response) {
@@ -278,7 +282,7 @@
 		Await: n.await,
 		Moves: n.Moves,
 	})
-	return admin.New(n.ready.Load, func() any { return n.watcher.latest.Load() }, n.watcher.metrics, n.burnReport).
+	return admin.New(n.ready, func() any { return n.watcher.latest.Load() }, n.watcher.metrics, n.burnReport).
 		WithRoute(http.MethodPost, "/apply", h.Apply).
 		WithRoute(http.MethodGet, "/status", h.Status).
 		WithRoute(http.MethodGet, "/history", h.History)
@@ -325,14 +329,13 @@
 	}
 	n.events.Put(ctx, message{event: router.NewConfig(m)})
 	n.mover.SetConfig(m)
-	n.ready.Store(true)
 	n.log.Info().Uint64("revision", m.Revision()).Msg("config: A revision is in force.")
 }
 
 // Shutdown stops taking requests, waits for the load balancer to notice, lets
 // every request finish until ctx ends, and then stops the duties.
 func (n *Node) Shutdown(ctx context.Context) error {
-	n.ready.Store(false)
+	n.leaving.Store(true)
 	n.log.Info().Msg("node: The VM is leaving.")
 	select {
 	case <-time.After(n.settings.Drain):
@@ -372,6 +375,12 @@
 	})
 }
 
+// ready reports whether the load balancer may send requests here: a
+// configuration and the VM list are known, and no shutdown has begun.
+func (n *Node) ready() bool {
+	return !n.leaving.Load() && n.config.Load() != nil && n.vms.Load() != nil
+}
+
 // list returns the latest VM list.
 func (n *Node) list() []*world.VM {
 	if vms := n.vms.Load(); vms != nil {
--- a/internal/node/reporter.go
+++ b/internal/node/reporter.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/engine"
 	"clementinelink.example/clementinelink/internal/fleet"
 	"clementinelink.example/clementinelink/internal/ring"
 	"clementinelink.example/clementinelink/internal/router"
@@ -127,8 +128,11 @@
 			l, err := r.fetch(limited, vm)
 			stop()
 			r.observe(ctx, vm, l, err)
-			if err == nil {
+			switch {
+			case err == nil:
 				r.events.Put(ctx, message{event: router.NewLoad(vm.Name(), l)})
+			case engine.Unreachable(err):
+				r.events.Put(ctx, message{event: router.NewMissed(vm.Name())})
 			}
 		}
 	}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/burn"
 	"clementinelink.example/clementinelink/internal/fleet"
 	"clementinelink.example/clementinelink/internal/meter"
 	"clementinelink.example/clementinelink/internal/relay"
@@ -67,7 +68,7 @@
 	}
 	w.latest.Store(&view{})
 	r.Watch("live_responses", "Responses in flight.", func() float64 { return float64(w.latest.Load().Live) })
-	r.Watch("queued_requests", "Requests that wait for admission.", func() float64 { return float64(w.latest.Load().Queued) })
+	r.Watch("queued_requests", "Requests that wait for an engine.", func() float64 { return float64(w.latest.Load().Queued) })
 	r.Watch("config_revision", "Configuration revision in force.", func() float64 { return float64(w.latest.Load().Revision) })
 	for _, s := range []fleet.State{fleet.Unknown, fleet.Live, fleet.Suspect, fleet.Leaving, fleet.Dead} {
 		r.Watch("upstreams", "Engines by state.", func() float64 { return float64(w.latest.Load().count(s.String())) }, "state", s.String())
@@ -127,6 +128,14 @@
 	w.attempts.Add(s.Attempts())
 }
 
+// sample counts a caller's request, for a generation or a plain call. It is
+// safe for concurrent use.
+func (w *watcher) sample(s *burn.Sample) {
+	_, refused := s.Of(burn.Refused)
+	w.metrics.Counter("requests_total", "Callers' requests.", "service", s.Service()).Inc()
+	w.metrics.Counter("refused_total", "Requests that were refused.", "service", s.Service()).Add(refused)
+}
+
 func (w *watcher) counter(service, version, result string) *meter.Counter {
 	key := service + " " + version + " " + result
 	c, ok := w.results[key]
--- a/internal/router/estate.go
+++ b/internal/router/estate.go
@@ -84,6 +84,14 @@
 	}
 }
 
+// miss marks an engine that refuses connections. One with live attempts is
+// judged by those, because they know more.
+func (s *estate) miss(name string) {
+	if e, ok := s.engines[name]; ok && e.Outstanding() == 0 {
+		e.Fell()
+	}
+}
+
 // list applies the platform's list. An engine that is not listed any more is
 // kept while attempts run on it or while it still answers.
 func (s *estate) list(vms []*world.VM) {
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -29,6 +29,8 @@
 	Stall
 	// Load is a load report.
 	Load
+	// Missed is an engine that refused the connection for its load report.
+	Missed
 	// Members is the platform's list of VMs.
 	Members
 	// Config is a new configuration.
@@ -128,6 +130,15 @@
 	}
 }
 
+// NewMissed returns the event of an engine that refused the connection for its
+// load report.
+func NewMissed(engine string) Event {
+	return Event{
+		kind: Missed,
+		id:   engine,
+	}
+}
+
 // NewMembers returns the event of a VM list.
 func NewMembers(vms []*world.VM) Event {
 	return Event{
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -137,6 +137,8 @@
 		rt.estate.report(now, ev.id, ev.load)
 		rt.estate.refresh(now)
 		rt.pump(now)
+	case Missed:
+		rt.estate.miss(ev.id)
 	case Members:
 		rt.estate.list(ev.vms)
 		rt.estate.refresh(now)
@@ -179,8 +181,14 @@
 // Live returns the number of responses that are admitted and not ended.
 func (rt *Router) Live() int { return len(rt.responses) }
 
-// Queued returns the number of requests that wait for admission.
-func (rt *Router) Queued() int { return len(rt.queued) }
+// Queued returns the number of requests and responses that wait for an engine.
+func (rt *Router) Queued() int {
+	n := len(rt.queued)
+	for _, d := range rt.services {
+		n += len(d.stalled)
+	}
+	return n
+}
 
 // arrive admits, queues or refuses a request.
 func (rt *Router) arrive(now time.Time, q *relay.Request) {
--- a/internal/router/script_test.go
+++ b/internal/router/script_test.go
@@ -124,6 +124,8 @@
 		b.WriteString(s.meet(t, d))
 	case "after":
 		s.after(span(t, d, "d", 0), step)
+	case "missed":
+		step(NewMissed(text(t, d, "engine", "")))
 	case "pause":
 		s.now = s.now.Add(span(t, d, "d", 0))
 		step(NewTick())
