--- /dev/null
+++ b/cmd/clementined/doc.go
@@ -0,0 +1,2 @@
+// Command clementined is the process of one entry VM.
+package main
--- a/cmd/clementined/main.go
+++ b/cmd/clementined/main.go
@@ -1,4 +1,3 @@
-// Command clementined is the process of one entry VM.
 package main
 
 import (
--- a/cmd/clementinelab/capacity.go
+++ b/cmd/clementinelab/capacity.go
@@ -17,7 +17,7 @@
 
 // capacityCommand measures costs by size. Its fields are exported for go-flags.
 type capacityCommand struct {
-	session *session
+	program *program
 
 	Probe  string        `long:"probe" default:"." description:"regular expression of the probes to run"`
 	Span   time.Duration `long:"span" default:"200ms" description:"processor time of one measurement"`
@@ -44,7 +44,7 @@
 		if !names.MatchString(p.Name()) {
 			continue
 		}
-		r, err := b.Run(c.session.ctx, p)
+		r, err := b.Run(c.program.ctx, p)
 		if err != nil {
 			return err
 		}
@@ -55,21 +55,21 @@
 
 func (c *capacityCommand) print(rows []*slope.Row) error {
 	if c.Output == "text" {
-		_, err := io.WriteString(c.session.out, slope.Table(rows))
+		_, err := io.WriteString(c.program.out, slope.Table(rows))
 		return errors.Wrap(err, "print table")
 	}
 	data, err := json.MarshalIndent(rows, "", "  ")
 	if err != nil {
 		return errors.Wrap(err, "encode table")
 	}
-	_, err = fmt.Fprintf(c.session.out, "%s\n", data)
+	_, err = fmt.Fprintf(c.program.out, "%s\n", data)
 	return errors.Wrap(err, "print table")
 }
 
 // entryCommand runs one entry VM to be measured. Its fields are exported for
 // go-flags.
 type entryCommand struct {
-	session *session
+	program *program
 
 	VMs   string `long:"vms" required:"true" description:"URL of the VM list"`
 	Store string `long:"store" required:"true" description:"URL of a store that holds a configuration"`
@@ -77,5 +77,5 @@
 
 // Execute runs the VM until the end of the standard input.
 func (c *entryCommand) Execute([]string) error {
-	return slope.Entry(c.session.ctx, os.Stdin, c.session.out, c.VMs, c.Store, c.session.log.Level(zerolog.ErrorLevel))
+	return slope.Entry(c.program.ctx, os.Stdin, c.program.out, c.VMs, c.Store, c.program.log.Level(zerolog.ErrorLevel))
 }
--- a/cmd/clementinelab/demo.go
+++ b/cmd/clementinelab/demo.go
@@ -13,20 +13,20 @@
 
 // demoCommand runs the demo. Its fields are exported for go-flags.
 type demoCommand struct {
-	session *session
+	program *program
 
 	Output string `long:"output" default:"text" choice:"text" choice:"json" description:"format of the result"`
 }
 
 // Execute runs the demo and fails unless every check holds.
 func (c *demoCommand) Execute([]string) error {
-	progress := c.session.out
+	progress := c.program.out
 	if c.Output == "json" {
 		progress = io.Discard
 	}
-	r, err := lab.Demo(c.session.ctx, progress, c.session.log.Level(zerolog.ErrorLevel))
+	r, err := lab.Demo(c.program.ctx, progress, c.program.log.Level(zerolog.ErrorLevel))
 	if r != nil {
-		if err := c.session.print(c.Output, r); err != nil {
+		if err := c.program.print(c.Output, r); err != nil {
 			return err
 		}
 	}
@@ -34,7 +34,7 @@
 }
 
 // print writes a result as indented JSON or as one line a field.
-func (s *session) print(format string, r *lab.Result) error {
+func (s *program) print(format string, r *lab.Result) error {
 	if format == "text" {
 		_, err := io.WriteString(s.out, r.Text())
 		return errors.Wrap(err, "print result")
--- a/cmd/clementinelab/drill.go
+++ b/cmd/clementinelab/drill.go
@@ -14,7 +14,7 @@
 // drillCommand runs one response against each fault. Its fields are exported
 // for go-flags.
 type drillCommand struct {
-	session *session
+	program *program
 
 	Fault []string `long:"fault" description:"fault to run; may be repeated; all by default"`
 	Body  bool     `long:"body" description:"ask for the answer in one body instead of a stream"`
@@ -31,11 +31,11 @@
 			if err != nil {
 				return err
 			}
-			a, err := d.Run(c.session.ctx, c.session.log.Level(zerolog.ErrorLevel))
+			a, err := d.Run(c.program.ctx, c.program.log.Level(zerolog.ErrorLevel))
 			if err != nil {
 				return errors.Wrapf(err, "fault %s", fault)
 			}
-			if _, err := fmt.Fprintf(c.session.out, "%-10s %-7s %-15s first %6s, largest gap %6s\n", fault, position, d.Cell(a),
+			if _, err := fmt.Fprintf(c.program.out, "%-10s %-7s %-15s first %6s, largest gap %6s\n", fault, position, d.Cell(a),
 				a.First().Round(time.Millisecond), a.Largest().Round(time.Millisecond)); err != nil {
 				return errors.Wrap(err, "print row")
 			}
--- a/cmd/clementinelab/engine.go
+++ b/cmd/clementinelab/engine.go
@@ -14,7 +14,7 @@
 // engineCommand runs one simulated engine. Its fields are exported for
 // go-flags.
 type engineCommand struct {
-	session *session
+	program *program
 
 	Name     string        `long:"name" env:"CLEMENTINE_NAME" default:"engine" description:"name in logs"`
 	Address  string        `long:"address" env:"CLEMENTINE_ADDRESS" default:"127.0.0.1:0" description:"listening address host:port"`
@@ -45,7 +45,7 @@
 		return err
 	}
 	defer e.Close()
-	return c.session.serve("Engine", c.Name, e.Address())
+	return c.program.serve("Engine", c.Name, e.Address())
 }
 
 // pull fetches a version from the weight store, which refuses over its rate.
@@ -72,7 +72,7 @@
 }
 
 // serve prints the address of a stand-in and waits for a signal.
-func (s *session) serve(kind, name, address string) error {
+func (s *program) serve(kind, name, address string) error {
 	if _, err := fmt.Fprintln(s.out, address); err != nil {
 		return errors.Wrap(err, "print address")
 	}
--- a/cmd/clementinelab/load.go
+++ b/cmd/clementinelab/load.go
@@ -13,7 +13,7 @@
 
 // loadCommand measures overload. Its fields are exported for go-flags.
 type loadCommand struct {
-	session *session
+	program *program
 
 	Load   []float64     `long:"load" default:"0.8" default:"1.0" default:"2.0" description:"load relative to the capacity; may be repeated"`
 	Window time.Duration `long:"window" default:"10s" description:"time measured for each load and policy"`
@@ -22,11 +22,11 @@
 
 // Execute prints a row for each workspace, load and policy.
 func (c *loadCommand) Execute([]string) error {
-	o := lab.NewOverload(c.Window, c.session.log.Level(zerolog.ErrorLevel))
-	if err := o.Calibrate(c.session.ctx); err != nil {
+	o := lab.NewOverload(c.Window, c.program.log.Level(zerolog.ErrorLevel))
+	if err := o.Calibrate(c.program.ctx); err != nil {
 		return err
 	}
-	if _, err := fmt.Fprintf(c.session.out, "capacity %.0f tokens/s\n", o.Capacity()); err != nil {
+	if _, err := fmt.Fprintf(c.program.out, "capacity %.0f tokens/s\n", o.Capacity()); err != nil {
 		return errors.Wrap(err, "print capacity")
 	}
 	policies := []string{"fair"}
@@ -36,16 +36,16 @@
 	var cells []*lab.Cell
 	for _, p := range policies {
 		for _, l := range c.Load {
-			cell, err := o.Run(c.session.ctx, p, l)
+			cell, err := o.Run(c.program.ctx, p, l)
 			if err != nil {
 				return errors.Wrapf(err, "load %g", l)
 			}
 			for _, n := range cell.Notes() {
-				c.session.log.Warn().Str("policy", p).Float64("load", l).Msg("lab: " + n)
+				c.program.log.Warn().Str("policy", p).Float64("load", l).Msg("lab: " + n)
 			}
 			cells = append(cells, cell)
 		}
 	}
-	_, err := io.WriteString(c.session.out, lab.LoadTable(cells))
+	_, err := io.WriteString(c.program.out, lab.LoadTable(cells))
 	return errors.Wrap(err, "print table")
 }
--- a/cmd/clementinelab/main.go
+++ b/cmd/clementinelab/main.go
@@ -19,8 +19,8 @@
 	os.Exit(code)
 }
 
-// session is what the subcommands share.
-type session struct {
+// program is what the subcommands share.
+type program struct {
 	ctx context.Context
 	// out receives results, one line each.
 	out io.Writer
@@ -29,7 +29,7 @@
 
 // run runs the subcommand that args name and returns the exit code.
 func run(ctx context.Context, args []string, out, logs io.Writer) int {
-	s := &session{
+	s := &program{
 		ctx: ctx,
 		out: out,
 		log: zerolog.New(logs).With().Timestamp().Logger(),
@@ -46,16 +46,16 @@
 }
 
 // add registers the subcommands.
-func (s *session) add(parser *flags.Parser) error {
+func (s *program) add(parser *flags.Parser) error {
 	if _, err := parser.AddCommand("engine", "Run one simulated model engine.",
 		"Prints the engine's address and runs until a signal.", &engineCommand{
-			session: s,
+			program: s,
 		}); err != nil {
 		return errors.Wrap(err, "engine")
 	}
 	if _, err := parser.AddCommand("plain", "Run one simulated plain service.",
 		"Prints the service's address and runs until a signal.", &plainCommand{
-			session: s,
+			program: s,
 		}); err != nil {
 		return errors.Wrap(err, "plain")
 	}
@@ -67,49 +67,49 @@
 	}
 	if _, err := parser.AddCommand("demo", "Kill engines in the middle of responses.",
 		"Brings up a deployment on loopback, kills, hangs and resets engines, and checks that each response is whole.", &demoCommand{
-			session: s,
+			program: s,
 		}); err != nil {
 		return errors.Wrap(err, "demo")
 	}
 	if _, err := parser.AddCommand("resume", "Measure resumes under faults.",
 		"Runs a deployment of today's size under each fault and prints resume latency, extra tokens and verdicts, with the baseline policy beside it.", &resumeCommand{
-			session: s,
+			program: s,
 		}); err != nil {
 		return errors.Wrap(err, "resume")
 	}
 	if _, err := parser.AddCommand("storm", "Run responses under random faults.",
 		"Runs a small deployment under random faults of all kinds, entry VMs included, and prints the verdicts. It fails when a token is missing, repeated or mixed.", &stormCommand{
-			session: s,
+			program: s,
 		}); err != nil {
 		return errors.Wrap(err, "storm")
 	}
 	if _, err := parser.AddCommand("orders", "Run bookings under random faults.",
 		"Runs bookings and lookups under random faults of entry VMs, links, plain services and store. It fails when a booking ran twice or an outcome was false.", &ordersCommand{
-			session: s,
+			program: s,
 		}); err != nil {
 		return errors.Wrap(err, "orders")
 	}
 	if _, err := parser.AddCommand("capacity", "Measure what each part costs by size.",
 		"Measures each part at four sizes or more, fits a line and prints the cost at full size. The figures behind docs/CAPACITY.md.", &capacityCommand{
-			session: s,
+			program: s,
 		}); err != nil {
 		return errors.Wrap(err, "capacity")
 	}
 	if _, err := parser.AddCommand("entry", "Run one entry VM for the capacity command.",
 		"Prints what the process uses at the start and after each line of input, as JSON, and ends with its input.", &entryCommand{
-			session: s,
+			program: s,
 		}); err != nil {
 		return errors.Wrap(err, "entry")
 	}
 	if _, err := parser.AddCommand("drill", "Run one response against each fault.",
 		"Strikes before the first token, in the middle and before the last token of a response, and prints the verdict and the longest interruption.", &drillCommand{
-			session: s,
+			program: s,
 		}); err != nil {
 		return errors.Wrap(err, "drill")
 	}
 	if _, err := parser.AddCommand("load", "Measure goodput and fairness under overload.",
 		"Runs a small deployment below, at and over its capacity with one large and several small workspaces, and prints goodput, refusals and shares, with first come first served beside it.", &loadCommand{
-			session: s,
+			program: s,
 		}); err != nil {
 		return errors.Wrap(err, "load")
 	}
@@ -117,7 +117,7 @@
 }
 
 // report prints a help text or an error and returns the exit code.
-func (s *session) report(err error) int {
+func (s *program) report(err error) int {
 	var f *flags.Error
 	if errors.As(err, &f) && f.Type == flags.ErrHelp {
 		if _, err := io.WriteString(s.out, f.Message+"\n"); err != nil {
--- a/cmd/clementinelab/orders.go
+++ b/cmd/clementinelab/orders.go
@@ -15,7 +15,7 @@
 // ordersCommand runs bookings under random faults. Its fields are exported for
 // go-flags.
 type ordersCommand struct {
-	session *session
+	program *program
 
 	Time    time.Duration `long:"time" default:"60s" description:"time for which bookings are sent"`
 	Workers int           `long:"workers" default:"64" description:"bookings at a time"`
@@ -29,22 +29,22 @@
 	if seed == 0 {
 		seed = rand.Uint64()
 	}
-	if _, err := fmt.Fprintf(c.session.out, "seed %d\n", seed); err != nil {
+	if _, err := fmt.Fprintf(c.program.out, "seed %d\n", seed); err != nil {
 		return errors.Wrap(err, "print seed")
 	}
 	storm := lab.NewOrderStorm()
-	a, err := storm.Orders(c.session.ctx, seed, c.Workers, c.Time, c.session.log.Level(zerolog.ErrorLevel))
+	a, err := storm.Orders(c.program.ctx, seed, c.Workers, c.Time, c.program.log.Level(zerolog.ErrorLevel))
 	if err != nil {
 		return err
 	}
-	if err := storm.Print(c.session.out); err != nil {
+	if err := storm.Print(c.program.out); err != nil {
 		return errors.Wrap(err, "print strikes")
 	}
 	data, err := json.Marshal(a)
 	if err != nil {
 		return errors.Wrap(err, "encode result")
 	}
-	if _, err := fmt.Fprintf(c.session.out, "%s\n", data); err != nil {
+	if _, err := fmt.Fprintf(c.program.out, "%s\n", data); err != nil {
 		return errors.Wrap(err, "print result")
 	}
 	return a.Check()
--- a/cmd/clementinelab/plain.go
+++ b/cmd/clementinelab/plain.go
@@ -9,7 +9,7 @@
 // plainCommand runs one simulated plain service. Its fields are exported for
 // go-flags.
 type plainCommand struct {
-	session *session
+	program *program
 
 	Name    string        `long:"name" env:"CLEMENTINE_NAME" default:"plain" description:"name in logs"`
 	Address string        `long:"address" env:"CLEMENTINE_ADDRESS" default:"127.0.0.1:0" description:"listening address host:port"`
@@ -27,5 +27,5 @@
 		return err
 	}
 	defer s.Close()
-	return c.session.serve("Plain service", c.Name, s.Address())
+	return c.program.serve("Plain service", c.Name, s.Address())
 }
--- a/cmd/clementinelab/platform.go
+++ b/cmd/clementinelab/platform.go
@@ -14,7 +14,7 @@
 // platformCommand runs one stand-in of the platform. Its fields are exported
 // for go-flags.
 type platformCommand struct {
-	session *session
+	program *program
 	kind    string
 	serve   func(ctx context.Context, l net.Listener) error
 
@@ -27,11 +27,11 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	ctx, stop := context.WithCancel(c.session.ctx)
+	ctx, stop := context.WithCancel(c.program.ctx)
 	defer stop()
 	failed := make(chan error, 1)
 	go func() { failed <- c.serve(ctx, l) }()
-	if err := c.session.serve(c.kind, c.kind, l.Addr().String()); err != nil {
+	if err := c.program.serve(c.kind, c.kind, l.Addr().String()); err != nil {
 		return err
 	}
 	stop()
@@ -39,20 +39,20 @@
 }
 
 // platform returns the stand-ins of the platform by subcommand.
-func (s *session) platform() map[string]*platformCommand {
+func (s *program) platform() map[string]*platformCommand {
 	return map[string]*platformCommand{
 		"store": {
-			session: s,
+			program: s,
 			kind:    "Store",
 			serve:   simkv.New().Serve,
 		},
 		"vms": {
-			session: s,
+			program: s,
 			kind:    "VM list",
 			serve:   simvms.New(0).Serve,
 		},
 		"weights": {
-			session: s,
+			program: s,
 			kind:    "Weight store",
 			serve:   simwts.New(10, 10).Serve,
 		},
--- a/cmd/clementinelab/resume.go
+++ b/cmd/clementinelab/resume.go
@@ -12,7 +12,7 @@
 
 // resumeCommand measures resumes. Its fields are exported for go-flags.
 type resumeCommand struct {
-	session *session
+	program *program
 
 	Deployment string   `long:"deployment" default:"gabrovo" choice:"gabrovo" choice:"brno" description:"sizes and delays to use"`
 	Fault      []string `long:"fault" description:"fault to run; may be repeated; all by default"`
@@ -35,16 +35,16 @@
 			continue
 		}
 		for _, p := range policies {
-			t, err := plan.Run(c.session.ctx, f, p, c.session.log.Level(zerolog.ErrorLevel))
+			t, err := plan.Run(c.program.ctx, f, p, c.program.log.Level(zerolog.ErrorLevel))
 			if err != nil {
 				return errors.Wrapf(err, "fault %s", f.Name())
 			}
 			trials = append(trials, t)
 			for _, n := range t.Result().Notes() {
-				c.session.log.Error().Str("fault", f.Name()).Str("policy", p).Msg("lab: " + n)
+				c.program.log.Error().Str("fault", f.Name()).Str("policy", p).Msg("lab: " + n)
 			}
 		}
 	}
-	_, err := io.WriteString(c.session.out, lab.Table(trials))
+	_, err := io.WriteString(c.program.out, lab.Table(trials))
 	return errors.Wrap(err, "print table")
 }
--- a/cmd/clementinelab/storm.go
+++ b/cmd/clementinelab/storm.go
@@ -14,7 +14,7 @@
 // stormCommand runs responses under random faults. Its fields are exported for
 // go-flags.
 type stormCommand struct {
-	session *session
+	program *program
 
 	Count   int    `long:"count" default:"20000" description:"responses to request"`
 	Callers int    `long:"callers" default:"100" description:"requests at a time"`
@@ -27,21 +27,21 @@
 	if seed == 0 {
 		seed = rand.Uint64()
 	}
-	if _, err := fmt.Fprintf(c.session.out, "seed %d\n", seed); err != nil {
+	if _, err := fmt.Fprintf(c.program.out, "seed %d\n", seed); err != nil {
 		return errors.Wrap(err, "print seed")
 	}
 	storm := lab.NewStormFault()
-	t, err := lab.NewStorm(c.Callers, c.Count, seed).Run(c.session.ctx, storm.Fault(), "cadence", c.session.log.Level(zerolog.ErrorLevel))
+	t, err := lab.NewStorm(c.Callers, c.Count, seed).Run(c.program.ctx, storm.Fault(), "cadence", c.program.log.Level(zerolog.ErrorLevel))
 	if err != nil {
 		return err
 	}
 	for _, n := range t.Result().Notes() {
-		c.session.log.Error().Msg("lab: " + n)
+		c.program.log.Error().Msg("lab: " + n)
 	}
-	if err := storm.Print(c.session.out); err != nil {
+	if err := storm.Print(c.program.out); err != nil {
 		return errors.Wrap(err, "print strikes")
 	}
-	if _, err := io.WriteString(c.session.out, lab.Table([]*lab.Trial{t})+t.Result().Text()); err != nil {
+	if _, err := io.WriteString(c.program.out, lab.Table([]*lab.Trial{t})+t.Result().Text()); err != nil {
 		return errors.Wrap(err, "print result")
 	}
 	if t.Broken() > 0 {
