proxy: Send a resume again with its copy

The resume was sent to the same engine without the copy, which read the whole prompt again, for several streams at once. Change: a resume whose answer broke off before its first piece is sent again with the copy, three times at most. testdata/resume fails without it.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -17,6 +17,9 @@
 	ordered ordered
 	// copied is true when the attempt continues from a copy.
 	copied bool
+	// source and handle name a copy that was ordered.
+	source string
+	handle string
 	sent   time.Time
 	// last is the time of the latest piece, or of the sending.
 	last time.Time
@@ -65,6 +68,9 @@
 	// followed is true once the holder of a copy was asked under the id that it
 	// answered with.
 	followed bool
+	// repeats counts the resumes from the latest copy that were sent again
+	// after their answers broke off.
+	repeats int
 }
 
 // running returns the attempts that have not ended.
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -71,6 +71,8 @@
 		number: len(x.attempts) + 1,
 		up:     up,
 		copied: how.copied,
+		source: how.source,
+		handle: how.handle,
 		sent:   now,
 		last:   now,
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -27,6 +27,10 @@
 	// sameSends is how often an engine whose answers break off gets one request
 	// before another engine reads the prompt again.
 	sameSends = 2
+	// copyRepeats is how often a resume from one copy is sent again after its
+	// answer broke off. Each takes two round trips of 24 ms between regions, of
+	// the 700 ms that a pause may last.
+	copyRepeats = 3
 	// maxSilence is the silence after which a begun stream is broken off.
 	maxSilence = 10 * time.Second
 )
@@ -227,10 +231,22 @@
 			copied:   true,
 			reason:   "copy moved",
 		}
+	case a.copied && e.cause == Broken && !a.begun && x.repeats < copyRepeats && intact(now, a.up):
+		// The engine may have lost only this answer. A copy lasts after its
+		// use, and an engine without it refuses to run.
+		x.repeats++
+		return &Action{
+			upstream: a.up,
+			instance: a.up.ID(),
+			copied:   true,
+			source:   a.source,
+			handle:   a.handle,
+			reason:   "copy again after " + e.cause.String(),
+		}
 	case !e.cause.mayHaveRun():
 		return nil
 	case c.copyState(now, a) == "" && (o.handle == "" || c.hasCopy(now, a)):
-		x.followed = false
+		x.followed, x.repeats = false, 0
 		h := a.holder.Latest()
 		return &Action{
 			upstream: h,
