pool: Place copies where most memory is free

The holder was chosen by its expected delay, which says little of memory. Change: the holder is the engine with the smallest used part of its memory; one that has not stated its state lately counts as a quarter fuller.

--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -34,6 +34,9 @@
 	// copyRoom is the share of an engine's memory up to which copies are
 	// placed on it.
 	copyRoom = 0.85
+	// unknownUse is the part of an engine's memory that other VMs are taken to
+	// use if it has not stated its state lately.
+	unknownUse = 0.25
 )
 
 // Need states what an attempt takes.
@@ -134,13 +137,27 @@
 	return first
 }
 
-// PickCopy returns the holder of a standby copy of a run on primary: an
-// upstream of another failure domain with room for it, or nil.
+// PickCopy returns the holder of a standby copy of a run on primary: the
+// upstream of another failure domain with the most room for it, or nil.
 func (p *Pool) PickCopy(now time.Time, n Need, primary *Upstream, skip func(*Upstream) bool) *Upstream {
-	return p.Pick(now, n, func(u *Upstream) bool {
-		return u.entry.Domain() == primary.entry.Domain() || u.Resting(now) || p.Suspect(now, u) ||
-			p.held(now, u)+float64(n.tokens) > copyRoom*float64(n.memory) || skip != nil && skip(u)
-	})
+	var best *Upstream
+	least := math.Inf(1)
+	for _, u := range p.service[n.service] {
+		if u.entry.Domain() == primary.entry.Domain() || !p.open(now, u) || u.Resting(now) || p.Suspect(now, u) || skip != nil && skip(u) {
+			continue
+		}
+		used := p.held(now, u) / float64(n.memory)
+		if used+float64(n.tokens)/float64(n.memory) > copyRoom {
+			continue
+		}
+		if !u.Fresh(now) {
+			used += unknownUse
+		}
+		if s := used + noise*p.draw() + faultScore*u.Faults(now); s < least {
+			best, least = u, s
+		}
+	}
+	return best
 }
 
 // held returns the expected use of an engine's memory in tokens.
