pool: Count the memory that runs will take

Ruled out: late statements; own sends since then are counted already. Change: runs that are being read are taken to need 3,500 tokens more, others 550. pool/testdata/engine fails without it.

--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -34,6 +34,10 @@
 	// copyRoom is the share of an engine's memory up to which copies are
 	// placed on it.
 	copyRoom = 0.85
+	// readGrowth and runGrowth are the tokens that a run takes after a
+	// statement: half of its prompt and its output, or half of its output.
+	readGrowth = 3500
+	runGrowth  = 550
 	// unknownUse is the part of an engine's memory that other VMs are taken to
 	// use if it has not stated its state lately.
 	unknownUse = 0.25
@@ -164,7 +168,9 @@
 func (p *Pool) held(now time.Time, u *Upstream) float64 {
 	own := float64(u.tokens + u.copied)
 	if u.Fresh(now) {
-		return max(own, float64(u.state.spec.Used+u.recent()*runTokens))
+		st := u.state.spec
+		growth := st.Reading*readGrowth + (st.Running-st.Reading)*runGrowth
+		return max(own, float64(st.Used+growth+u.recent()*runTokens))
 	}
 	return own + u.Others(now)*runTokens
 }
