proxy: Give up a resume that does not begin

Ruled out: a shorter wait. Change: an attempt to go on with a stream has the goal of a first piece to begin. An attempt that makes no progress at a live engine is Stalled and makes only that engine rest; it was Silent, which counted towards the loss of the failure domain. proxy/testdata/resume fails without it.

--- a/internal/proxy/ask.go
+++ b/internal/proxy/ask.go
@@ -144,7 +144,7 @@
 		}
 		for _, a := range x.running() {
 			if a.up.ID() == id {
-				c.giveUp(now, x, a, "engine dead")
+				c.giveUp(now, x, a, Silent, "engine dead")
 			}
 		}
 		c.settle(x)
--- a/internal/proxy/event.go
+++ b/internal/proxy/event.go
@@ -23,14 +23,16 @@
 	Broken
 	// Garbled is an answer that breaks the protocol.
 	Garbled
-	// Silent is an attempt whose upstream does not answer a probe, or that
-	// made no progress for too long.
+	// Silent is an attempt whose upstream does not answer a probe.
 	Silent
+	// Stalled is an attempt that makes no progress although its upstream
+	// answers probes.
+	Stalled
 )
 
 // String returns the cause's name in logs.
 func (c Cause) String() string {
-	return [...]string{"unsent", "not-run", "moved", "broken", "garbled", "silent"}[c]
+	return [...]string{"unsent", "not-run", "moved", "broken", "garbled", "silent", "stalled"}[c]
 }
 
 // mayHaveRun reports whether the upstream may have run the request.
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -25,6 +25,9 @@
 	last time.Time
 	// begun is true once the attempt has produced a piece.
 	begun bool
+	// overdue is true once an attempt to go on with a stream took too long to
+	// its first piece.
+	overdue bool
 	// first is the time to that piece.
 	first time.Duration
 	head  *Answer
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -278,7 +278,7 @@
 
 func (s *script) cause(d *datadriven.TestData) Cause {
 	name := s.text(d, "cause", "broken")
-	for c := Unsent; c <= Silent; c++ {
+	for c := Unsent; c <= Stalled; c++ {
 		if c.String() == name {
 			return c
 		}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -129,6 +129,8 @@
 		}
 	case Moved:
 		c.moved(now, x, a, e.instance)
+	case Stalled:
+		a.up.Rest(now)
 	case NotRun:
 		if !a.copied {
 			a.up.Rest(now)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -62,15 +62,24 @@
 		return x.end
 	}
 	at := a.last.Add(x.quiet(a))
-	if stop := x.passed.Add(x.stopAfter()); a.begun && !x.stopped && stop.Before(at) {
+	switch stop, resume := x.passed.Add(x.stopAfter()), a.sent.Add(x.resumeWait()); {
+	case a.begun && !x.stopped && stop.Before(at):
 		return stop
+	case !a.begun && x.opened && !a.overdue && resume.Before(at):
+		return resume
+	default:
+		return at
 	}
-	return at
 }
 
 // stopAfter returns the silence after which a stream goes on from its copy.
 func (x *exchange) stopAfter() time.Duration { return time.Duration(stopShare * float64(x.gap())) }
 
+// resumeWait returns how long an attempt to go on with a stream may take to its
+// first piece. The stream is late by then, so this is only for attempts that
+// never begin: a new one takes the place in the queue that this one has.
+func (x *exchange) resumeWait() time.Duration { return max(x.route.Goal(), hungGaps*x.gap()) }
+
 // look applies the passing of time.
 func (c *Core) look(now time.Time, x *exchange) {
 	if !now.Before(x.end) {
@@ -105,16 +114,8 @@
 
 // silent handles an attempt that has produced nothing for a while.
 func (c *Core) silent(now time.Time, x *exchange, a *attempt) {
-	silence := now.Sub(x.passed)
-	if a.begun && !x.stopped && silence >= x.stopAfter() {
-		x.stopped = true
-		if x.mayRepeat() && c.copyState(now, a) == "" && c.hasCopy(now, a) {
-			c.giveUp(now, x, a, "stopped")
-			return
-		}
-	}
-	if a.begun && silence >= hungGaps*x.gap() && x.mayRepeat() {
-		c.giveUp(now, x, a, "hung")
+	if reason := c.stalled(now, x, a); reason != "" && x.mayRepeat() {
+		c.giveUp(now, x, a, Stalled, reason)
 		return
 	}
 	if heard := a.up.LastHeard(); now.Sub(heard) < x.quiet(a) {
@@ -129,15 +130,37 @@
 	}
 }
 
-// giveUp ends an attempt whose engine is silent.
-func (c *Core) giveUp(now time.Time, x *exchange, a *attempt, reason string) {
+// stalled returns why an attempt is given up although its engine may live, or
+// "".
+func (c *Core) stalled(now time.Time, x *exchange, a *attempt) string {
+	silence := now.Sub(x.passed)
+	switch {
+	case !a.begun && (!x.opened || a.overdue || now.Sub(a.sent) < x.resumeWait()):
+		return ""
+	case !a.begun:
+		a.overdue = true
+		return "resume overdue"
+	case silence >= hungGaps*x.gap():
+		return "hung"
+	case x.stopped || silence < x.stopAfter():
+		return ""
+	}
+	x.stopped = true
+	if c.copyState(now, a) != "" || !c.hasCopy(now, a) {
+		return ""
+	}
+	return "stopped"
+}
+
+// giveUp ends an attempt that makes no progress.
+func (c *Core) giveUp(now time.Time, x *exchange, a *attempt, cause Cause, reason string) {
 	c.act(x, Action{
 		kind:     Cancel,
 		attempt:  a.number,
 		upstream: a.up,
 		reason:   reason,
 	})
-	c.lost(now, x, a, NewLost(x.q.Number(), a.number, Silent, reason))
+	c.lost(now, x, a, NewLost(x.q.Number(), a.number, cause, reason))
 }
 
 // piece passes on the next piece and drops those that the caller has.
@@ -250,7 +273,7 @@
 			copied:   true,
 			reason:   "copy moved",
 		}
-	case a.copied && e.cause == Broken && !a.begun && x.repeats < copyRepeats && intact(now, a.up):
+	case a.copied && !a.begun && e.cause == Broken && x.repeats < copyRepeats && intact(now, a.up):
 		// The engine may have lost only this answer. A copy lasts after its
 		// use, and an engine without it refuses to run.
 		x.repeats++
