feed: Share a watch of the store within a failure domain

Ruled out: longer gathering, which would take the time that an outage leaves; stale reads, since their page does not say as of which revision they are. Change: a VM keeps the latest change of each key and gives it to the others of its failure domain, with the age of the store's word. The VM with the widest link watches; the others ask one before them, and the store when that one is silent, behind or stale. A VM that the store turns away asks the others. Below four VMs in a failure domain nothing changes.

--- a/internal/edge/enrol.go
+++ b/internal/edge/enrol.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"time"
 
 	"clementinelink.example/clementinelink/internal/store"
@@ -17,6 +19,15 @@
 	enrolAgain = 2 * time.Second
 )
 
+// enrolment is the value of a VM's own key.
+type enrolment struct {
+	Domain string `json:"domain"`
+	// Feed is the IP:port at which the VM gives changes of the store, or "".
+	Feed string `json:"feed,omitempty"`
+	// Link is the width of the VM's link in Mbit/s, or 0.
+	Link float64 `json:"link,omitempty"`
+}
+
 // enrol is the duty that keeps the VM's own key in the store, so that all VMs
 // know how many share the common limits.
 func (v *VM) enrol(ctx context.Context) {
@@ -34,7 +45,8 @@
 }
 
 // enrolOnce renews the VM's lease, or writes its key under a new one. A key of
-// the VM's former process is left as it is until its lease ends.
+// the VM's former process that says the same is left as it is until its lease
+// ends.
 func (v *VM) enrolOnce(ctx context.Context) error {
 	if v.lease != "" {
 		if err := v.store.Renew(ctx, v.lease); !errors.Is(err, store.ErrExpired) {
@@ -43,8 +55,16 @@
 		v.lease = ""
 	}
 	key := v.sources.Enrolled + v.settings.Name
+	value, err := json.Marshal(enrolment{
+		Domain: v.settings.Domain,
+		Feed:   v.settings.Feed,
+		Link:   v.settings.Link,
+	})
+	if err != nil {
+		return errors.Wrap(err, "edge: enrolment")
+	}
 	e, err := v.store.Get(ctx, key)
-	if err != nil || e.Revision() > 0 {
+	if err != nil || e.Revision() > 0 && bytes.Equal(e.Value(), value) {
 		return err
 	}
 	lease, err := v.store.Grant(ctx, enrolSpan)
@@ -52,7 +72,7 @@
 		return err
 	}
 	mine := func(e store.Entry) bool { return e.Lease() == lease }
-	if _, err := v.store.PutConfirmed(ctx, key, []byte(v.settings.Domain), 0, lease, mine); err != nil {
+	if _, err := v.store.PutConfirmed(ctx, key, value, e.Revision(), lease, mine); err != nil {
 		return err
 	}
 	v.lease = lease
--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -9,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/feed"
 	"clementinelink.example/clementinelink/internal/follow"
 	"clementinelink.example/clementinelink/internal/meter"
 	"clementinelink.example/clementinelink/internal/move"
@@ -43,6 +46,11 @@
 	Front   string
 	Ready   string
 	Metrics string
+	// Feed is the IP:port at which other VMs of the failure domain are given
+	// changes of the store, or "" if the VM does not take part in that.
+	Feed string
+	// Link is the width of the VM's link in Mbit/s, or 0 if it is unknown.
+	Link float64
 	// Grace is the time from the order to stop to the end of the process.
 	Grace time.Duration
 	// Gather is how long changes of the store are gathered before the VM asks
@@ -94,8 +102,9 @@
 	numbers    atomic.Uint64
 	draining   atomic.Bool
 	stop       context.CancelFunc
-	// peers holds the enrolled VMs; only the watcher uses it.
-	peers map[string]bool
+	// peers holds the enrolled VMs by key; only the watcher uses it.
+	peers map[string]enrolment
+	feed  *feed.Log
 	// lease is that of the VM's own key; only the enrolling duty uses it.
 	lease string
 }
@@ -111,7 +120,8 @@
 		sources:    sources,
 		log:        log,
 		metrics:    m,
-		peers:      make(map[string]bool),
+		peers:      make(map[string]enrolment),
+		feed:       feed.NewLog(),
 		dispatcher: newDispatcher(core, u, newJournal(log, m)),
 	}
 	c.WithObserver(func(verb, result string) {
@@ -120,6 +130,9 @@
 	v.mover = newMover(s.Name, s.Exposure, sources, c, v.dispatcher.tell, log)
 	v.dispatcher.moves = v.mover.traffic
 	v.watcher = newWatcher(sources, c, s.Gather, s.Seed, log)
+	if s.Feed != "" {
+		v.watcher.reader = feed.NewReader(s.Name, c, v.feed, s.Gather, log)
+	}
 	v.watcher.apply = v.changed
 	v.watcher.peers = func() int { return len(v.peers) }
 	v.watcher.services = v.services
@@ -140,6 +153,9 @@
 	if err := v.serveReady(); err != nil {
 		return err
 	}
+	if err := v.serveFeed(ctx); err != nil {
+		return err
+	}
 	v.watch()
 	go v.dispatcher.run(ctx)
 	go v.watcher.run(ctx)
@@ -213,6 +229,28 @@
 	return nil
 }
 
+// serveFeed starts the listener for other VMs.
+func (v *VM) serveFeed(ctx context.Context) error {
+	if v.settings.Feed == "" {
+		return nil
+	}
+	l, err := net.Listen("tcp", v.settings.Feed)
+	if err != nil {
+		return errors.Wrap(err, "edge: feed")
+	}
+	server := &http.Server{
+		Handler:           feed.NewServer(v.feed).Handler(),
+		ReadHeaderTimeout: time.Second,
+	}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			v.log.Error().Err(err).Str("address", v.settings.Feed).Msg("edge: A listener stopped.")
+		}
+	}()
+	return nil
+}
+
 func (v *VM) answerReady(w http.ResponseWriter, _ *http.Request) {
 	if v.Ready() {
 		w.WriteHeader(http.StatusOK)
@@ -274,7 +312,7 @@
 	services := make(map[string]string)
 	var listed []pool.Entry
 	var gone []string
-	before := len(v.peers)
+	before := maps.Clone(v.peers)
 	for _, key := range c.Gone() {
 		delete(v.peers, key)
 		if id := v.sources.ID(key); id != "" {
@@ -286,7 +324,7 @@
 			v.configure(ctx, e)
 		}
 		if strings.HasPrefix(e.Key(), v.sources.Enrolled) {
-			v.peers[e.Key()] = true
+			v.enrolled(e)
 		}
 		id := v.sources.ID(e.Key())
 		if id == "" {
@@ -301,7 +339,8 @@
 		services[e.Key()] = entry.Service()
 		listed = append(listed, entry)
 	}
-	if len(v.peers) != before {
+	if !maps.Equal(v.peers, before) {
+		v.shareFeed()
 		v.dispatcher.tell(ctx, proxy.NewPeers(len(v.peers)))
 		v.mover.news.Put(ctx, shiftNews{
 			peers: v.peerNames(),
@@ -316,6 +355,29 @@
 	return services
 }
 
+// enrolled notes the key of a VM. One that can't be read still counts as a VM.
+func (v *VM) enrolled(e store.Entry) {
+	var n enrolment
+	if err := json.Unmarshal(e.Value(), &n); err != nil {
+		v.log.Warn().Err(err).Str("key", e.Key()).Uint64("revision", e.Revision()).Msg("edge: The key of a VM can't be read.")
+	}
+	v.peers[e.Key()] = n
+}
+
+// shareFeed tells the reader which VMs of the failure domain give changes.
+func (v *VM) shareFeed() {
+	if v.watcher.reader == nil {
+		return
+	}
+	var vms []feed.VM
+	for key, n := range v.peers {
+		if n.Domain == v.settings.Domain && n.Feed != "" {
+			vms = append(vms, feed.NewVM(strings.TrimPrefix(key, v.sources.Enrolled), n.Feed, n.Link))
+		}
+	}
+	v.watcher.reader.SetVMs(vms)
+}
+
 // peerNames returns the names of the enrolled VMs, sorted.
 func (v *VM) peerNames() []string {
 	names := make([]string, 0, len(v.peers))
--- a/internal/edge/watcher.go
+++ b/internal/edge/watcher.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/feed"
 	"clementinelink.example/clementinelink/internal/follow"
 	"clementinelink.example/clementinelink/internal/ring"
 	"clementinelink.example/clementinelink/internal/store"
@@ -40,7 +41,10 @@
 type watcher struct {
 	sources Sources
 	client  *store.Client
-	gather  time.Duration
+	// reader reads changes of the whole store, also from other VMs; nil for
+	// the store only.
+	reader *feed.Reader
+	gather time.Duration
 	// apply applies a change and returns the service of each upstream that it
 	// lists, by key; peers returns the number of enrolled VMs.
 	apply    func(ctx context.Context, c follow.Change) map[string]string
@@ -154,6 +158,9 @@
 	}
 	emit := func(ctx context.Context, c follow.Change) { w.changes.Put(ctx, c) }
 	f := follow.New(c, prefix, w.gather, emit, w.log).WithKnown(known)
+	if prefix == "" && w.reader != nil {
+		f.From(w.reader)
+	}
 	running := []*follow.Follower{f}
 	if old := w.followers.Load(); old != nil {
 		running = append(slices.Clone(*old), f)
--- /dev/null
+++ b/internal/feed/script_test.go
@@ -0,0 +1,130 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"clementinelink.example/clementinelink/internal/store"
+	"github.com/cockroachdb/datadriven"
+)
+
+var base = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// TestOrder guards the sources that a VM asks: one VM must not cost the others
+// more than a wait each time that it fails, and no two may ask only each other.
+// Times are milliseconds.
+func TestOrder(t *testing.T) {
+	var o *Order
+	datadriven.RunTest(t, "testdata/order", func(t *testing.T, d *datadriven.TestData) string {
+		now := base.Add(time.Duration(number(t, d, "at")) * time.Millisecond)
+		v := VM{
+			name: text(t, d, "vm"),
+		}
+		switch d.Cmd {
+		case "vms":
+			o = NewOrder(text(t, d, "self"))
+			var vms []VM
+			for l := range strings.Lines(d.Input) {
+				f := strings.Fields(l)
+				link, err := strconv.ParseFloat(f[1], 64)
+				if err != nil {
+					t.Fatalf("%s: %v", d.Pos, err)
+				}
+				vms = append(vms, NewVM(f[0], "", link))
+			}
+			o.Set(vms)
+		case "sources":
+			var names []string
+			for _, v := range o.Sources(now) {
+				if v.name == "" {
+					v.name = "store"
+				}
+				names = append(names, v.name)
+			}
+			return strings.Join(names, " ") + "\n"
+		case "failed":
+			o.Failed(now, v)
+		case "behind":
+			o.Behind(now, v)
+		case "answered":
+			o.Answered(v)
+		default:
+			t.Fatalf("%s: unknown command %q", d.Pos, d.Cmd)
+		}
+		return ""
+	})
+}
+
+// TestLog guards what a VM gives to others: nothing may be missing after the
+// revision that they name, and it must not vouch for what the store did not
+// say. Times are milliseconds.
+func TestLog(t *testing.T) {
+	now := base
+	l := NewLog()
+	l.now = func() time.Time { return now }
+	datadriven.RunTest(t, "testdata/log", func(t *testing.T, d *datadriven.TestData) string {
+		now = base.Add(time.Duration(number(t, d, "at")) * time.Millisecond)
+		switch d.Cmd {
+		case "reset":
+			l.Reset(uint64(number(t, d, "revision")))
+		case "append":
+			l.Append(events(t, d), uint64(number(t, d, "revision")), d.HasArg("direct"))
+		case "after":
+			return answer(l.Wait(context.Background(), uint64(number(t, d, "n")), 0))
+		default:
+			t.Fatalf("%s: unknown command %q", d.Pos, d.Cmd)
+		}
+		return ""
+	})
+}
+
+func answer(c Changes, err error) string {
+	if err != nil {
+		return err.Error() + "\n"
+	}
+	var b strings.Builder
+	for _, e := range c.Events() {
+		sign := ""
+		if e.Gone() {
+			sign = "-"
+		}
+		fmt.Fprintf(&b, "%s%s %d\n", sign, e.Entry().Key(), e.Entry().Revision())
+	}
+	fmt.Fprintf(&b, "revision %d, %s old\n", c.Revision(), c.Age())
+	return b.String()
+}
+
+// events reads lines "KEY REVISION", with a minus before a key that is gone.
+func events(t *testing.T, d *datadriven.TestData) []store.Event {
+	var list []store.Event
+	for l := range strings.Lines(d.Input) {
+		f := strings.Fields(l)
+		revision, err := strconv.ParseUint(f[1], 10, 64)
+		if err != nil {
+			t.Fatalf("%s: %v", d.Pos, err)
+		}
+		key, gone := strings.CutPrefix(f[0], "-")
+		list = append(list, store.NewEvent(store.NewEntry(key, nil, revision, ""), gone))
+	}
+	return list
+}
+
+func number(t *testing.T, d *datadriven.TestData, key string) int {
+	n := 0
+	if d.HasArg(key) {
+		d.ScanArgs(t, key, &n)
+	}
+	return n
+}
+
+func text(t *testing.T, d *datadriven.TestData, key string) string {
+	s := ""
+	if d.HasArg(key) {
+		d.ScanArgs(t, key, &s)
+	}
+	return s
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -17,7 +17,8 @@
 // Follower is the duty that follows one prefix.
 type Follower struct {
 	prefix string
-	gather time.Duration
+	// gather returns how long to pause after a change.
+	gather func() time.Duration
 	state  *State
 	list   func(ctx context.Context, prefix string) ([]store.Entry, uint64, error)
 	watch  func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error)
@@ -34,7 +35,7 @@
 func New(c *store.Client, prefix string, gather time.Duration, emit func(ctx context.Context, c Change), log zerolog.Logger) *Follower {
 	return &Follower{
 		prefix: prefix,
-		gather: gather,
+		gather: func() time.Duration { return gather },
 		state:  NewState(),
 		list:   c.List,
 		watch:  c.Watch,
@@ -51,6 +52,20 @@
 	return f
 }
 
+// Source is where a follower reads changes from in place of the store.
+type Source interface {
+	List(ctx context.Context, prefix string) ([]store.Entry, uint64, error)
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error)
+	// Pause returns how long to pause after a change.
+	Pause() time.Duration
+}
+
+// From makes the follower read from another source. Call it before Run.
+func (f *Follower) From(s Source) *Follower {
+	f.list, f.watch, f.gather = s.List, s.Watch, s.Pause
+	return f
+}
+
 // Heard reports whether the store has answered. It may be called concurrently.
 func (f *Follower) Heard() bool { return f.heard.Load() != 0 }
 
@@ -83,7 +98,7 @@
 		if err == nil && !c.Empty() {
 			f.emit(ctx, c)
 			if c.Len() < crowded {
-				pause = f.gather
+				pause = f.gather()
 			}
 		}
 		if old := f.state.Expired(f.now()); !old.Empty() {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -16,7 +16,7 @@
 	const parts = 8
 	revision := uint64(0)
 	f := &Follower{
-		gather: time.Hour,
+		gather: func() time.Duration { return time.Hour },
 		state:  NewState(),
 		list: func(context.Context, string) ([]store.Entry, uint64, error) {
 			return nil, 0, nil
