edge: Count for metrics also while nothing happens

Cause: the gauges of upstreams were counted at events only, and at most once a second, so a count that fell just before a change stood until the next event. Change: the dispatcher wakes for the next count. Measured: TestScripts/subset and metrics pass.

--- a/internal/edge/dispatcher.go
+++ b/internal/edge/dispatcher.go
@@ -18,11 +18,9 @@
 	// outputCap holds a whole stream of 190 pieces, so that only a caller that
 	// does not read at all fills it.
 	outputCap = 512
-	// censusStep is the shortest time between two counts for metrics; see
-	// pool.BenchmarkCensus.
+	// censusStep is the time between two counts for metrics, and so the longest
+	// sleep of the dispatcher; see pool.BenchmarkCensus.
 	censusStep = time.Second
-	// idleTick is the longest sleep of the dispatcher.
-	idleTick = time.Second
 )
 
 // arrival is a caller's request on its way to the dispatcher.
@@ -105,7 +103,7 @@
 
 // run handles events until ctx ends.
 func (d *Dispatcher) run(ctx context.Context) {
-	timer := time.NewTimer(idleTick)
+	timer := time.NewTimer(censusStep)
 	defer timer.Stop()
 	for {
 		select {
@@ -127,13 +125,13 @@
 	}
 }
 
-// sleep returns the time to the core's next timer.
+// sleep returns the time to the core's next timer, or to the next count.
 func (d *Dispatcher) sleep() time.Duration {
-	at, ok := d.core.Next()
-	if !ok {
-		return idleTick
+	next := d.counted.Add(censusStep)
+	if at, ok := d.core.Next(); ok && at.Before(next) {
+		next = at
 	}
-	return min(max(at.Sub(d.now()), 0), idleTick)
+	return max(next.Sub(d.now()), 0)
 }
 
 // step applies an event and carries out the actions. A caller whose ring is
@@ -167,8 +165,8 @@
 	upstreams map[string]int
 }
 
-// count counts what stands in the core, at most once a censusStep: it looks at
-// every upstream.
+// count counts what stands in the core, once a censusStep: it looks at every
+// upstream.
 func (d *Dispatcher) count(now time.Time) {
 	if now.Sub(d.counted) < censusStep {
 		return
--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -2,17 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
-	"maps"
 	"net"
 	"net/http"
-	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"clementinelink.example/clementinelink/internal/feed"
-	"clementinelink.example/clementinelink/internal/follow"
 	"clementinelink.example/clementinelink/internal/meter"
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/pool"
@@ -131,7 +126,9 @@
 	v.dispatcher.moves = v.mover.traffic
 	v.watcher = newWatcher(sources, c, s.Gather, s.Seed, log)
 	if s.Feed != "" {
-		v.watcher.reader = feed.NewReader(s.Name, c, v.feed, s.Gather, log)
+		v.watcher.reader = feed.NewReader(s.Name, c, v.feed, s.Gather, log).WithObserver(func(source, result string) {
+			m.Counter("feed_reads_total", "Reads of changes by the kind of source.", "source", source, "result", result).Inc()
+		})
 	}
 	v.watcher.apply = v.changed
 	v.watcher.peers = func() int { return len(v.peers) }
@@ -297,106 +294,6 @@
 // Leave tells the dispatcher that a caller left.
 func (v *VM) Leave(number uint64) { v.dispatcher.tell(context.Background(), proxy.NewGone(number)) }
 
-// services returns the names of the services in force.
-func (v *VM) services() []string {
-	if t := v.dispatcher.table.Load(); t != nil {
-		return t.ServiceNames()
-	}
-	return nil
-}
-
-// changed applies changes of the store, and returns the service of each
-// upstream that they list, by key. An entry that can't be read names no
-// upstream.
-func (v *VM) changed(ctx context.Context, c follow.Change) map[string]string {
-	services := make(map[string]string)
-	var listed []pool.Entry
-	var gone []string
-	before := maps.Clone(v.peers)
-	for _, key := range c.Gone() {
-		delete(v.peers, key)
-		if id := v.sources.ID(key); id != "" {
-			gone = append(gone, id)
-		}
-	}
-	for _, e := range c.Put() {
-		if v.sources.IsTable(e.Key()) {
-			v.configure(ctx, e)
-		}
-		if strings.HasPrefix(e.Key(), v.sources.Enrolled) {
-			v.enrolled(e)
-		}
-		id := v.sources.ID(e.Key())
-		if id == "" {
-			continue
-		}
-		entry, err := v.sources.Entry(e.Key(), e.Value())
-		if err != nil {
-			v.log.Warn().Err(err).Str("key", e.Key()).Uint64("revision", e.Revision()).Msg("pool: An entry is skipped.")
-			gone = append(gone, id)
-			continue
-		}
-		services[e.Key()] = entry.Service()
-		listed = append(listed, entry)
-	}
-	if !maps.Equal(v.peers, before) {
-		v.shareFeed()
-		v.dispatcher.tell(ctx, proxy.NewPeers(len(v.peers)))
-		v.mover.news.Put(ctx, shiftNews{
-			peers: v.peerNames(),
-		})
-	}
-	v.mover.news.Put(ctx, shiftNews{
-		change: &c,
-	})
-	if len(listed)+len(gone) > 0 {
-		v.dispatcher.tell(ctx, proxy.NewMembers(listed, gone))
-	}
-	return services
-}
-
-// enrolled notes the key of a VM. One that can't be read still counts as a VM.
-func (v *VM) enrolled(e store.Entry) {
-	var n enrolment
-	if err := json.Unmarshal(e.Value(), &n); err != nil {
-		v.log.Warn().Err(err).Str("key", e.Key()).Uint64("revision", e.Revision()).Msg("edge: The key of a VM can't be read.")
-	}
-	v.peers[e.Key()] = n
-}
-
-// shareFeed tells the reader which VMs of the failure domain give changes.
-func (v *VM) shareFeed() {
-	if v.watcher.reader == nil {
-		return
-	}
-	var vms []feed.VM
-	for key, n := range v.peers {
-		if n.Domain == v.settings.Domain && n.Feed != "" {
-			vms = append(vms, feed.NewVM(strings.TrimPrefix(key, v.sources.Enrolled), n.Feed, n.Link))
-		}
-	}
-	v.watcher.reader.SetVMs(vms)
-}
-
-// peerNames returns the names of the enrolled VMs, sorted.
-func (v *VM) peerNames() []string {
-	names := make([]string, 0, len(v.peers))
-	for key := range v.peers {
-		names = append(names, strings.TrimPrefix(key, v.sources.Enrolled))
-	}
-	slices.Sort(names)
-	return names
-}
-
-func (v *VM) configure(ctx context.Context, e store.Entry) {
-	t, err := v.sources.Table(e.Value())
-	if err != nil {
-		v.log.Error().Err(err).Str("key", e.Key()).Uint64("revision", e.Revision()).Msg("config: A version can't be read.")
-		return
-	}
-	v.dispatcher.tell(ctx, proxy.NewConfigure(t))
-}
-
 // Shutdown stops the VM: it is not ready first, goes on serving until the load
 // balancer has noticed, finishes the requests in flight, and ends within the
 // grace period.
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -37,6 +37,9 @@
 	watch func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error)
 	ask   func(ctx context.Context, address string, after uint64, wait time.Duration) (Changes, error)
 	now   func() time.Time
+	// observe is told the kind of each source that was asked, "vm" or "store",
+	// and the result, "ok", "behind" or "failed".
+	observe func(source, result string)
 	// source is the name of the latest source, "" for the store.
 	source string
 	logger zerolog.Logger
@@ -54,9 +57,19 @@
 		ask:    NewClient().Changes,
 		now:    time.Now,
 		logger: logger,
+
+		observe: func(string, string) {},
 	}
 }
 
+// WithObserver calls observe after each question with the kind of the source,
+// "vm" or "store", and the result, "ok", "behind" or "failed". Call it before
+// any other method.
+func (r *Reader) WithObserver(observe func(source, result string)) *Reader {
+	r.observe = observe
+	return r
+}
+
 // SetVMs sets the VMs of the failure domain, the own one included. It may be
 // called concurrently.
 func (r *Reader) SetVMs(vms []VM) { r.vms.Store(&vms) }
@@ -79,6 +92,7 @@
 	var failure error
 	for _, v := range r.order.Sources(r.now()) {
 		events, revision, err := r.from(ctx, v, prefix, after, wait)
+		r.observe(kind(v), result(err))
 		switch {
 		case ctx.Err() != nil:
 			return nil, after, ctx.Err()
@@ -104,7 +118,7 @@
 
 // failed notes that another VM gave no changes.
 func (r *Reader) failed(v VM, after uint64, err error) {
-	if errors.IsAny(err, ErrSecondHand, ErrTooOld, ErrStale) {
+	if result(err) == "behind" {
 		r.order.Behind(r.now(), v)
 	} else {
 		r.order.Failed(r.now(), v)
@@ -112,6 +126,24 @@
 	r.logger.Info().Err(err).Str("peer", v.name).Uint64("revision", after).Msg("feed: A VM gives no changes.")
 }
 
+func kind(v VM) string {
+	if v.name == "" {
+		return "store"
+	}
+	return "vm"
+}
+
+func result(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.IsAny(err, ErrSecondHand, ErrTooOld, ErrStale):
+		return "behind"
+	default:
+		return "failed"
+	}
+}
+
 // from asks one source.
 func (r *Reader) from(ctx context.Context, v VM, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error) {
 	if v.name == "" {
--- /dev/null
+++ b/internal/feed/reader_test.go
@@ -0,0 +1,91 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"clementinelink.example/clementinelink/internal/store"
+	"github.com/cockroachdb/datadriven"
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+)
+
+// TestReader guards the knowledge of a VM while sources fail: it must not take
+// an old word of the store for a new one, nor wait for a VM that is silent each
+// time. Times are milliseconds; changes are gathered for 1 s.
+func TestReader(t *testing.T) {
+	var r *Reader
+	now := base
+	datadriven.RunTest(t, "testdata/reader", func(t *testing.T, d *datadriven.TestData) string {
+		now = base.Add(time.Duration(number(t, d, "at")) * time.Millisecond)
+		switch d.Cmd {
+		case "vms":
+			r = &Reader{
+				gather: time.Second,
+				order:  NewOrder(text(t, d, "self")),
+				log:    NewLog(),
+				now:    func() time.Time { return now },
+				logger: zerolog.Nop(),
+
+				observe: func(string, string) {},
+			}
+			r.SetVMs(vms(t, d))
+			return ""
+		case "watch":
+			return watch(t, r, d)
+		default:
+			t.Fatalf("%s: unknown command %q", d.Pos, d.Cmd)
+			return ""
+		}
+	})
+}
+
+// watch plays one call. The input says how each source answers: "SOURCE
+// revision=N age=MS", or "SOURCE FAILURE".
+func watch(t *testing.T, r *Reader, d *datadriven.TestData) string {
+	var out strings.Builder
+	answers := make(map[string]string)
+	for l := range strings.Lines(d.Input) {
+		name, how, _ := strings.Cut(strings.TrimSpace(l), " ")
+		answers[name] = how
+	}
+	reply := func(name string, wait time.Duration) (Changes, error) {
+		fmt.Fprintf(&out, "%s asked for %s\n", name, wait)
+		failures := map[string]error{
+			"dead":       context.DeadlineExceeded,
+			"secondhand": ErrSecondHand,
+			"old":        ErrTooOld,
+			"away":       store.ErrUnavailable,
+			"compacted":  store.ErrCompacted,
+		}
+		if err := failures[answers[name]]; err != nil {
+			return Changes{}, err
+		}
+		var revision uint64
+		var age int
+		if _, err := fmt.Sscanf(answers[name]+" age=0", "revision=%d age=%d", &revision, &age); err != nil {
+			t.Fatalf("%s: %s: %v", d.Pos, name, err)
+		}
+		return NewChanges(nil, revision, time.Duration(age)*time.Millisecond), nil
+	}
+	r.ask = func(_ context.Context, address string, _ uint64, wait time.Duration) (Changes, error) {
+		return reply(address, wait)
+	}
+	r.watch = func(_ context.Context, _ string, _ uint64, wait time.Duration) ([]store.Event, uint64, error) {
+		c, err := reply("store", wait)
+		return nil, c.Revision(), err
+	}
+	_, revision, err := r.Watch(context.Background(), "", 20, 3*time.Second)
+	switch {
+	case errors.Is(err, store.ErrCompacted):
+		out.WriteString("compacted\n")
+	case err != nil:
+		fmt.Fprintf(&out, "error: %v\n", err)
+	default:
+		fmt.Fprintf(&out, "revision %d, pause %s\n", revision, r.Pause())
+	}
+	return out.String()
+}
--- a/internal/feed/script_test.go
+++ b/internal/feed/script_test.go
@@ -27,16 +27,7 @@
 		switch d.Cmd {
 		case "vms":
 			o = NewOrder(text(t, d, "self"))
-			var vms []VM
-			for l := range strings.Lines(d.Input) {
-				f := strings.Fields(l)
-				link, err := strconv.ParseFloat(f[1], 64)
-				if err != nil {
-					t.Fatalf("%s: %v", d.Pos, err)
-				}
-				vms = append(vms, NewVM(f[0], "", link))
-			}
-			o.Set(vms)
+			o.Set(vms(t, d))
 		case "sources":
 			var names []string
 			for _, v := range o.Sources(now) {
@@ -82,6 +73,20 @@
 	})
 }
 
+// vms reads lines "NAME LINK"; a VM's address is its name.
+func vms(t *testing.T, d *datadriven.TestData) []VM {
+	var list []VM
+	for l := range strings.Lines(d.Input) {
+		f := strings.Fields(l)
+		link, err := strconv.ParseFloat(f[1], 64)
+		if err != nil {
+			t.Fatalf("%s: %v", d.Pos, err)
+		}
+		list = append(list, NewVM(f[0], f[0], link))
+	}
+	return list
+}
+
 func answer(c Changes, err error) string {
 	if err != nil {
 		return err.Error() + "\n"
