claim, config: Split the cores by concern

The course of one call, the schedule of operations and the fetching of parts stand in files of their own; no line of code has changed. Tests of both packages pass.

--- a/internal/config/core.go
+++ b/internal/config/core.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 
 	"clementinelink.example/clementinelink/internal/world"
 )
@@ -35,26 +34,6 @@
 	maxBackoff = 5 * time.Second
 )
 
-// slot is one kind of operation, of which at most one is pending.
-type slot struct {
-	// pending is the op without an answer, or 0.
-	pending  uint64
-	next     time.Time
-	failures int
-}
-
-// free reports whether the operation may be issued.
-func (s *slot) free(now time.Time) bool { return s.pending == 0 && !now.Before(s.next) }
-
-// ends marks the operation as answered; it is false for an old answer.
-func (s *slot) ends(op uint64) bool {
-	if op != s.pending || op == 0 {
-		return false
-	}
-	s.pending = 0
-	return true
-}
-
 // Core decides what a VM reads and which revision it adopts. It is owned by
 // one goroutine.
 type Core struct {
@@ -306,28 +285,6 @@
 	}
 }
 
-// answerFetch takes the parts that match their digest.
-func (c *Core) answerFetch(now time.Time, e Event) {
-	if !c.fetch.ends(e.op) || c.target == nil {
-		return
-	}
-	for key, value := range e.parts {
-		if verify(key, value) {
-			c.parts[key] = value
-		}
-	}
-	if len(c.missing()) == 0 {
-		return
-	}
-	delay := c.fail(&c.fetch)
-	if c.fetch.failures >= len(c.sources()) {
-		c.fetch.next = now.Add(delay)
-	}
-	if c.newest != nil && c.newest.revision > c.target.revision {
-		c.aim()
-	}
-}
-
 // adopt builds the target when its parts are complete, and picks the next one.
 func (c *Core) adopt(now time.Time) {
 	for !c.starting {
@@ -345,166 +302,3 @@
 		c.finish()
 	}
 }
-
-// aim makes the newest head the target and reuses the parts that it shares
-// with the revision in force and the target before.
-func (c *Core) aim() {
-	c.target = c.newest
-	kept := make(map[string][]byte, len(c.target.parts))
-	for _, p := range c.target.parts {
-		key := p.Key()
-		if v, ok := c.force.parts[key]; ok {
-			kept[key] = v
-		}
-		if v, ok := c.parts[key]; ok {
-			kept[key] = v
-		}
-	}
-	c.parts = kept
-}
-
-// finish publishes the target, whose parts are complete, or refuses it.
-func (c *Core) finish() {
-	h := c.target
-	c.target = nil
-	if c.newest == h {
-		c.newest = nil
-	}
-	named := make(map[string][]byte, len(h.parts))
-	for _, p := range h.parts {
-		named[p.name] = c.parts[p.Key()]
-	}
-	m, err := c.build(h.revision, named)
-	if err != nil {
-		c.refused = h.revision
-		c.reject(errors.Wrapf(err, "config: revision %d", h.revision))
-		return
-	}
-	c.force = &Snapshot{
-		head:  h,
-		parts: c.parts,
-		world: m,
-	}
-	c.parts = nil
-	c.out = append(c.out, Action{
-		kind:     Publish,
-		snapshot: c.force,
-	})
-}
-
-func (c *Core) reject(err error) {
-	c.out = append(c.out, Action{
-		kind: Reject,
-		err:  err,
-	})
-}
-
-// missing returns the keys of the target's parts that are not there yet.
-func (c *Core) missing() []string {
-	var keys []string
-	for _, p := range c.target.parts {
-		if _, ok := c.parts[p.Key()]; !ok {
-			keys = append(keys, p.Key())
-		}
-	}
-	return keys
-}
-
-// sources returns where the target's parts may be: the peers that have its
-// revision, since their number grows with the fleet and the store's rate does
-// not, then the store. The first of the peers differs from VM to VM.
-func (c *Core) sources() []string {
-	found := []string{}
-	for _, p := range c.peers {
-		if c.known[p] >= c.target.revision {
-			found = append(found, p)
-		}
-	}
-	if len(found) > 1 {
-		first := int(rank(c.self.Name()) % uint64(len(found)))
-		found = append(found[first:len(found):len(found)], found[:first]...)
-	}
-	return append(found, "")
-}
-
-// reads reports whether this VM reads the head from the store at now.
-func (c *Core) reads(now time.Time) bool {
-	return c.watcher || c.starting || now.Sub(c.heard) >= lonely
-}
-
-// issue emits the operations that are due.
-func (c *Core) issue(now time.Time) {
-	if c.reads(now) && c.read.free(now) {
-		c.perform(&c.read, Action{
-			kind: Read,
-		})
-	}
-	if c.watcher && c.synced && c.watch.free(now) {
-		c.perform(&c.watch, Action{
-			kind:  Watch,
-			after: c.cursor,
-		})
-	}
-	if c.target != nil && c.fetch.free(now) {
-		sources := c.sources()
-		c.perform(&c.fetch, Action{
-			kind: Fetch,
-			peer: sources[c.fetch.failures%len(sources)],
-			keys: c.missing(),
-		})
-	}
-}
-
-func (c *Core) perform(s *slot, a Action) {
-	c.op++
-	s.pending = c.op
-	a.op = c.op
-	c.out = append(c.out, a)
-}
-
-// schedule emits Wake for the next time at which something is due.
-func (c *Core) schedule(now time.Time) {
-	var at time.Time
-	sooner := func(t time.Time) {
-		if t.After(now) && (at.IsZero() || t.Before(at)) {
-			at = t
-		}
-	}
-	if c.read.pending == 0 {
-		if c.reads(now) {
-			sooner(c.read.next)
-		} else {
-			sooner(c.heard.Add(lonely))
-		}
-	}
-	if c.watcher && c.synced && c.watch.pending == 0 {
-		sooner(c.watch.next)
-	}
-	if c.target != nil && c.fetch.pending == 0 {
-		sooner(c.fetch.next)
-	}
-	if c.starting {
-		sooner(c.begun.Add(patience))
-		sooner(c.until)
-	}
-	if at.IsZero() || at.Equal(c.woke) {
-		return
-	}
-	c.woke = at
-	c.out = append(c.out, Action{
-		kind: Wake,
-		at:   at,
-	})
-}
-
-// fail counts a failure and returns the delay after it.
-func (c *Core) fail(s *slot) time.Duration {
-	d := min(backoff<<min(s.failures, 10), maxBackoff)
-	s.failures++
-	return c.jitter(d)
-}
-
-// jitter returns between a half and one and a half of d.
-func (c *Core) jitter(d time.Duration) time.Duration {
-	return d/2 + time.Duration(c.random.Float64()*float64(d))
-}
