--- a/internal/edge/dispatcher.go
+++ b/internal/edge/dispatcher.go
@@ -52,6 +52,10 @@
 	pause time.Duration
 	// resumed is true from a sending that continues a stream to its next piece.
 	resumed bool
+	// back is the position of a caller that came back for the rest of a stream,
+	// and kept is true if its prompt was found at an engine.
+	back int
+	kept bool
 	// unwritten is the first sending, until it is logged.
 	unwritten *sendLine
 }
--- a/internal/edge/journal.go
+++ b/internal/edge/journal.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"strings"
 	"time"
 
 	"clementinelink.example/clementinelink/internal/meter"
@@ -153,6 +154,7 @@
 	}
 	if r.sends == 0 {
 		r.unwritten = &l
+		r.back, r.kept = a.Position(), strings.HasSuffix(a.Reason(), proxy.PromptKept)
 		return
 	}
 	j.unusual(r)
@@ -219,6 +221,9 @@
 		j.pause.Observe(r.pause)
 		l = l.Int("pieces", r.pieces).Int64("first", r.first.Milliseconds()).Int64("pause", r.pause.Milliseconds()).Int("copies", r.copies)
 	}
+	if r.back > 0 {
+		l = l.Int("back", r.back).Bool("kept", r.kept)
+	}
 	if a.Answer() != nil {
 		l = l.Int("status", a.Answer().Status())
 	}
--- a/internal/proxy/ask.go
+++ b/internal/proxy/ask.go
@@ -25,6 +25,10 @@
 	readRate = 5000
 )
 
+// PromptKept ends the reason of a sending to an engine that keeps the prompt of a
+// caller who came back.
+const PromptKept = ", prompt kept"
+
 // survey is a choice that waits for engines' statements.
 type survey struct {
 	reason string
@@ -223,7 +227,7 @@
 		c.fail(now, x, "no time left", errs.Expired)
 	default:
 		if s.kept[up.ID()] > 0 {
-			s.reason += ", prompt kept"
+			s.reason += PromptKept
 		}
 		c.send(now, x, up, up.ID(), false, s.reason)
 	}
