--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -196,7 +196,7 @@
 	v.metrics.Watch("table_age_seconds", "Time since the routing table in force arrived.", func() float64 {
 		return d.now().Sub(time.Unix(0, d.adopted.Load())).Seconds()
 	})
-	v.metrics.Watch("store_age_seconds", "Time since the store last confirmed the table and the upstreams.", func() float64 { return v.watcher.age().Seconds() })
+	v.metrics.Watch("store_age_seconds", "Time since the store, or a VM that it answered lately, confirmed the table and the upstreams.", func() float64 { return v.watcher.age().Seconds() })
 }
 
 // serveReady starts the listeners for the load balancer and for metrics.
