guide: Build the programs of pages apart from running them

The operators' pages run Go files, and the test compares all that 'go run' prints with the page.

Build the file first and run the result; only the program's output is compared. A file that doesn't build is an error of the page, as before.

--- a/internal/guide/runner.go
+++ b/internal/guide/runner.go
@@ -214,9 +214,7 @@
 		if len(l.words) != 3 || l.words[1] != "run" {
 			return errors.New("go: only \"go run FILE\" is supported")
 		}
-		cmd := exec.CommandContext(ctx, "go", "run", filepath.Join(r.dir, l.words[2]))
-		cmd.Dir = r.module
-		return r.runProgram(cmd, l, out)
+		return r.runSource(ctx, l, out)
 	case "clementinectl", "clementined":
 		cmd := exec.Command(filepath.Join(r.programs, l.words[0]), l.words[1:]...)
 		cmd.Dir = r.dir
@@ -230,6 +228,22 @@
 	return errors.Newf("unknown program %s", l.words[0])
 }
 
+// runSource builds and runs a Go source file. Building it apart keeps what the
+// compiler prints, which depends on GOFLAGS, out of the program's output.
+func (r *Runner) runSource(ctx context.Context, l *commandLine, out io.Writer) error {
+	source := filepath.Join(r.dir, l.words[2])
+	program := strings.TrimSuffix(source, ".go")
+	build := exec.CommandContext(ctx, "go", "build", "-o", program, source)
+	build.Dir = r.module
+	build.Env = r.environment()
+	if printed, err := build.CombinedOutput(); err != nil {
+		return errors.Wrapf(err, "go build: %s", printed)
+	}
+	cmd := exec.CommandContext(ctx, program)
+	cmd.Dir = r.module
+	return r.runProgram(cmd, l, out)
+}
+
 // runProgram runs a program and waits for it. Output that is not redirected to
 // a file goes to out.
 func (r *Runner) runProgram(cmd *exec.Cmd, l *commandLine, out io.Writer) error {
