reap, proxy, platform: Order engines to stop runs that go on elsewhere

Tokens are generated twice and the engine's slot is taken.

Cause: a cancelled attempt ended by closing its connection, and nothing checked that the engine learned of it. On a connection that has gone silent the close is lost, and a close that is sent into a cut arrives long after it has healed. The stream goes on at another engine meanwhile. Class of fault: an order whose arrival is not confirmed. The product's own interface confirms its cancels already.

Change: the run of a cancelled attempt of an engine is tracked when its request goes on elsewhere. The engine is ordered over another connection to stop it, until it has answered. The answers are logged with the time since the cancel.

Scripts of proxy show the new orders; nothing else in them changed.

--- a/internal/edge/eventlog.go
+++ b/internal/edge/eventlog.go
@@ -6,6 +6,7 @@
 
 	"clementinelink.example/clementinelink/internal/meter"
 	"clementinelink.example/clementinelink/internal/proxy"
+	"clementinelink.example/clementinelink/internal/reap"
 	"github.com/rs/zerolog"
 )
 
@@ -75,6 +76,14 @@
 	j.log.Info().Str("request", id).Str("address", holder).Err(err).Msg("proxy: Copying the run failed.")
 }
 
+// logStop logs and counts the answer to an order to stop a run. after is the time
+// since the run was cancelled, in milliseconds.
+func (j *eventLog) logStop(now time.Time, o reap.Order, outcome reap.Outcome, err error) {
+	j.metrics.Counter("stops_total", "Orders to stop runs of cancelled attempts.", meter.Outcome, outcome.String()).Inc()
+	j.log.Info().Str("request", o.Run().Request).Str("upstream", o.Run().Upstream).Str("outcome", outcome.String()).
+		Int64("after", now.Sub(o.Cancelled()).Milliseconds()).AnErr("detail", err).Msg("proxy: A cancelled run was looked for.")
+}
+
 // logQueryFailure logs that a query to an engine failed.
 func (j *eventLog) logQueryFailure(upstream string, err error) {
 	j.log.Info().Str("upstream", upstream).Err(err).Msg("pool: Engine query failed.")
@@ -94,7 +103,7 @@
 	case proxy.QueryState:
 		j.metrics.Counter("asked_total", "Questions for the state of engines.", "reason", a.Reason()).Inc()
 		return
-	case proxy.SendHead, proxy.SendPiece, proxy.QueryPrompt, proxy.QueryID, proxy.ReportOutcome:
+	case proxy.SendHead, proxy.SendPiece, proxy.QueryPrompt, proxy.QueryID, proxy.StopRun, proxy.ReportOutcome:
 		return
 	}
 	if r == nil {
--- a/internal/edge/query.go
+++ b/internal/edge/query.go
@@ -5,12 +5,17 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/proxy"
+	"clementinelink.example/clementinelink/internal/reap"
 	"github.com/cockroachdb/errors"
 )
 
 // startQuery starts the query to an engine that the core asks for, without
 // blocking the dispatcher. The result, or the failure, arrives as an event.
 func (d *Dispatcher) startQuery(ctx context.Context, a proxy.Action, r *request) {
+	if a.Kind() == proxy.StopRun {
+		go d.stopRun(ctx, a.Stop(), a.Timeout())
+		return
+	}
 	id, address, wait := a.Upstream().ID(), a.Upstream().Address(), a.Timeout()
 	switch a.Kind() {
 	case proxy.QueryState:
@@ -75,3 +80,12 @@
 	}
 	d.notify(ctx, proxy.NewPromptReported(number, id, tokens))
 }
+
+// stopRun orders an engine to stop the run of a cancelled attempt.
+func (d *Dispatcher) stopRun(ctx context.Context, o reap.Order, wait time.Duration) {
+	limited, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	outcome, err := d.upstreams.StopRun(limited, o.Run())
+	d.log.logStop(d.now(), o, outcome, err)
+	d.notify(ctx, proxy.NewStopReported(o.Run(), outcome))
+}
--- a/internal/proxy/action.go
+++ b/internal/proxy/action.go
@@ -5,6 +5,7 @@
 
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/pool"
+	"clementinelink.example/clementinelink/internal/reap"
 )
 
 // ActionKind is the kind of work that an Action asks its driver to do.
@@ -25,6 +26,8 @@
 	QueryID
 	// QueryPrompt queries how many tokens of a prompt an engine has cached.
 	QueryPrompt
+	// StopRun orders an engine to stop the run of a cancelled attempt.
+	StopRun
 	// ReportOutcome reports the outcome of an attempt at a service whose traffic is
 	// moving to another version.
 	ReportOutcome
@@ -48,12 +51,13 @@
 // String returns the kind's name. The names of final kinds are label values of
 // metrics and fields of log lines.
 func (k ActionKind) String() string {
-	return [...]string{"send", "cancel", "copy", "query-state", "query-id", "query-prompt", "report-outcome", "send-head", "send-piece", "close", "deliver", "refuse", "break", "forget"}[k]
+	return [...]string{"send", "cancel", "copy", "query-state", "query-id", "query-prompt", "stop-run", "report-outcome", "send-head", "send-piece", "close", "deliver", "refuse", "break", "forget"}[k]
 }
 
-// ExpectsResult reports whether the action queries an engine or asks it for a
-// copy, so that the driver must report the result as an event.
-func (k ActionKind) ExpectsResult() bool { return k >= Copy && k <= QueryPrompt }
+// ExpectsResult reports whether the action queries an engine, asks it for a copy
+// or orders it to stop a run, so that the driver must report the result as an
+// event.
+func (k ActionKind) ExpectsResult() bool { return k >= Copy && k <= StopRun }
 
 // Final reports whether the action ends its request.
 func (k ActionKind) Final() bool { return k >= Close }
@@ -88,6 +92,7 @@
 	bytes          []byte
 	problem        *errs.Problem
 	versionOutcome VersionOutcome
+	stop           reap.Order
 }
 
 // Kind returns what the driver has to do.
@@ -141,7 +146,8 @@
 // Path returns the URL path that QueryID requests.
 func (a Action) Path() string { return a.path }
 
-// Timeout returns the timeout of Copy, QueryState, QueryID and QueryPrompt.
+// Timeout returns the timeout of Copy, QueryState, QueryID, QueryPrompt and
+// StopRun.
 func (a Action) Timeout() time.Duration { return a.timeout }
 
 // Rank returns the priority of Send at the upstream; 0 is the most urgent.
@@ -162,6 +168,9 @@
 // VersionOutcome returns the outcome that ReportOutcome reports.
 func (a Action) VersionOutcome() VersionOutcome { return a.versionOutcome }
 
+// Stop returns the order of StopRun.
+func (a Action) Stop() reap.Order { return a.stop }
+
 // Bytes returns the encoded piece that SendPiece sends.
 func (a Action) Bytes() []byte { return a.bytes }
 
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -12,6 +12,7 @@
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/pool"
+	"clementinelink.example/clementinelink/internal/reap"
 	"clementinelink.example/clementinelink/internal/table"
 )
 
@@ -56,6 +57,9 @@
 	// awaitingID holds the states of engines whose id is being queried, keyed
 	// by the id of the engine that was listed at the same address before.
 	awaitingID map[string]pool.State
+	// cancelled holds the runs of engines that were cancelled while their requests
+	// went on elsewhere.
+	cancelled reap.Set
 	// pending holds the requests that arrived before the first configuration.
 	pending  []pendingRequest
 	draining bool
@@ -139,7 +143,10 @@
 func (c *Core) Next() (time.Time, bool) {
 	at, ok := c.alarms.Next()
 	if len(c.pending) > 0 && (!ok || c.pending[0].deadline.Before(at)) {
-		return c.pending[0].deadline, true
+		at, ok = c.pending[0].deadline, true
+	}
+	if due, tracked := c.cancelled.Next(); tracked && (!ok || due.Before(at)) {
+		at, ok = due, true
 	}
 	return at, ok
 }
@@ -159,6 +166,8 @@
 		c.idReported(now, e)
 	case PromptReported:
 		c.promptReported(now, e)
+	case StopReported:
+		c.cancelled.Answer(now, e.run, e.stopOutcome)
 	case Configure:
 		if c.table == nil || e.table.Version() > c.table.Version() {
 			c.table = e.table
@@ -183,6 +192,7 @@
 		c.handleAttemptEvent(now, e)
 	}
 	c.fireAlarms(now)
+	c.stopCancelled(now)
 	return c.actions
 }
 
--- a/internal/proxy/event.go
+++ b/internal/proxy/event.go
@@ -5,6 +5,7 @@
 
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/pool"
+	"clementinelink.example/clementinelink/internal/reap"
 	"clementinelink.example/clementinelink/internal/table"
 )
 
@@ -74,6 +75,8 @@
 	// PromptReported is the result of a QueryPrompt action: the number of prompt
 	// tokens that an engine has cached.
 	PromptReported
+	// StopReported is the result of a StopRun action.
+	StopReported
 	// Configure is a new routing table.
 	Configure
 	// Members is a change of the upstreams in the registry.
@@ -89,7 +92,7 @@
 // String returns the kind's name for traces.
 func (k EventKind) String() string {
 	return [...]string{
-		"tick", "arrive", "caller-left", "head", "piece", "copied", "finish", "reply", "lost", "state-reported", "id-reported", "prompt-reported", "configure", "members", "move", "peers", "drain",
+		"tick", "arrive", "caller-left", "head", "piece", "copied", "finish", "reply", "lost", "state-reported", "id-reported", "prompt-reported", "stop-reported", "configure", "members", "move", "peers", "drain",
 	}[k]
 }
 
@@ -131,6 +134,9 @@
 	// handle identifies the copy of Copied.
 	handle string
 	state  pool.State
+	// run and stopOutcome are set for StopReported.
+	run         reap.Run
+	stopOutcome reap.Outcome
 	// leaving is true if the upstream states that it accepts no new work.
 	leaving bool
 }
@@ -338,6 +344,15 @@
 	}
 }
 
+// NewStopReported returns the event of an engine's answer to a StopRun action.
+func NewStopReported(r reap.Run, o reap.Outcome) Event {
+	return Event{
+		kind:        StopReported,
+		run:         r,
+		stopOutcome: o,
+	}
+}
+
 // NewConfigure returns the event of a new routing table. The core ignores a
 // table that is not newer than its own.
 func NewConfigure(t *table.Table) Event {
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -11,6 +11,7 @@
 
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/pool"
+	"clementinelink.example/clementinelink/internal/reap"
 	"clementinelink.example/clementinelink/internal/table"
 	"github.com/cockroachdb/datadriven"
 )
@@ -90,6 +91,11 @@
 		return s.step(NewPeers(s.number(d, "count", 1)))
 	case "prompt-reported":
 		return s.step(NewPromptReported(number, s.text(d, "id", ""), s.number(d, "tokens", 0)))
+	case "stop-reported":
+		return s.step(NewStopReported(reap.Run{
+			Upstream: s.text(d, "id", ""),
+			Request:  "q" + strconv.FormatUint(number, 10),
+		}, s.stopOutcome(d)))
 	case "caller-left":
 		return s.step(NewCallerLeft(number))
 	case "state-reported":
@@ -149,6 +155,8 @@
 			fmt.Fprintf(&b, " %s to %s", a.Upstream().ID(), a.Holder().ID())
 		case QueryState, QueryPrompt, QueryID:
 			fmt.Fprintf(&b, " %s", a.Upstream().ID())
+		case StopRun:
+			fmt.Fprintf(&b, " %s at %s", a.Stop().Run().Request, a.Stop().Run().Upstream)
 		case Refuse:
 			fmt.Fprintf(&b, " %d %s", a.Problem().Status(), a.Problem().Outcome())
 		case ReportOutcome:
@@ -288,6 +296,17 @@
 	return 0
 }
 
+func (s *script) stopOutcome(d *datadriven.TestData) reap.Outcome {
+	name := s.text(d, "is", "")
+	for o := reap.Unanswered; o <= reap.Replaced; o++ {
+		if o.String() == name {
+			return o
+		}
+	}
+	s.t.Fatalf("%s: unknown outcome %q", d.Pos, name)
+	return 0
+}
+
 func (s *script) number(d *datadriven.TestData, key string, fallback int) int {
 	if !d.HasArg(key) {
 		return fallback
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -79,6 +79,7 @@
 		lastProgress: now,
 	}
 	x.attempts = append(x.attempts, a)
+	c.cancelled.Forget(upstream.ID(), x.q.ID())
 	x.retryAt = time.Time{}
 	x.placement = nil
 	upstream.AddAttempt(now, x.tokens, x.stream())
@@ -143,6 +144,7 @@
 		a.upstream.RecordFault(now)
 	}
 	if e.cause.mayHaveRun() {
+		c.trackCancelled(now, x, a, e.cause == Stalled)
 		if !a.copied {
 			// An attempt that resumes from a copy belongs to a run that is
 			// already counted.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -189,6 +189,7 @@
 	for _, other := range x.running() {
 		if other != a {
 			c.cancelAttempt(x, other, "another engine was first")
+			c.trackCancelled(now, x, other, true)
 		}
 	}
 	x.hedgeAt = time.Time{}
@@ -197,6 +198,7 @@
 	}
 	if x.position > 0 && index != x.position+1 {
 		c.cancelAttempt(x, a, "piece missing")
+		c.trackCancelled(now, x, a, false)
 		x.possibleRuns++
 		c.recoverStream(now, x, a, NewLost(x.q.Number(), a.number, Garbled, "piece missing"))
 		return
--- /dev/null
+++ b/internal/reap/script_test.go
@@ -0,0 +1,98 @@
+package reap
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// script runs the commands of one data file against a set.
+type script struct {
+	t    *testing.T
+	set  *Set
+	base time.Time
+}
+
+// TestScripts guards against runs that go on at an engine after their requests
+// went on elsewhere, and against orders without end. Times are in milliseconds
+// since the start of the file.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &script{
+			t:    t,
+			set:  new(Set),
+			base: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		}
+		datadriven.RunTest(t, path, s.run)
+	})
+}
+
+func (s *script) run(_ *testing.T, d *datadriven.TestData) string {
+	now := s.base
+	if d.HasArg("at") {
+		var ms int
+		d.ScanArgs(s.t, "at", &ms)
+		now = now.Add(time.Duration(ms) * time.Millisecond)
+	}
+	r := Run{
+		Begun: !d.HasArg("queued"),
+	}
+	if len(d.CmdArgs) > 0 {
+		r.Upstream, r.Request, _ = strings.Cut(d.CmdArgs[0].Key, "/")
+	}
+	switch d.Cmd {
+	case "add":
+		s.set.Add(now, r, d.HasArg("urgent"))
+	case "forget":
+		s.set.Forget(r.Upstream, r.Request)
+	case "answer":
+		s.set.Answer(now, r, s.outcome(d))
+	case "due":
+	default:
+		s.t.Fatalf("%s: unknown command %q", d.Pos, d.Cmd)
+	}
+	return s.state(now)
+}
+
+// state prints the orders that are due, and the time of the next one.
+func (s *script) state(now time.Time) string {
+	var b strings.Builder
+	for _, o := range s.set.Due(now) {
+		fmt.Fprintf(&b, "stop %s/%s, cancelled at %d\n", o.Run().Upstream, o.Run().Request, o.Cancelled().Sub(s.base).Milliseconds())
+	}
+	if at, ok := s.set.Next(); ok {
+		fmt.Fprintf(&b, "next %d\n", at.Sub(s.base).Milliseconds())
+	}
+	fmt.Fprintf(&b, "%d tracked\n", s.set.Len())
+	return b.String()
+}
+
+func (s *script) outcome(d *datadriven.TestData) Outcome {
+	var name string
+	d.ScanArgs(s.t, "is", &name)
+	for o := Unanswered; o <= Replaced; o++ {
+		if o.String() == name {
+			return o
+		}
+	}
+	s.t.Fatalf("%s: unknown outcome %q", d.Pos, name)
+	return 0
+}
+
+// TestBound guards against memory that grows with the number of cancelled runs.
+func TestBound(t *testing.T) {
+	s := new(Set)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for i := range 2 * maxRuns {
+		s.Add(now, Run{
+			Upstream: "e1",
+			Request:  fmt.Sprint(i),
+		}, false)
+	}
+	if s.Len() != maxRuns {
+		t.Errorf("%d runs are tracked, want %d", s.Len(), maxRuns)
+	}
+}
