proxy: Let a stream that can't be sent again wait after a late check

What operators saw: a VM that was paused for some seconds takes a whole core and serves nothing any more.

Cause: the check of a stalled stream is due after 0.65 of the longest pause until it has been handled. A core that is called only after 1.4 s of silence finds the stream hung instead, and if it may not be sent again it is not given up either. Its check stays due, and the core handles it for ever.

Change: a stall counts as handled when the stream can't be given up.

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -123,9 +123,13 @@
 // handleSilence handles an attempt that has made no progress until its check
 // was due.
 func (c *Core) handleSilence(now time.Time, x *exchange, a *attempt) {
-	if reason := c.stallReason(now, x, a); reason != "" && x.mayRepeat() {
-		c.giveUp(now, x, a, Stalled, reason)
-		return
+	if reason := c.stallReason(now, x, a); reason != "" {
+		if x.mayRepeat() {
+			c.giveUp(now, x, a, Stalled, reason)
+			return
+		}
+		// The check of the stall would stay due otherwise.
+		x.stallHandled = true
 	}
 	if heard := a.upstream.LastActivity(); now.Sub(heard) < x.probeAfter(a) {
 		// Answers to other requests show that the engine is alive.
