reap, proxy: Keep looking for runs through later attempts at the same engine

A review of the orders to stop runs found cases in which two engines could still go on with one request, or an order did harm:

- A request that was sent to the same engine again was forgotten there, also if the new attempt did not run and the request went on elsewhere.
Its entry is suspended now and resumed when that attempt ends.
- After a copy had moved to another incarnation, the order named the one before, which answered that it has been replaced.
The attempt keeps the incarnation that was sent the request.
- The oldest run of an engine was always first, so one that the engine could not stop kept the others from being stopped.
The order that is due first is next.
- An answer could count for a later order about the same run.
Orders have numbers.
- The copy that an order makes was freed by its handle, which may stand for a copy that a resume is using.
It lapses by itself now.
A run with an ordered copy is moved to the holder of that copy.
- Runs are tracked until their deadline instead of 15 s, and a run with output on a silent connection is looked for twice, since it may have been preempted.
- Each call looked at all runs.
The time of the next order is kept.

Evidence: the scripts reap again and refused and proxy again fail before (no order at u1; an order at u3 instead of u9). Changes in other scripts: the target of the order is printed, and orders to engines with an unanswered one wait.

--- a/internal/edge/message.go
+++ b/internal/edge/message.go
@@ -101,8 +101,7 @@
 	// State queries the state of the engine at address. The error is
 	// ErrMalformedAnswer if the answer can't be decoded.
 	State func(ctx context.Context, address string) (pool.State, error)
-	// StopRun orders an engine to stop a run, over a connection of its own, and to
-	// discard the run's memory.
+	// StopRun orders an engine to stop a run, over a connection of its own.
 	StopRun func(ctx context.Context, r reap.Run) (reap.Outcome, error)
 	// InstanceID returns the id of the incarnation that answers at address, taken
 	// from a request to the health check path.
--- a/internal/edge/query.go
+++ b/internal/edge/query.go
@@ -87,5 +87,5 @@
 	defer cancel()
 	outcome, err := d.upstreams.StopRun(limited, o.Run())
 	d.log.logStop(d.now(), o, outcome, err)
-	d.notify(ctx, proxy.NewStopReported(o.Run(), outcome))
+	d.notify(ctx, proxy.NewStopReported(o, outcome))
 }
--- a/internal/proxy/cancel.go
+++ b/internal/proxy/cancel.go
@@ -13,33 +13,42 @@
 // trackCancelled tracks the run of an attempt that ended without an answer until
 // its engine is known to have ended it, since the request goes on at another
 // engine. The engine may not learn that the attempt's connection was closed.
-// silent is true if the connection has delivered nothing for long although the
-// engine may be alive.
+// silent is true if the connection may no longer work, because nothing has arrived
+// on it while another engine answered or the same one answered on others.
 func (c *Core) trackCancelled(now time.Time, x *exchange, a *attempt, silent bool) {
 	if !x.stream() || x.need.Memory() == 0 {
 		return
 	}
 	c.cancelled.Add(now, reap.Run{
-		Upstream: a.upstream.ID(),
+		Instance: a.instance,
 		Address:  a.upstream.Address(),
 		Request:  x.q.ID(),
-		Other:    c.otherEngine(a),
+		Other:    c.otherEngine(now, a),
 		Begun:    a.begun,
+		Until:    x.deadline,
 	}, silent)
 }
 
 // otherEngine returns the address of an engine that may be offered the memory of
-// the attempt's run: the holder of its standby copy, which has most of it.
-func (c *Core) otherEngine(a *attempt) string {
-	if a.holder != nil {
-		return a.holder.Address()
+// the attempt's run, or "". It is the one that has an ordered copy of the run, which
+// is then only refreshed, or the least used one that the request does not go on at.
+func (c *Core) otherEngine(now time.Time, a *attempt) string {
+	if a.onDemandCopy.handle != "" {
+		return a.onDemandCopy.holder.Address()
 	}
+	other := a.holder
 	for _, u := range c.pool.Service(a.upstream.Entry().Service()) {
-		if u.Usable() && u.Address() != a.upstream.Address() {
-			return u.Address()
+		if u == a.holder || u.Address() == a.upstream.Address() || !available(now, u) || u.Entry().Version() != a.upstream.Entry().Version() {
+			continue
 		}
+		if other == a.holder || u.Tokens() < other.Tokens() {
+			other = u
+		}
+	}
+	if other == nil {
+		return ""
 	}
-	return ""
+	return other.Address()
 }
 
 // stopCancelled orders engines to stop the cancelled runs that are due.
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -59,7 +59,7 @@
 	awaitingID map[string]pool.State
 	// cancelled holds the runs of engines that were cancelled while their requests
 	// went on elsewhere.
-	cancelled reap.Set
+	cancelled *reap.Set
 	// pending holds the requests that arrived before the first configuration.
 	pending  []pendingRequest
 	draining bool
@@ -99,6 +99,7 @@
 		moves:        make(map[string]*serviceMove),
 		peers:        move.MinVMs,
 		limits:       b,
+		cancelled:    reap.New(),
 		stateQueries: make(map[string]time.Time),
 		awaitingID:   make(map[string]pool.State),
 		random:       rand.New(rand.NewPCG(seed, 1)).Float64,
@@ -167,7 +168,7 @@
 	case PromptReported:
 		c.promptReported(now, e)
 	case StopReported:
-		c.cancelled.Answer(now, e.run, e.stopOutcome)
+		c.cancelled.Answer(now, e.stop, e.stopOutcome)
 	case Configure:
 		if c.table == nil || e.table.Version() > c.table.Version() {
 			c.table = e.table
--- a/internal/proxy/event.go
+++ b/internal/proxy/event.go
@@ -134,8 +134,8 @@
 	// handle identifies the copy of Copied.
 	handle string
 	state  pool.State
-	// run and stopOutcome are set for StopReported.
-	run         reap.Run
+	// stop and stopOutcome are set for StopReported.
+	stop        reap.Order
 	stopOutcome reap.Outcome
 	// leaving is true if the upstream states that it accepts no new work.
 	leaving bool
@@ -345,11 +345,11 @@
 }
 
 // NewStopReported returns the event of an engine's answer to a StopRun action.
-func NewStopReported(r reap.Run, o reap.Outcome) Event {
+func NewStopReported(o reap.Order, outcome reap.Outcome) Event {
 	return Event{
 		kind:        StopReported,
-		run:         r,
-		stopOutcome: o,
+		stop:        o,
+		stopOutcome: outcome,
 	}
 }
 
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -11,6 +11,9 @@
 type attempt struct {
 	number   int
 	upstream *pool.Upstream
+	// instance is the id of the incarnation that was sent the request. It differs
+	// from the upstream's if a copy was followed to another incarnation.
+	instance string
 	// holder receives a standby copy of the run, or is nil.
 	holder *pool.Upstream
 	// onDemandCopy is the on-demand copy that replaces a lost standby copy.
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -22,6 +22,8 @@
 	core *Core
 	now  time.Time
 	base time.Time
+	// stops holds the latest order to stop each run, by its text.
+	stops map[string]reap.Order
 }
 
 // TestScripts guards the decisions about forwarded requests. The head of each
@@ -31,10 +33,11 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		base := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 		s := &script{
-			t:    t,
-			core: New(pool.New("r1", "a", 1), NewBudget(0.8, 180, 10*time.Second), 1).WithExposure(move.NewExposure(0.1, 50)),
-			now:  base,
-			base: base,
+			t:     t,
+			core:  New(pool.New("r1", "a", 1), NewBudget(0.8, 180, 10*time.Second), 1).WithExposure(move.NewExposure(0.1, 50)),
+			now:   base,
+			base:  base,
+			stops: make(map[string]reap.Order),
 		}
 		datadriven.RunTest(t, path, s.run)
 	})
@@ -92,10 +95,7 @@
 	case "prompt-reported":
 		return s.step(NewPromptReported(number, s.text(d, "id", ""), s.number(d, "tokens", 0)))
 	case "stop-reported":
-		return s.step(NewStopReported(reap.Run{
-			Upstream: s.text(d, "id", ""),
-			Request:  "q" + strconv.FormatUint(number, 10),
-		}, s.stopOutcome(d)))
+		return s.step(NewStopReported(s.stops["q"+strconv.FormatUint(number, 10)+" at "+s.text(d, "id", "")], s.stopOutcome(d)))
 	case "caller-left":
 		return s.step(NewCallerLeft(number))
 	case "state-reported":
@@ -156,7 +156,9 @@
 		case QueryState, QueryPrompt, QueryID:
 			fmt.Fprintf(&b, " %s", a.Upstream().ID())
 		case StopRun:
-			fmt.Fprintf(&b, " %s at %s", a.Stop().Run().Request, a.Stop().Run().Upstream)
+			r := a.Stop().Run()
+			s.stops[r.Request+" at "+r.Instance] = a.Stop()
+			fmt.Fprintf(&b, " %s at %s other=%s", r.Request, r.Instance, r.Other)
 		case Refuse:
 			fmt.Fprintf(&b, " %d %s", a.Problem().Status(), a.Problem().Outcome())
 		case ReportOutcome:
--- a/internal/reap/reap.go
+++ b/internal/reap/reap.go
@@ -1,25 +1,27 @@
 package reap
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
 
 const (
 	// checkDelay is the time that the close of a connection has to reach the
-	// engine before the run is checked. A round trip between regions takes 24 ms.
+	// engine before the run is looked for. A round trip between regions takes 24 ms.
 	checkDelay = 250 * time.Millisecond
-	// retryDelay is the time after which an order to an engine that did not
-	// answer is sent again.
-	retryDelay = 300 * time.Millisecond
+	// retryDelay is the pause before an order is sent again that was not answered, or
+	// that the engine could not carry out.
+	retryDelay = 100 * time.Millisecond
 	// maxQueuedChecks is the number of times that a run is looked for which had no
 	// output when it was cancelled. It may be in the engine's queue, which an
 	// engine does not report. The delay doubles with each check.
 	maxQueuedChecks = 4
-	// lifetime is how long a run is tracked. Streams last for seconds.
-	lifetime = 15 * time.Second
-	// maxRuns bounds the tracked runs. The oldest one is dropped.
-	maxRuns = 4096
+	// maxSilentChecks is that number for a run with output on a silent connection. It
+	// may have been preempted, and be in the queue again.
+	maxSilentChecks = 2
+	// maxRuns bounds the tracked runs. No more are tracked until some have ended.
+	maxRuns = 1024
 )
 
 // Outcome is an engine's answer to the order to stop a run.
@@ -27,8 +29,10 @@
 
 // The outcomes of an order.
 const (
-	// Unanswered means that the engine did not answer or could not tell.
+	// Unanswered means that the engine did not answer.
 	Unanswered Outcome = iota
+	// Refused means that the engine answered without stopping the run.
+	Refused
 	// Stopped means that the run was in progress and has ended.
 	Stopped
 	// Absent means that no such run is in progress.
@@ -39,14 +43,14 @@
 
 // String returns the outcome's name for logs.
 func (o Outcome) String() string {
-	return [...]string{"unanswered", "stopped", "absent", "replaced"}[o]
+	return [...]string{"unanswered", "refused", "stopped", "absent", "replaced"}[o]
 }
 
 // Run identifies the run of a cancelled attempt. Its fields are exported for
 // construction only.
 type Run struct {
-	// Upstream is the id of the engine's incarnation, and Address its host:port.
-	Upstream string
+	// Instance is the id of the engine's incarnation, and Address its host:port.
+	Instance string
 	Address  string
 	// Request is the id of the request.
 	Request string
@@ -55,11 +59,14 @@
 	Other string
 	// Begun is true if the run had output when it was cancelled.
 	Begun bool
+	// Until is the time at which the engine ends the run by itself.
+	Until time.Time
 }
 
 // Order is an instruction to stop a run. The engine's answer is applied with
 // Set.Answer.
 type Order struct {
+	number    uint64
 	run       Run
 	cancelled time.Time
 }
@@ -76,133 +83,228 @@
 	// cancelled is the time of the cancel, and due that of the next order.
 	cancelled time.Time
 	due       time.Time
-	// checks counts the orders that found no run.
+	// checks is the number of orders that may find no run.
 	checks int
-	// ordered is true while an order is unanswered.
-	ordered bool
+	// delay is the time to the next order after one that found no run.
+	delay time.Duration
+	// suspended is true while another attempt of the request is at the engine.
+	suspended bool
 }
 
-// Set is the set of tracked runs. The zero value is an empty set. It is not safe
-// for concurrent use.
-type Set struct {
-	// entries is sorted by the time of the cancel.
+// engine holds the tracked runs of one incarnation.
+type engine struct {
 	entries []*entry
+	// order is the number of the order that is unanswered, or 0, and ordered the
+	// entry that it is about, or nil if that is no longer tracked.
+	order   uint64
+	ordered *entry
 }
 
-// Add tracks a cancelled run. It is ordered to stop at once if urgent is true,
-// because the connection is known not to work, and else if its end is not seen.
-func (s *Set) Add(now time.Time, r Run, urgent bool) {
-	s.Forget(r.Upstream, r.Request)
-	if len(s.entries) >= maxRuns {
-		s.entries = slices.Delete(s.entries, 0, 1)
-	}
-	due := now
-	if !urgent {
-		due = now.Add(checkDelay)
-	}
-	s.entries = append(s.entries, &entry{
-		run:       r,
-		cancelled: now,
-		due:       due,
-	})
+// Set is the set of tracked runs. It is not safe for concurrent use.
+type Set struct {
+	// engines holds the engines with tracked runs or an unanswered order, by id.
+	engines map[string]*engine
+	// size is the number of tracked runs.
+	size int
+	// number is that of the latest order.
+	number uint64
+	// next is the earliest time at which an order may be due, or zero if none is.
+	next time.Time
 }
 
-// Forget stops tracking a run, because its request is sent to the same engine
-// again.
-func (s *Set) Forget(upstream, request string) {
-	s.remove(func(e *entry) bool { return e.run.Upstream == upstream && e.run.Request == request })
+// New returns an empty set.
+func New() *Set {
+	return &Set{
+		engines: make(map[string]*engine),
+	}
 }
 
-// Len returns the number of tracked runs.
-func (s *Set) Len() int { return len(s.entries) }
-
-// Next returns the time of the next order, and false if none is scheduled.
-func (s *Set) Next() (time.Time, bool) {
-	var at time.Time
-	if len(s.entries) == 0 {
-		return at, false
+// Add tracks a cancelled run. It is ordered to stop at once if silent is true,
+// because the attempt's connection has delivered nothing, and otherwise if its end
+// is not seen.
+func (s *Set) Add(now time.Time, r Run, silent bool) {
+	g := s.engines[r.Instance]
+	if g == nil {
+		g = new(engine)
+		s.engines[r.Instance] = g
 	}
-	busy := s.busyUpstreams()
-	for _, e := range s.entries {
-		if e.ordered || busy[e.run.Upstream] {
-			continue
+	s.remove(g, func(e *entry) bool { return e.run.Request == r.Request })
+	if s.size >= maxRuns {
+		s.expire(now)
+	}
+	if s.size < maxRuns {
+		e := &entry{
+			run:       r,
+			cancelled: now,
+			due:       now.Add(checkDelay),
+			checks:    1,
+			delay:     2 * checkDelay,
 		}
-		if at.IsZero() || e.due.Before(at) {
-			at = e.due
+		switch {
+		case !r.Begun:
+			e.checks = maxQueuedChecks
+		case silent:
+			e.checks = maxSilentChecks
 		}
+		if silent {
+			e.due = now
+		}
+		g.entries = append(g.entries, e)
+		s.size++
 	}
-	return at, !at.IsZero()
+	s.settle()
 }
 
+// Suspend pauses the orders about a request at an engine that is sent the request
+// again, because they would stop the new attempt.
+func (s *Set) Suspend(instance, request string) {
+	if e := s.find(instance, request); e != nil {
+		e.suspended = true
+		s.settle()
+	}
+}
+
+// Resume continues the orders about a request at an engine, whose later attempt has
+// ended.
+func (s *Set) Resume(now time.Time, instance, request string) {
+	if e := s.find(instance, request); e != nil && e.suspended {
+		e.suspended, e.due = false, now
+		s.settle()
+	}
+}
+
+// Len returns the number of tracked runs.
+func (s *Set) Len() int { return s.size }
+
+// Next returns the time of the next call of Due that has an effect, and false if
+// none is due.
+func (s *Set) Next() (time.Time, bool) { return s.next, !s.next.IsZero() }
+
 // Due returns the orders to send now. An engine gets one order at a time, so that
 // one that does not answer costs little.
 func (s *Set) Due(now time.Time) []Order {
-	s.remove(func(e *entry) bool { return !e.ordered && now.Sub(e.cancelled) > lifetime })
+	if s.next.IsZero() || now.Before(s.next) {
+		return nil
+	}
+	s.expire(now)
 	var orders []Order
-	busy := s.busyUpstreams()
-	for _, e := range s.entries {
-		if e.ordered || busy[e.run.Upstream] || now.Before(e.due) {
+	for _, id := range slices.Sorted(maps.Keys(s.engines)) {
+		g := s.engines[id]
+		e := g.first()
+		if e == nil || g.order != 0 || now.Before(e.due) {
 			continue
 		}
-		e.ordered = true
-		busy[e.run.Upstream] = true
+		s.number++
+		g.order, g.ordered = s.number, e
 		orders = append(orders, Order{
+			number:    s.number,
 			run:       e.run,
 			cancelled: e.cancelled,
 		})
 	}
+	s.settle()
 	return orders
 }
 
 // Answer applies the answer to an order.
-func (s *Set) Answer(now time.Time, r Run, o Outcome) {
-	upstream, request := r.Upstream, r.Request
-	if o == Replaced {
-		s.remove(func(e *entry) bool { return e.run.Upstream == upstream })
+func (s *Set) Answer(now time.Time, o Order, outcome Outcome) {
+	g := s.engines[o.run.Instance]
+	if g == nil || g.order != o.number {
 		return
 	}
-	s.remove(func(e *entry) bool {
-		if e.run.Upstream != upstream {
-			return false
-		}
-		if e.run.Request != request {
-			if o == Unanswered {
-				e.due = later(e.due, now.Add(retryDelay))
-			}
-			return false
+	answered := g.ordered
+	g.order, g.ordered = 0, nil
+	switch outcome {
+	case Replaced:
+		s.remove(g, func(*entry) bool { return true })
+	case Unanswered:
+		for _, e := range g.entries {
+			e.postpone(now.Add(retryDelay))
 		}
-		e.ordered = false
-		switch o {
-		case Stopped:
-			return true
-		case Absent:
-			e.checks++
-			e.due = now.Add(checkDelay << e.checks)
-			return e.run.Begun || e.checks >= maxQueuedChecks
-		default:
-			e.due = now.Add(retryDelay)
-			return false
-		}
-	})
+	case Refused:
+		answered.postpone(now.Add(retryDelay))
+	case Stopped:
+		s.remove(g, func(e *entry) bool { return e == answered })
+	case Absent:
+		s.remove(g, func(e *entry) bool { return e == answered && e.absent(now) })
+	}
+	s.settle()
 }
 
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
+// postpone delays the next order to the time at.
+func (e *entry) postpone(at time.Time) {
+	if e != nil && e.due.Before(at) {
+		e.due = at
 	}
-	return b
 }
 
-// busyUpstreams returns the engines that have an unanswered order.
-func (s *Set) busyUpstreams() map[string]bool {
-	busy := make(map[string]bool)
-	for _, e := range s.entries {
-		if e.ordered {
-			busy[e.run.Upstream] = true
+// absent records that the engine had no such run, and reports whether it need not
+// be looked for any more.
+func (e *entry) absent(now time.Time) bool {
+	e.checks--
+	e.due = now.Add(e.delay)
+	e.delay *= 2
+	return e.checks <= 0
+}
+
+// first returns the entry whose order is due first, or nil.
+func (g *engine) first() *entry {
+	var first *entry
+	for _, e := range g.entries {
+		if !e.suspended && (first == nil || e.due.Before(first.due)) {
+			first = e
 		}
 	}
-	return busy
+	return first
+}
+
+// find returns the entry of a request at an engine, or nil.
+func (s *Set) find(instance, request string) *entry {
+	g := s.engines[instance]
+	if g == nil {
+		return nil
+	}
+	i := slices.IndexFunc(g.entries, func(e *entry) bool { return e.run.Request == request })
+	if i < 0 {
+		return nil
+	}
+	return g.entries[i]
+}
+
+// expire stops tracking the runs that their engines have ended by themselves.
+func (s *Set) expire(now time.Time) {
+	for _, g := range s.engines {
+		s.remove(g, func(e *entry) bool { return !now.Before(e.run.Until) })
+	}
 }
 
-func (s *Set) remove(match func(e *entry) bool) { s.entries = slices.DeleteFunc(s.entries, match) }
+// remove stops tracking the matching runs of an engine.
+func (s *Set) remove(g *engine, match func(e *entry) bool) {
+	before := len(g.entries)
+	g.entries = slices.DeleteFunc(g.entries, func(e *entry) bool {
+		if !match(e) {
+			return false
+		}
+		if g.ordered == e {
+			g.ordered = nil
+		}
+		return true
+	})
+	s.size -= before - len(g.entries)
+}
+
+// settle drops the engines without runs and sets next after a change.
+func (s *Set) settle() {
+	s.next = time.Time{}
+	for id, g := range s.engines {
+		if len(g.entries) == 0 && g.order == 0 {
+			delete(s.engines, id)
+			continue
+		}
+		if e := g.first(); e != nil && g.order == 0 {
+			if s.next.IsZero() || e.due.Before(s.next) {
+				s.next = e.due
+			}
+		}
+	}
+}
--- a/internal/reap/script_test.go
+++ b/internal/reap/script_test.go
@@ -9,11 +9,16 @@
 	"github.com/cockroachdb/datadriven"
 )
 
+// lifetime is the time after which an engine ends a run by itself.
+const lifetime = 15 * time.Second
+
 // script runs the commands of one data file against a set.
 type script struct {
 	t    *testing.T
 	set  *Set
 	base time.Time
+	// orders holds the latest order about each run, by its text.
+	orders map[string]Order
 }
 
 // TestScripts guards against runs that go on at an engine after their requests
@@ -22,9 +27,10 @@
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		s := &script{
-			t:    t,
-			set:  new(Set),
-			base: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+			t:      t,
+			set:    New(),
+			base:   time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+			orders: make(map[string]Order),
 		}
 		datadriven.RunTest(t, path, s.run)
 	})
@@ -39,17 +45,20 @@
 	}
 	r := Run{
 		Begun: !d.HasArg("queued"),
+		Until: now.Add(lifetime),
 	}
 	if len(d.CmdArgs) > 0 {
-		r.Upstream, r.Request, _ = strings.Cut(d.CmdArgs[0].Key, "/")
+		r.Instance, r.Request, _ = strings.Cut(d.CmdArgs[0].Key, "/")
 	}
 	switch d.Cmd {
 	case "add":
-		s.set.Add(now, r, d.HasArg("urgent"))
-	case "forget":
-		s.set.Forget(r.Upstream, r.Request)
+		s.set.Add(now, r, d.HasArg("silent"))
+	case "suspend":
+		s.set.Suspend(r.Instance, r.Request)
+	case "resume":
+		s.set.Resume(now, r.Instance, r.Request)
 	case "answer":
-		s.set.Answer(now, r, s.outcome(d))
+		s.set.Answer(now, s.orders[d.CmdArgs[0].Key], s.outcome(d))
 	case "due":
 	default:
 		s.t.Fatalf("%s: unknown command %q", d.Pos, d.Cmd)
@@ -61,7 +70,9 @@
 func (s *script) state(now time.Time) string {
 	var b strings.Builder
 	for _, o := range s.set.Due(now) {
-		fmt.Fprintf(&b, "stop %s/%s, cancelled at %d\n", o.Run().Upstream, o.Run().Request, o.Cancelled().Sub(s.base).Milliseconds())
+		name := o.Run().Instance + "/" + o.Run().Request
+		s.orders[name] = o
+		fmt.Fprintf(&b, "stop %s, cancelled at %d\n", name, o.Cancelled().Sub(s.base).Milliseconds())
 	}
 	if at, ok := s.set.Next(); ok {
 		fmt.Fprintf(&b, "next %d\n", at.Sub(s.base).Milliseconds())
@@ -84,12 +95,13 @@
 
 // TestBound guards against memory that grows with the number of cancelled runs.
 func TestBound(t *testing.T) {
-	s := new(Set)
+	s := New()
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	for i := range 2 * maxRuns {
 		s.Add(now, Run{
-			Upstream: "e1",
+			Instance: "e1",
 			Request:  fmt.Sprint(i),
+			Until:    now.Add(lifetime),
 		}, false)
 	}
 	if s.Len() != maxRuns {
