--- /dev/null
+++ b/internal/accord/calls.go
@@ -0,0 +1,142 @@
+package accord
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"clementinelink.example/clementinelink/internal/blame"
+	"clementinelink.example/clementinelink/internal/store"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// writeAttempts is how often a write to the store is tried, writePause apart.
+	writeAttempts = 6
+	writePause    = 2 * time.Second
+)
+
+// runReports sends losses to other VMs until ctx ends.
+func (d *Duty) runReports(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-d.reports.Out():
+			d.sendReport(ctx, r)
+		}
+	}
+}
+
+// sendReport sends a loss to the first of its targets that answers.
+func (d *Duty) sendReport(ctx context.Context, r report) {
+	var failure error
+	for _, address := range r.targets {
+		known, err := d.collectAt(ctx, address, r.lost)
+		if err != nil {
+			failure = err
+			continue
+		}
+		for _, charge := range known {
+			d.submit(ctx, func(now time.Time) []blame.Action { return d.core.Learn(now, charge) })
+		}
+		return
+	}
+	if ctx.Err() == nil {
+		d.log.Warn().Err(failure).Strs("parts", r.lost.Parts()).Msg("blame: A lost engine could not be reported.")
+	}
+}
+
+// collectAt reports a loss to the VM at address, "" for this one.
+func (d *Duty) collectAt(ctx context.Context, address string, lost blame.Run) ([]blame.Charge, error) {
+	if address == "" {
+		return d.collect(ctx, lost)
+	}
+	return d.callCollect(ctx, address, lost)
+}
+
+// runRounds carries out the questions and announcements to all VMs until ctx ends.
+func (d *Duty) runRounds(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-d.rounds.Out():
+			d.carryOut(ctx, r)
+		}
+	}
+}
+
+// carryOut calls all VMs of a round and waits for their answers. VMs that do not
+// answer have seen nothing.
+func (d *Duty) carryOut(ctx context.Context, r round) {
+	var mu sync.Mutex
+	var sights []blame.Sight
+	var wait sync.WaitGroup
+	slots := make(chan struct{}, fanOut)
+	for _, address := range r.addresses {
+		slots <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-slots }()
+			if r.accusation == nil {
+				// The store delivers the charge to VMs that do not answer.
+				_ = d.callAnnounce(ctx, address, r.charge, r.lifted)
+				return
+			}
+			seen, err := d.callSeen(ctx, address, *r.accusation)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			sights = append(sights, seen...)
+		})
+	}
+	wait.Wait()
+	if r.accusation == nil {
+		return
+	}
+	a := *r.accusation
+	d.submit(ctx, func(now time.Time) []blame.Action {
+		return d.core.Answered(now, a, append(sights, d.core.Seen(a.Service(), a.Parts(), a.Since())...))
+	})
+}
+
+// runWrites writes charges to the store until ctx ends.
+func (d *Duty) runWrites(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case w := <-d.writes.Out():
+			d.writeCharge(ctx, w)
+		}
+	}
+}
+
+// writeCharge writes or deletes the key of a charge. All VMs have been told of it
+// already, so a key that can't be written only concerns VMs that start later.
+func (d *Duty) writeCharge(ctx context.Context, w write) {
+	carryOut := d.put
+	if w.deleted {
+		carryOut = d.remove
+	}
+	for range writeAttempts {
+		err := carryOut(ctx, w.charge)
+		switch {
+		case err == nil, errors.Is(err, store.ErrConflict), ctx.Err() != nil:
+			return
+		}
+		d.log.Warn().Err(err).Str("id", w.charge.ID()).Msg("blame: A write failed.")
+		sleep(ctx, writePause)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/edge/dispatcher.go
+++ b/internal/edge/dispatcher.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/blame"
 	"clementinelink.example/clementinelink/internal/proxy"
 	"clementinelink.example/clementinelink/internal/ring"
 	"clementinelink.example/clementinelink/internal/table"
@@ -80,6 +81,10 @@
 	// reports carries version outcomes and in-flight counts to the mover. It drops
 	// the oldest entry when it is full.
 	reports *ring.Ring[dispatcherReport]
+	// runLost and runSurvived receive the runs of prompts that ended with their
+	// engine, and those that their engine survived. They must not block.
+	runLost     func(ctx context.Context, r blame.Run)
+	runSurvived func(ctx context.Context, r blame.Run)
 	// oldInFlight counts the requests in flight at old versions, by the service
 	// that is being moved.
 	oldInFlight map[string]int
@@ -218,6 +223,14 @@
 		})
 		return true
 	}
+	switch a.Kind() {
+	case proxy.ReportCrash:
+		d.runLost(ctx, a.Run())
+		return true
+	case proxy.ReportSurvival:
+		d.runSurvived(ctx, a.Run())
+		return true
+	}
 	if a.Kind().ExpectsResult() {
 		d.startQuery(ctx, a, r)
 		return true
--- a/internal/edge/eventlog.go
+++ b/internal/edge/eventlog.go
@@ -103,7 +103,7 @@
 	case proxy.QueryState:
 		j.metrics.Counter("asked_total", "Questions for the state of engines.", "reason", a.Reason()).Inc()
 		return
-	case proxy.SendHead, proxy.SendPiece, proxy.QueryPrompt, proxy.QueryID, proxy.StopRun, proxy.ReportOutcome:
+	case proxy.SendHead, proxy.SendPiece, proxy.QueryPrompt, proxy.QueryID, proxy.StopRun, proxy.ReportOutcome, proxy.ReportCrash, proxy.ReportSurvival:
 		return
 	}
 	if r == nil {
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -51,7 +51,9 @@
 		v.mover.updates.Put(ctx, storeUpdate{
 			peers: v.peerNames(),
 		})
+		v.accord.SetVMs(ctx, v.feedAddresses())
 	}
+	v.accord.Apply(ctx, c)
 	v.mover.updates.Put(ctx, storeUpdate{
 		change: &c,
 	})
@@ -85,6 +87,17 @@
 	v.watcher.reader.SetVMs(vms)
 }
 
+// feedAddresses returns the feed addresses of the enrolled VMs by name.
+func (v *VM) feedAddresses() map[string]string {
+	addresses := make(map[string]string)
+	for key, n := range v.peers {
+		if n.Feed != "" {
+			addresses[path.Base(key)] = n.Feed
+		}
+	}
+	return addresses
+}
+
 // peerNames returns the names of the enrolled VMs, sorted.
 func (v *VM) peerNames() []string {
 	names := make([]string, 0, len(v.peers))
--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/accord"
+	"clementinelink.example/clementinelink/internal/blame"
 	"clementinelink.example/clementinelink/internal/feed"
 	"clementinelink.example/clementinelink/internal/meter"
 	"clementinelink.example/clementinelink/internal/move"
@@ -15,6 +17,7 @@
 	"clementinelink.example/clementinelink/internal/ring"
 	"clementinelink.example/clementinelink/internal/store"
 	"clementinelink.example/clementinelink/internal/table"
+	"clementinelink.example/clementinelink/internal/wire"
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
 	"github.com/rs/zerolog"
@@ -101,13 +104,16 @@
 
 	dispatcher *Dispatcher
 	mover      *mover
+	accord     *accord.Duty
 	watcher    *watcher
 	front      *Front
 	ready      *http.Server
 	// lastNumber is the number of the latest request.
 	lastNumber atomic.Uint64
 	draining   atomic.Bool
-	stop       context.CancelFunc
+	// charges is the number of charges in force.
+	charges atomic.Int64
+	stop    context.CancelFunc
 	// peers holds the enrolled VMs by key. Only the watcher's goroutine uses it.
 	peers map[string]enrolment
 	feed  *feed.Log
@@ -135,6 +141,13 @@
 	})
 	v.mover = newMover(s.Name, int(s.Seed^uint64(time.Now().UnixNano())), s.Exposure, sources, c, v.dispatcher.notify, log)
 	v.dispatcher.reports = v.mover.reports
+	v.accord = accord.New(s.Name, c, func(ctx context.Context, charges []blame.Charge) {
+		v.charges.Store(int64(len(charges)))
+		v.dispatcher.notify(ctx, proxy.NewCharges(charges))
+	}, func(name string) {
+		m.Counter("blame_total", "Steps of the agreement on prompt parts that crash engines.", "step", name).Inc()
+	}, log)
+	v.dispatcher.runLost, v.dispatcher.runSurvived = v.accord.RunLost, v.accord.RunSurvived
 	v.watcher = newWatcher(c, s.BatchDelay, log)
 	if s.Feed != "" {
 		v.watcher.reader = feed.NewReader(s.Name, c, v.feed, s.BatchDelay, log).WithObserver(func(source, result string) {
@@ -167,6 +180,7 @@
 	go v.dispatcher.run(ctx)
 	go v.watcher.run(ctx)
 	go v.mover.run(ctx)
+	go v.accord.Run(ctx)
 	go v.enrol(ctx)
 	go v.front.run()
 	v.log.Info().Str("front", v.settings.Front).Str("ready", v.settings.Ready).Str("domain", v.settings.Domain).Msg("edge: Started.")
@@ -183,6 +197,7 @@
 		return 0
 	})
 	v.metrics.Watch("requests_live", "Requests in flight.", func() float64 { return float64(d.inFlight.Load()) })
+	v.metrics.Watch("prompt_charges", "Charges in force against prompt parts that crash engines.", func() float64 { return float64(v.charges.Load()) })
 	v.metrics.Watch("requests_waiting", "Requests in flight without an attempt that runs.", func() float64 {
 		if c := d.stats.Load(); c != nil {
 			return float64(c.waiting)
@@ -246,8 +261,11 @@
 	if err != nil {
 		return errors.Wrap(err, "edge: feed")
 	}
+	handlers := http.NewServeMux()
+	handlers.Handle(wire.FeedPathPrefix, feed.NewServer(v.feed).Handler())
+	handlers.Handle(wire.BlamePathPrefix, accord.NewServer(v.accord).Handler())
 	server := &http.Server{
-		Handler:           feed.NewServer(v.feed).Handler(),
+		Handler:           handlers,
 		ReadHeaderTimeout: time.Second,
 	}
 	context.AfterFunc(ctx, func() { _ = server.Close() })
--- a/internal/proxy/action.go
+++ b/internal/proxy/action.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"clementinelink.example/clementinelink/internal/blame"
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/reap"
@@ -31,6 +32,10 @@
 	// ReportOutcome reports the outcome of an attempt at a service whose traffic is
 	// moving to another version.
 	ReportOutcome
+	// ReportCrash reports a run of a prompt that ended with its engine, and
+	// ReportSurvival one that its engine has survived.
+	ReportCrash
+	ReportSurvival
 	// SendHead sends the caller the head of a stream.
 	SendHead
 	// SendPiece sends the caller a piece of a stream.
@@ -51,7 +56,7 @@
 // String returns the kind's name. The names of final kinds are label values of
 // metrics and fields of log lines.
 func (k ActionKind) String() string {
-	return [...]string{"send", "cancel", "copy", "query-state", "query-id", "query-prompt", "stop-run", "report-outcome", "send-head", "send-piece", "close", "deliver", "refuse", "break", "forget"}[k]
+	return [...]string{"send", "cancel", "copy", "query-state", "query-id", "query-prompt", "stop-run", "report-outcome", "report-crash", "report-survival", "send-head", "send-piece", "close", "deliver", "refuse", "break", "forget"}[k]
 }
 
 // ExpectsResult reports whether the action queries an engine, asks it for a copy
@@ -93,6 +98,7 @@
 	problem        *errs.Problem
 	versionOutcome VersionOutcome
 	stop           reap.Order
+	run            blame.Run
 }
 
 // Kind returns what the driver has to do.
@@ -171,6 +177,9 @@
 // Stop returns the order of StopRun.
 func (a Action) Stop() reap.Order { return a.stop }
 
+// Run returns the run that ReportCrash and ReportSurvival report.
+func (a Action) Run() blame.Run { return a.run }
+
 // Bytes returns the encoded piece that SendPiece sends.
 func (a Action) Bytes() []byte { return a.bytes }
 
--- a/internal/proxy/copy.go
+++ b/internal/proxy/copy.go
@@ -32,7 +32,7 @@
 // is lost.
 func (c *Core) requestCopy(now time.Time, x *exchange, a *attempt) {
 	o := &a.onDemandCopy
-	if o.pending || now.Before(o.next) || !c.keepsCopies(x) || c.standbyIntact(now, a) {
+	if x.fence.closed || o.pending || now.Before(o.next) || !c.keepsCopies(x) || c.standbyIntact(now, a) {
 		return
 	}
 	retention := c.table.Service(x.need.Service()).Engine().CopyRetention()
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/alarm"
+	"clementinelink.example/clementinelink/internal/blame"
 	"clementinelink.example/clementinelink/internal/budget"
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/move"
@@ -68,7 +69,9 @@
 	drainSince time.Time
 	stopBy     time.Time
 	random     func() float64
-	actions    []Action
+	// charges holds the prompt parts that crash engines.
+	charges []blame.Charge
+	actions []Action
 }
 
 // Budget limits extra attempts, that is retries and hedges. The limits apply to
@@ -186,6 +189,8 @@
 		c.applyMove(e)
 	case Peers:
 		c.setPeers(e.index)
+	case Charges:
+		c.applyCharges(now, e.charges)
 	case Drain:
 		c.drainSince, c.stopBy = now, e.until
 		c.draining = true
@@ -264,6 +269,13 @@
 		deadline:      deadline(now, rt, q),
 	}
 	x.need = c.newNeed(x)
+	if x.stream() {
+		x.fence = c.fenceFor(x.need.Service(), q.spec.Parts)
+	}
+	if x.fence.closed {
+		c.reject(q, errs.Unavailable, promptCharged, retryAfter(q))
+		return
+	}
 	c.assignVersion(now, x)
 	c.inFlight[q.Number()] = x
 	c.budget(x.need.Service()).CountFirst(now)
--- a/internal/proxy/event.go
+++ b/internal/proxy/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"clementinelink.example/clementinelink/internal/blame"
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/reap"
@@ -85,6 +86,8 @@
 	MoveLimits
 	// Peers sets the number of VMs that share the common limits.
 	Peers
+	// Charges sets the prompt parts that crash engines.
+	Charges
 	// Drain tells this VM to stop.
 	Drain
 )
@@ -92,7 +95,7 @@
 // String returns the kind's name for traces.
 func (k EventKind) String() string {
 	return [...]string{
-		"tick", "arrive", "caller-left", "head", "piece", "copied", "finish", "reply", "lost", "state-reported", "id-reported", "prompt-reported", "stop-reported", "configure", "members", "move", "peers", "drain",
+		"tick", "arrive", "caller-left", "head", "piece", "copied", "finish", "reply", "lost", "state-reported", "id-reported", "prompt-reported", "stop-reported", "configure", "members", "move", "peers", "charges", "drain",
 	}[k]
 }
 
@@ -139,6 +142,7 @@
 	stopOutcome reap.Outcome
 	// leaving is true if the upstream states that it accepts no new work.
 	leaving bool
+	charges []blame.Charge
 }
 
 // Load is the number of requests that an upstream reports. The zero value means
@@ -403,6 +407,15 @@
 	}
 }
 
+// NewCharges returns the event of the charges in force, which replace the earlier
+// ones.
+func NewCharges(charges []blame.Charge) Event {
+	return Event{
+		kind:    Charges,
+		charges: charges,
+	}
+}
+
 // NewDrain returns the event that tells this VM to stop; its process ends by
 // the time until at the latest.
 func NewDrain(until time.Time) Event {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -37,6 +37,11 @@
 	timeToFirst time.Duration
 	head        *Answer
 	ended       bool
+	// pieces counts the pieces of the attempt, of which the first arrived at
+	// firstPiece. survived is true once the engine has survived the prompt.
+	pieces     int
+	firstPiece time.Time
+	survived   bool
 }
 
 // exchange is the state of one request of a caller.
@@ -83,6 +88,8 @@
 	// copyResends counts how often a resume from the latest copy was sent again
 	// after its answer broke off.
 	copyResends int
+	// fence states which engines may not be sent the prompt.
+	fence fence
 }
 
 // running returns the attempts that have not ended.
--- a/internal/proxy/move.go
+++ b/internal/proxy/move.go
@@ -105,9 +105,9 @@
 }
 
 // wrongVersion reports whether the upstream runs a version that the request
-// must not be sent to.
+// must not be sent to, because of a move or because its prompt is charged.
 func (x *exchange) wrongVersion(u *pool.Upstream) bool {
-	return x.move != nil && (u.Entry().Version() == x.move.target) != x.newVersion
+	return x.fence.excludes(u) || x.move != nil && (u.Entry().Version() == x.move.target) != x.newVersion
 }
 
 // excludes reports whether a new attempt must not go to the upstream, because
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -53,7 +53,9 @@
 
 // canHedge reports whether exactly one attempt runs and its answer has not
 // started.
-func (c *Core) canHedge(x *exchange) bool { return len(x.running()) == 1 && !x.headSent }
+func (c *Core) canHedge(x *exchange) bool {
+	return len(x.running()) == 1 && !x.headSent && !x.fence.closed
+}
 
 // retryPlain retries or fails a request other than a stream after an attempt
 // without an answer.
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -23,6 +23,8 @@
 	// Session identifies the part of the prompt that is specific to the
 	// request, or is "".
 	Session string
+	// Parts holds the parts of the prompt that other requests may share.
+	Parts []string
 	// Position is the index of the last piece that the caller has, or 0 for a
 	// new stream.
 	Position int
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/blame"
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/reap"
@@ -65,6 +66,8 @@
 			Key:      s.text(d, "key", ""),
 			Prompt:   s.number(d, "prompt", 0),
 			Output:   s.number(d, "output", 0),
+			Session:  s.text(d, "session", ""),
+			Parts:    s.list(d, "parts"),
 			Position: s.number(d, "position", 0),
 			Wait:     time.Duration(s.number(d, "wait", 0)) * time.Millisecond,
 		})))
@@ -92,6 +95,8 @@
 		return s.step(NewMoveLimits("desk", "v2", l, d.HasArg("banned"), s.number(d, "seed", 1)))
 	case "peers":
 		return s.step(NewPeers(s.number(d, "count", 1)))
+	case "charges":
+		return s.step(NewCharges(s.charges(d)))
 	case "prompt-reported":
 		return s.step(NewPromptReported(number, s.text(d, "id", ""), s.number(d, "tokens", 0)))
 	case "stop-reported":
@@ -163,6 +168,8 @@
 			fmt.Fprintf(&b, " %d %s", a.Problem().Status(), a.Problem().Outcome())
 		case ReportOutcome:
 			fmt.Fprintf(&b, " new-version=%v good=%v", a.VersionOutcome().NewVersion(), a.VersionOutcome().Outcome() == move.NewOutcome())
+		case ReportCrash, ReportSurvival:
+			fmt.Fprintf(&b, " engine=%s version=%s session=%s parts=%s", a.Run().Engine(), a.Run().Version(), a.Run().Session(), strings.Join(a.Run().Parts(), "+"))
 		case Deliver:
 			fmt.Fprintf(&b, " %d", a.Answer().Status())
 		}
@@ -278,6 +285,17 @@
 	return 0
 }
 
+// charges parses lines "SERVICE VERSION PARTS [restricted]", where plus signs
+// separate the parts.
+func (s *script) charges(d *datadriven.TestData) []blame.Charge {
+	var list []blame.Charge
+	for l := range strings.Lines(d.Input) {
+		f := strings.Fields(l)
+		list = append(list, blame.NewCharge(f[0], strings.Split(f[2], "+"), f[1], f[len(f)-1] == "restricted"))
+	}
+	return list
+}
+
 func (s *script) pool() string {
 	var b strings.Builder
 	for _, id := range s.core.Pool().IDs() {
@@ -318,6 +336,11 @@
 	return n
 }
 
+// list returns the words of an argument, which plus signs separate.
+func (s *script) list(d *datadriven.TestData, key string) []string {
+	return strings.FieldsFunc(s.text(d, key, ""), func(r rune) bool { return r == '+' })
+}
+
 func (s *script) text(d *datadriven.TestData, key, fallback string) string {
 	if !d.HasArg(key) {
 		return fallback
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -26,6 +26,10 @@
 // engine it queries a few candidates first; for a plain service it chooses
 // among all upstreams.
 func (c *Core) startAttempt(now time.Time, x *exchange, reason string) {
+	if x.fence.closed {
+		c.failCharged(now, x)
+		return
+	}
 	if x.need.Memory() > 0 {
 		c.placeOnEngine(now, x, reason)
 		return
@@ -126,6 +130,7 @@
 	c.endAttempt(x, a)
 	c.cancelled.Resume(now, a.instance, x.q.ID())
 	c.reportLost(now, x, a, e.cause)
+	c.reportCrash(now, x, a, e.cause)
 	switch e.cause {
 	case Unsent, Silent:
 		c.upstreamUnreachable(now, a.upstream)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -190,6 +190,7 @@
 		// wait for its end.
 		c.reportOutcome(now, x, a)
 	}
+	c.observePiece(now, x, a)
 	for _, other := range x.running() {
 		if other != a {
 			c.cancelAttempt(x, other, "another engine was first")
@@ -236,6 +237,7 @@
 		c.reportOutcome(now, x, a)
 	}
 	a.upstream.RecordSuccess(now)
+	c.reportSurvival(now, x, a)
 	c.sendHead(x, a)
 	c.finish(now, x, Action{
 		kind:   Close,
@@ -246,7 +248,14 @@
 // recoverStream continues a stream after the loss of an attempt: from a copy of
 // the run if there is one, else by reading the prompt again.
 func (c *Core) recoverStream(now time.Time, x *exchange, a *attempt, e Event) {
+	if x.fence.closed {
+		c.failCharged(now, x)
+		return
+	}
 	from := c.resumeFrom(now, x, a, e)
+	if from != nil && x.fence.excludes(from.upstream) {
+		from = nil
+	}
 	if e.cause.mayHaveRun() && !x.mayRepeat() && from == nil {
 		c.fail(now, x, e.cause.String(), errs.Upstream)
 		return
@@ -266,7 +275,7 @@
 	switch {
 	case from != nil:
 		c.sendFrom(now, x, from.upstream, *from)
-	case (e.cause == Broken || e.cause == Garbled) && a.upstream.Usable() && !a.upstream.BackingOff(now) && x.sendCount(a.upstream) <= maxSendsToSame:
+	case (e.cause == Broken || e.cause == Garbled) && a.upstream.Usable() && !a.upstream.BackingOff(now) && x.sendCount(a.upstream) <= maxSendsToSame && !x.fence.excludes(a.upstream):
 		// An engine that is alive still has the prompt, and one that is dead
 		// refuses the connection.
 		c.send(now, x, a.upstream, a.upstream.ID(), false, "same after "+e.cause.String())
--- a/internal/wire/peer.twirp.go
+++ b/internal/wire/peer.twirp.go
@@ -2144,6 +2144,1063 @@
 	return baseServicePath(s.pathPrefix, "clementinelink.wire", "Feed")
 }
 
+// ===============
+// Blame Interface
+// ===============
+
+// Blame is the service through which entry VMs agree on the prompt parts that
+// crash engines.
+type Blame interface {
+	// Collect reports a run of the sender whose engine was lost.
+	Collect(context.Context, *LostRun) (*CollectReply, error)
+
+	// Seen returns which prompt parts engines have survived at this VM.
+	Seen(context.Context, *SeenRequest) (*SeenReply, error)
+
+	// Announce states that a charge is in force or lifted.
+	Announce(context.Context, *AnnounceRequest) (*AnnounceReply, error)
+}
+
+// =====================
+// Blame Protobuf Client
+// =====================
+
+type blameProtobufClient struct {
+	client      HTTPClient
+	urls        [3]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewBlameProtobufClient creates a Protobuf client that implements the Blame interface.
+// It communicates using Protobuf and can be configured with a custom HTTPClient.
+func NewBlameProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Blame {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "clementinelink.wire", "Blame")
+	urls := [3]string{
+		serviceURL + "Collect",
+		serviceURL + "Seen",
+		serviceURL + "Announce",
+	}
+
+	return &blameProtobufClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *blameProtobufClient) Collect(ctx context.Context, in *LostRun) (*CollectReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "clementinelink.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Blame")
+	ctx = ctxsetters.WithMethodName(ctx, "Collect")
+	caller := c.callCollect
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *LostRun) (*CollectReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LostRun)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LostRun) when calling interceptor")
+					}
+					return c.callCollect(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*CollectReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*CollectReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *blameProtobufClient) callCollect(ctx context.Context, in *LostRun) (*CollectReply, error) {
+	out := new(CollectReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *blameProtobufClient) Seen(ctx context.Context, in *SeenRequest) (*SeenReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "clementinelink.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Blame")
+	ctx = ctxsetters.WithMethodName(ctx, "Seen")
+	caller := c.callSeen
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SeenRequest) (*SeenReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SeenRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SeenRequest) when calling interceptor")
+					}
+					return c.callSeen(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SeenReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SeenReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *blameProtobufClient) callSeen(ctx context.Context, in *SeenRequest) (*SeenReply, error) {
+	out := new(SeenReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *blameProtobufClient) Announce(ctx context.Context, in *AnnounceRequest) (*AnnounceReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "clementinelink.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Blame")
+	ctx = ctxsetters.WithMethodName(ctx, "Announce")
+	caller := c.callAnnounce
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AnnounceRequest) (*AnnounceReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AnnounceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AnnounceRequest) when calling interceptor")
+					}
+					return c.callAnnounce(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AnnounceReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AnnounceReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *blameProtobufClient) callAnnounce(ctx context.Context, in *AnnounceRequest) (*AnnounceReply, error) {
+	out := new(AnnounceReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// =================
+// Blame JSON Client
+// =================
+
+type blameJSONClient struct {
+	client      HTTPClient
+	urls        [3]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewBlameJSONClient creates a JSON client that implements the Blame interface.
+// It communicates using JSON and can be configured with a custom HTTPClient.
+func NewBlameJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Blame {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "clementinelink.wire", "Blame")
+	urls := [3]string{
+		serviceURL + "Collect",
+		serviceURL + "Seen",
+		serviceURL + "Announce",
+	}
+
+	return &blameJSONClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *blameJSONClient) Collect(ctx context.Context, in *LostRun) (*CollectReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "clementinelink.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Blame")
+	ctx = ctxsetters.WithMethodName(ctx, "Collect")
+	caller := c.callCollect
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *LostRun) (*CollectReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LostRun)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LostRun) when calling interceptor")
+					}
+					return c.callCollect(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*CollectReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*CollectReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *blameJSONClient) callCollect(ctx context.Context, in *LostRun) (*CollectReply, error) {
+	out := new(CollectReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *blameJSONClient) Seen(ctx context.Context, in *SeenRequest) (*SeenReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "clementinelink.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Blame")
+	ctx = ctxsetters.WithMethodName(ctx, "Seen")
+	caller := c.callSeen
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SeenRequest) (*SeenReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SeenRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SeenRequest) when calling interceptor")
+					}
+					return c.callSeen(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SeenReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SeenReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *blameJSONClient) callSeen(ctx context.Context, in *SeenRequest) (*SeenReply, error) {
+	out := new(SeenReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *blameJSONClient) Announce(ctx context.Context, in *AnnounceRequest) (*AnnounceReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "clementinelink.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Blame")
+	ctx = ctxsetters.WithMethodName(ctx, "Announce")
+	caller := c.callAnnounce
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AnnounceRequest) (*AnnounceReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AnnounceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AnnounceRequest) when calling interceptor")
+					}
+					return c.callAnnounce(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AnnounceReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AnnounceReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *blameJSONClient) callAnnounce(ctx context.Context, in *AnnounceRequest) (*AnnounceReply, error) {
+	out := new(AnnounceReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ====================
+// Blame Server Handler
+// ====================
+
+type blameServer struct {
+	Blame
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewBlameServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewBlameServer(svc Blame, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &blameServer{
+		Blame:            svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *blameServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *blameServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+		return
+	}
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+		return
+	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
+
+// BlamePathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const BlamePathPrefix = "/twirp/clementinelink.wire.Blame/"
+
+func (s *blameServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "clementinelink.wire")
+	ctx = ctxsetters.WithServiceName(ctx, "Blame")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
+	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
+	if pkgService != "clementinelink.wire.Blame" {
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+	if prefix != s.pathPrefix {
+		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	switch method {
+	case "Collect":
+		s.serveCollect(ctx, resp, req)
+		return
+	case "Seen":
+		s.serveSeen(ctx, resp, req)
+		return
+	case "Announce":
+		s.serveAnnounce(ctx, resp, req)
+		return
+	default:
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+}
+
+func (s *blameServer) serveCollect(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveCollectJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveCollectProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *blameServer) serveCollectJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Collect")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(LostRun)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Blame.Collect
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *LostRun) (*CollectReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LostRun)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LostRun) when calling interceptor")
+					}
+					return s.Blame.Collect(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*CollectReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*CollectReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *CollectReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *CollectReply and nil error while calling Collect. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *blameServer) serveCollectProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Collect")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(LostRun)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Blame.Collect
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *LostRun) (*CollectReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*LostRun)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*LostRun) when calling interceptor")
+					}
+					return s.Blame.Collect(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*CollectReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*CollectReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *CollectReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *CollectReply and nil error while calling Collect. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *blameServer) serveSeen(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveSeenJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveSeenProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *blameServer) serveSeenJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Seen")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(SeenRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Blame.Seen
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SeenRequest) (*SeenReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SeenRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SeenRequest) when calling interceptor")
+					}
+					return s.Blame.Seen(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SeenReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SeenReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SeenReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SeenReply and nil error while calling Seen. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *blameServer) serveSeenProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Seen")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(SeenRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Blame.Seen
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SeenRequest) (*SeenReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SeenRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SeenRequest) when calling interceptor")
+					}
+					return s.Blame.Seen(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SeenReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SeenReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SeenReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SeenReply and nil error while calling Seen. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *blameServer) serveAnnounce(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveAnnounceJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveAnnounceProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *blameServer) serveAnnounceJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Announce")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(AnnounceRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Blame.Announce
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *AnnounceRequest) (*AnnounceReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AnnounceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AnnounceRequest) when calling interceptor")
+					}
+					return s.Blame.Announce(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AnnounceReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AnnounceReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *AnnounceReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AnnounceReply and nil error while calling Announce. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *blameServer) serveAnnounceProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Announce")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(AnnounceRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Blame.Announce
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *AnnounceRequest) (*AnnounceReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AnnounceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AnnounceRequest) when calling interceptor")
+					}
+					return s.Blame.Announce(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*AnnounceReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*AnnounceReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *AnnounceReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *AnnounceReply and nil error while calling Announce. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *blameServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor0, 2
+}
+
+func (s *blameServer) ProtocGenTwirpVersion() string {
+	return "v8.1.3"
+}
+
+// PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
+// that is everything in a Twirp route except for the <Method>. This can be used for routing,
+// for example to identify the requests that are targeted to this service in a mux.
+func (s *blameServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "clementinelink.wire", "Blame")
+}
+
 // =====
 // Utils
 // =====
@@ -2710,72 +3767,89 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 1061 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x56, 0xdd, 0x6e, 0x1b, 0x45,
-	0x14, 0xd6, 0xda, 0xeb, 0x9f, 0x3d, 0x76, 0x4a, 0x35, 0x14, 0xd8, 0x86, 0x84, 0xa6, 0x4b, 0x85,
-	0x72, 0x95, 0xa0, 0x54, 0x48, 0x80, 0x40, 0x48, 0x0d, 0x2d, 0xa0, 0x12, 0xa9, 0x0c, 0x88, 0x0b,
-	0x6e, 0xa2, 0xc9, 0xee, 0x89, 0xb3, 0x64, 0xbd, 0x6b, 0x66, 0xc6, 0xeb, 0x5a, 0x15, 0x8f, 0xc2,
-	0x05, 0x37, 0x3c, 0x07, 0xe2, 0x09, 0xb8, 0xe0, 0x19, 0x78, 0x08, 0xae, 0xd0, 0x99, 0x1f, 0x7b,
-	0x1d, 0xec, 0x00, 0x51, 0xef, 0xe6, 0x3b, 0x73, 0xe6, 0x3b, 0xbf, 0x73, 0x66, 0x00, 0x26, 0x88,
-	0xf2, 0x60, 0x22, 0x2b, 0x5d, 0xb1, 0x57, 0xd3, 0x02, 0xc7, 0x58, 0xea, 0xbc, 0xc4, 0x22, 0x2f,
-	0x2f, 0x0f, 0x66, 0xb9, 0xc4, 0xe4, 0x1d, 0x18, 0x7c, 0x99, 0x2b, 0xcd, 0xf1, 0x87, 0x29, 0x2a,
-	0xcd, 0xde, 0x80, 0xde, 0x4c, 0xe4, 0xfa, 0x74, 0xac, 0xe2, 0x60, 0x2f, 0xd8, 0x6f, 0xf3, 0x2e,
-	0xc1, 0x13, 0x95, 0x7c, 0x02, 0xb7, 0x8e, 0x2f, 0x44, 0x39, 0x42, 0xe5, 0x55, 0xef, 0x40, 0x47,
-	0x9c, 0x6b, 0x94, 0x46, 0x31, 0xe4, 0x16, 0x34, 0x09, 0x5a, 0x2b, 0x04, 0x3f, 0xc2, 0x70, 0x41,
-	0x30, 0x29, 0xe6, 0xec, 0x43, 0xe8, 0xa5, 0x16, 0xc7, 0xc1, 0x5e, 0x7b, 0x7f, 0x70, 0xb4, 0x77,
-	0xb0, 0xc6, 0xbf, 0x83, 0xaf, 0x75, 0x25, 0xd1, 0x1e, 0xe4, 0xfe, 0x00, 0xdb, 0x86, 0xbe, 0xc4,
-	0x3a, 0x57, 0x79, 0x55, 0x1a, 0x2b, 0x21, 0x5f, 0x60, 0xf6, 0x1a, 0x74, 0xc5, 0x08, 0xc9, 0x7e,
-	0xdb, 0xd8, 0xef, 0x88, 0x11, 0x9e, 0xa8, 0xe4, 0x05, 0x0c, 0x1a, 0x54, 0xec, 0x36, 0xb4, 0x2f,
-	0x71, 0x6e, 0x5c, 0x8f, 0x38, 0x2d, 0x29, 0x9c, 0x5a, 0x14, 0x53, 0x34, 0x84, 0x43, 0x6e, 0xc1,
-	0x8a, 0xa5, 0xf6, 0x15, 0x4b, 0x77, 0xa0, 0x53, 0xa0, 0x50, 0x18, 0x87, 0x86, 0xc5, 0x02, 0xc6,
-	0x20, 0x1c, 0x55, 0x25, 0xc6, 0x9d, 0xbd, 0x60, 0xbf, 0xcf, 0xcd, 0x3a, 0xf9, 0x23, 0x80, 0x57,
-	0x1e, 0x3f, 0xb7, 0xde, 0xfb, 0xf4, 0xdd, 0x82, 0x56, 0x3d, 0x76, 0x0e, 0xb4, 0xea, 0x31, 0xdb,
-	0x83, 0x41, 0x5e, 0xa6, 0x42, 0x96, 0x42, 0x2f, 0xc3, 0x6a, 0x8a, 0xae, 0xf5, 0xe5, 0x7d, 0xe8,
-	0xd7, 0x28, 0xb3, 0x3c, 0xd5, 0x2a, 0x0e, 0x4d, 0x3a, 0x77, 0xd6, 0xa6, 0xf3, 0x5b, 0xab, 0xc4,
-	0x17, 0xda, 0xec, 0x03, 0xe8, 0x63, 0x9d, 0x67, 0x58, 0xa6, 0xe4, 0x33, 0x9d, 0xdc, 0x5d, 0x7b,
-	0xf2, 0xb1, 0x53, 0xe2, 0x0b, 0xf5, 0xe4, 0xcf, 0x00, 0xb6, 0x96, 0x61, 0x51, 0x51, 0x5f, 0x6e,
-	0x50, 0x0c, 0xc2, 0x0b, 0x14, 0x99, 0xc9, 0xef, 0x90, 0x9b, 0xf5, 0x4a, 0xa0, 0x9d, 0x1b, 0x07,
-	0xda, 0xfd, 0x7f, 0x81, 0x3e, 0x85, 0x9e, 0xe3, 0x23, 0x9f, 0xc6, 0x55, 0x8d, 0x2e, 0x46, 0xb3,
-	0xa6, 0x46, 0x50, 0x5a, 0x68, 0xdb, 0x3a, 0x11, 0xb7, 0x80, 0xbd, 0x0e, 0x5d, 0x89, 0x42, 0xb9,
-	0xb8, 0x22, 0xee, 0x50, 0xf2, 0x5b, 0x0b, 0xfa, 0xde, 0xc6, 0x0d, 0x12, 0x16, 0x43, 0x4f, 0xa1,
-	0xac, 0xf3, 0x14, 0x1d, 0xaf, 0x87, 0xb4, 0x53, 0xa3, 0x34, 0x99, 0xb4, 0x1d, 0xe9, 0x21, 0x39,
-	0x28, 0xab, 0xa9, 0xb6, 0x4d, 0x19, 0x71, 0x0b, 0x48, 0x9a, 0x16, 0x42, 0xa9, 0xb8, 0x6b, 0xa5,
-	0x06, 0xd8, 0x82, 0x98, 0x16, 0x55, 0x71, 0xcf, 0x17, 0xc4, 0x62, 0x0a, 0x09, 0xa5, 0xac, 0xa4,
-	0x8a, 0xfb, 0x66, 0xc7, 0x21, 0xb6, 0x0b, 0xa0, 0x8a, 0x6a, 0x76, 0x7a, 0x9e, 0x4b, 0xa5, 0xe3,
-	0xc8, 0xec, 0x45, 0x24, 0x79, 0x42, 0x02, 0xf6, 0x26, 0x18, 0x70, 0x3a, 0x12, 0x13, 0x15, 0x83,
-	0xe5, 0x24, 0xc1, 0x67, 0x62, 0xa2, 0xd8, 0x0e, 0x44, 0x5a, 0x4e, 0xcb, 0x54, 0x68, 0xcc, 0xe2,
-	0x81, 0x3d, 0xba, 0x10, 0x90, 0xc5, 0x71, 0x5e, 0x92, 0xeb, 0x43, 0x3b, 0x4d, 0x2c, 0x4a, 0x1e,
-	0xc0, 0xf0, 0x99, 0x90, 0xba, 0x39, 0x8c, 0x4a, 0x31, 0x76, 0xb3, 0x24, 0xe2, 0x16, 0x24, 0x1f,
-	0x03, 0x38, 0x2d, 0x6a, 0xce, 0x43, 0xe8, 0x4c, 0x08, 0xb9, 0x79, 0x73, 0x77, 0x6d, 0xf5, 0x49,
-	0x9f, 0x5b, 0xbd, 0xe4, 0x5d, 0x08, 0x09, 0x52, 0xcd, 0x89, 0xcf, 0xd7, 0x9c, 0xd6, 0xeb, 0xc7,
-	0x45, 0xf2, 0x7b, 0x00, 0xc3, 0xe3, 0x42, 0xe4, 0x63, 0xef, 0xd7, 0x2e, 0xc0, 0x25, 0xce, 0x4f,
-	0xb3, 0x7c, 0x84, 0x4a, 0x1b, 0x82, 0x21, 0x8f, 0x2e, 0x71, 0xfe, 0xa9, 0x11, 0xb0, 0x7b, 0x30,
-	0x38, 0xab, 0xb2, 0xc5, 0xbe, 0xe5, 0x02, 0x12, 0x39, 0x85, 0xbb, 0xd0, 0x4f, 0x89, 0xef, 0x34,
-	0xcf, 0x7c, 0xb9, 0x0d, 0xfe, 0x22, 0xa3, 0xb3, 0x19, 0x8a, 0xac, 0xc8, 0x4b, 0x33, 0xed, 0x42,
-	0x93, 0x1f, 0xf0, 0xa2, 0x13, 0xb5, 0x6c, 0xcb, 0xce, 0x95, 0xb6, 0x14, 0xa5, 0x9a, 0xa1, 0x34,
-	0x65, 0x1f, 0x72, 0x87, 0x48, 0x4e, 0x0a, 0x53, 0x5b, 0xf5, 0x0e, 0x77, 0x28, 0xf9, 0x29, 0x00,
-	0x70, 0x21, 0x51, 0x12, 0x6f, 0x43, 0x7b, 0x56, 0x95, 0x26, 0x92, 0x3e, 0xa7, 0x25, 0x1d, 0xbc,
-	0xa8, 0x8a, 0x0c, 0xa5, 0x6b, 0x7f, 0x87, 0x96, 0xe6, 0xdb, 0x4d, 0xf3, 0x57, 0x22, 0x0e, 0xff,
-	0x11, 0xf1, 0xd2, 0xbf, 0xce, 0x06, 0xff, 0xba, 0x2b, 0xfe, 0x6d, 0xc1, 0xe0, 0xd1, 0x54, 0x96,
-	0x2e, 0xe1, 0xc9, 0x0b, 0x88, 0x2c, 0xbc, 0xd9, 0x38, 0xfa, 0x08, 0xfa, 0x69, 0x35, 0x2d, 0x35,
-	0x4a, 0x7a, 0x3f, 0x36, 0x3f, 0x4b, 0x64, 0xe3, 0xd8, 0x2a, 0xf2, 0xc5, 0x89, 0xe4, 0xe7, 0xc0,
-	0x3a, 0xe3, 0x76, 0x9a, 0x77, 0x35, 0x58, 0xbd, 0xab, 0x3b, 0x10, 0xcd, 0x2a, 0x79, 0xa9, 0x26,
-	0x22, 0xf5, 0x63, 0x63, 0x29, 0xa0, 0xdd, 0xea, 0xec, 0x7b, 0x4c, 0x75, 0x5e, 0xfb, 0xf4, 0x2d,
-	0x05, 0x8d, 0x3b, 0x11, 0x36, 0xef, 0x84, 0x7d, 0x79, 0xaa, 0xcc, 0xe4, 0x2d, 0xe4, 0x66, 0x4d,
-	0xe5, 0x3a, 0x13, 0x99, 0x49, 0x59, 0xc8, 0x69, 0x99, 0xfc, 0x15, 0x40, 0xf7, 0x78, 0x2a, 0x55,
-	0x65, 0xdc, 0x73, 0x57, 0xdb, 0xbb, 0xe7, 0x60, 0xd3, 0xf1, 0xd6, 0xc6, 0x21, 0xd3, 0x5e, 0x1d,
-	0x32, 0x34, 0x1c, 0xca, 0x51, 0x5e, 0xfa, 0xf7, 0xd0, 0x21, 0x3a, 0x21, 0xb2, 0x4c, 0xa2, 0x52,
-	0xae, 0x11, 0x3d, 0x34, 0x3b, 0x5a, 0xe3, 0x78, 0xa2, 0x8d, 0x83, 0x5b, 0xdc, 0x43, 0xe2, 0xaa,
-	0xce, 0xcf, 0x15, 0x6a, 0xd3, 0x8c, 0x5b, 0xdc, 0x21, 0x0a, 0x51, 0x21, 0x66, 0x6e, 0xfc, 0x98,
-	0x35, 0xe9, 0xba, 0x66, 0xb2, 0x83, 0xc7, 0x21, 0xd2, 0xa5, 0xb6, 0x72, 0x03, 0xc7, 0xac, 0x8f,
-	0x7e, 0x6d, 0x41, 0xf8, 0x0c, 0x51, 0xb2, 0x6f, 0xa0, 0xef, 0x5f, 0x2e, 0xf6, 0x60, 0xfd, 0x33,
-	0xb0, 0xfa, 0x5e, 0x6f, 0x27, 0xff, 0xa2, 0x45, 0xfd, 0xf6, 0x14, 0x3a, 0x66, 0xde, 0xb0, 0xfb,
-	0x1b, 0x67, 0x8b, 0x9f, 0x58, 0xdb, 0xf7, 0xae, 0x53, 0x71, 0x64, 0xe6, 0xde, 0x6d, 0x20, 0x6b,
-	0x8e, 0x99, 0x0d, 0x64, 0x8d, 0x6b, 0xfb, 0x39, 0x84, 0xd4, 0x98, 0x6c, 0x73, 0x37, 0x7b, 0xaa,
-	0xb7, 0xae, 0xd1, 0x98, 0x14, 0xf3, 0xa3, 0x5f, 0x02, 0x08, 0x9f, 0x50, 0xde, 0xbf, 0x82, 0x9e,
-	0xfb, 0xd0, 0xb1, 0xb7, 0xd7, 0x9b, 0x5f, 0xf9, 0x2f, 0x6e, 0xdf, 0xbf, 0x5e, 0xc9, 0x86, 0x1c,
-	0xd2, 0x67, 0x74, 0x83, 0x97, 0x8d, 0x7f, 0xea, 0x7f, 0x20, 0x7b, 0xf4, 0xde, 0x77, 0x0f, 0xaf,
-	0xe8, 0xe0, 0x73, 0x31, 0x9e, 0x14, 0x78, 0xb8, 0x2a, 0x3e, 0xcc, 0xe9, 0xae, 0x96, 0xa2, 0x38,
-	0x24, 0x8e, 0xb3, 0xae, 0xf9, 0x2c, 0x3f, 0xfc, 0x3b, 0x00, 0x00, 0xff, 0xff, 0x38, 0x8e, 0x41,
-	0x80, 0x3a, 0x0b, 0x00, 0x00,
+	// 1336 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xac, 0x57, 0xcd, 0x6e, 0x1c, 0x45,
+	0x10, 0xd6, 0xec, 0xce, 0xfe, 0xd5, 0xae, 0x93, 0x68, 0x30, 0x61, 0xe2, 0xfc, 0x39, 0x43, 0x84,
+	0x7c, 0xb2, 0x91, 0xa3, 0x48, 0x80, 0x40, 0x88, 0x98, 0x84, 0x40, 0x12, 0x29, 0x74, 0x22, 0x0e,
+	0x1c, 0xb0, 0xda, 0x33, 0xe5, 0xf5, 0xe0, 0xd9, 0x9e, 0xa5, 0xbb, 0x77, 0x1d, 0x2b, 0xe2, 0x51,
+	0x38, 0x70, 0xe1, 0x09, 0x78, 0x00, 0xc4, 0x13, 0x70, 0xe0, 0x19, 0x78, 0x01, 0x6e, 0x9c, 0x50,
+	0xf5, 0xcf, 0xee, 0xac, 0xb3, 0xb3, 0x21, 0x16, 0xb7, 0xfe, 0xaa, 0xab, 0xab, 0xeb, 0xaf, 0xab,
+	0xaa, 0x01, 0xc6, 0x88, 0x72, 0x7b, 0x2c, 0x4b, 0x5d, 0x46, 0x6f, 0xa5, 0x05, 0x8e, 0x50, 0xe8,
+	0x5c, 0x60, 0x91, 0x8b, 0xe3, 0xed, 0x93, 0x5c, 0x62, 0xf2, 0x6b, 0x00, 0x9d, 0xc7, 0xa5, 0xd2,
+	0x6c, 0x22, 0xa2, 0x18, 0x3a, 0x0a, 0xe5, 0x34, 0x4f, 0x31, 0x0e, 0x36, 0x83, 0xad, 0x1e, 0xf3,
+	0x90, 0x76, 0xa6, 0x28, 0x55, 0x5e, 0x8a, 0xb8, 0x61, 0x77, 0x1c, 0x8c, 0x2e, 0x43, 0x1b, 0xc5,
+	0x30, 0x17, 0x18, 0x37, 0xcd, 0x86, 0x43, 0x44, 0xcf, 0xca, 0x11, 0xcf, 0x45, 0x1c, 0x5a, 0xba,
+	0x45, 0xf6, 0x0e, 0x65, 0x24, 0xb5, 0xfc, 0x1d, 0x06, 0x46, 0xeb, 0xd0, 0x1a, 0x73, 0xa9, 0x55,
+	0xdc, 0xde, 0x6c, 0x6e, 0xf5, 0x98, 0x05, 0xd1, 0xdb, 0xd0, 0xe6, 0x43, 0xdc, 0x1f, 0xa9, 0xb8,
+	0xb3, 0x19, 0x6c, 0x35, 0x59, 0x8b, 0x0f, 0xf1, 0x89, 0x4a, 0xee, 0xc3, 0x60, 0xaf, 0x2c, 0x0a,
+	0x4c, 0x35, 0xc3, 0x71, 0x71, 0x1a, 0xdd, 0x85, 0x4e, 0x7a, 0xc4, 0xe5, 0x10, 0x55, 0x1c, 0x6c,
+	0x36, 0xb7, 0xfa, 0xbb, 0x57, 0xb7, 0x97, 0x58, 0xbb, 0xbd, 0x67, 0x78, 0x98, 0xe7, 0x4d, 0xc6,
+	0xd0, 0xb6, 0xa4, 0x15, 0xb6, 0xcf, 0xf4, 0x6a, 0x54, 0xf5, 0xba, 0x0c, 0x6d, 0xa5, 0xe5, 0x24,
+	0x3d, 0xf6, 0x76, 0x5b, 0x14, 0xdd, 0x00, 0x90, 0xa8, 0xb4, 0xcc, 0x53, 0x8d, 0x99, 0xb1, 0xbd,
+	0xcb, 0x2a, 0x94, 0xe4, 0x39, 0xf4, 0x9f, 0x21, 0x0a, 0x86, 0x3f, 0x4c, 0x50, 0xe9, 0x37, 0xbe,
+	0x76, 0xee, 0x8e, 0x66, 0xd5, 0x1d, 0x9f, 0x42, 0xcf, 0x4a, 0x25, 0x5f, 0xec, 0x42, 0x5b, 0xe5,
+	0xc3, 0x23, 0xed, 0x5d, 0xb1, 0xb1, 0xd4, 0x15, 0xcf, 0x88, 0x85, 0x39, 0xce, 0xe4, 0x31, 0xb4,
+	0x0c, 0x21, 0x8a, 0x20, 0xa4, 0x9b, 0x9c, 0x36, 0x66, 0xbd, 0x22, 0xfa, 0x35, 0xea, 0x7c, 0x07,
+	0x17, 0x3f, 0x13, 0xa2, 0x9c, 0x88, 0x14, 0xbd, 0xa1, 0x77, 0xa0, 0x6d, 0x9d, 0x6e, 0x24, 0xbf,
+	0x26, 0x3e, 0x8e, 0x95, 0x9c, 0x5c, 0xe4, 0x87, 0xe4, 0xc8, 0x86, 0x71, 0xa4, 0x43, 0xc9, 0x45,
+	0x58, 0x9b, 0xcb, 0x1f, 0x17, 0xa7, 0xc9, 0x7b, 0xd0, 0x7f, 0x9c, 0x2b, 0xed, 0x2f, 0x7b, 0x07,
+	0x3a, 0x27, 0x3c, 0xd7, 0xa4, 0x57, 0x60, 0xf4, 0x6a, 0x13, 0x34, 0x7e, 0xba, 0xb0, 0x77, 0xc4,
+	0xc5, 0x10, 0x95, 0x67, 0x5d, 0x87, 0x16, 0x3f, 0xd4, 0x28, 0x0d, 0x63, 0xc8, 0x2c, 0xa8, 0x0a,
+	0x68, 0x2c, 0x08, 0xf8, 0x11, 0x06, 0x33, 0x01, 0xe4, 0xeb, 0x8f, 0x4c, 0xde, 0x89, 0x79, 0xde,
+	0x6d, 0x2e, 0x77, 0xb6, 0x2e, 0x25, 0xda, 0x83, 0xcc, 0x1f, 0x88, 0x36, 0xa0, 0x2b, 0x71, 0x9a,
+	0xcf, 0xfc, 0x1a, 0xb2, 0x19, 0xae, 0x73, 0xec, 0x4b, 0xe8, 0x57, 0x44, 0x45, 0x97, 0xa0, 0x79,
+	0x8c, 0xa7, 0x2e, 0x56, 0xb4, 0x24, 0x73, 0xa6, 0xbc, 0x98, 0xa0, 0x11, 0x38, 0x60, 0x16, 0x2c,
+	0xdc, 0xd4, 0x3c, 0x73, 0xd3, 0x3a, 0xb4, 0x0a, 0xe4, 0x0a, 0xdd, 0x3b, 0xb5, 0x80, 0xd2, 0x60,
+	0x58, 0x0a, 0x34, 0x6f, 0xb4, 0xcb, 0xcc, 0x3a, 0xf9, 0x33, 0x80, 0x8b, 0xf7, 0x5f, 0x58, 0xed,
+	0xbd, 0xfb, 0x2e, 0x40, 0x63, 0x3a, 0x72, 0x0a, 0x34, 0xa6, 0xa3, 0x68, 0x13, 0xfa, 0xb9, 0x48,
+	0xb9, 0x14, 0x5c, 0xcf, 0xcd, 0xaa, 0x92, 0x56, 0xea, 0xf2, 0x01, 0x74, 0xa7, 0x28, 0xb3, 0x3c,
+	0xd5, 0x2a, 0x0e, 0x8d, 0x3b, 0xaf, 0x2d, 0x75, 0xe7, 0x37, 0x96, 0x89, 0xcd, 0xb8, 0xa3, 0x0f,
+	0xa1, 0x8b, 0xd3, 0x3c, 0x43, 0x91, 0x92, 0xce, 0x74, 0xf2, 0xfa, 0xd2, 0x93, 0xf7, 0x1d, 0x13,
+	0x9b, 0xb1, 0x27, 0x7f, 0x05, 0xb0, 0x36, 0x37, 0x8b, 0x82, 0xfa, 0xff, 0x1a, 0x15, 0x41, 0x78,
+	0x84, 0xdc, 0xd6, 0x82, 0x01, 0x33, 0xeb, 0x05, 0x43, 0x5b, 0xe7, 0x36, 0xb4, 0xfd, 0x66, 0x86,
+	0x3e, 0x82, 0x8e, 0x93, 0x47, 0x3a, 0x8d, 0xca, 0xa9, 0xaf, 0x39, 0x66, 0x4d, 0x89, 0xa0, 0x34,
+	0xd7, 0xe8, 0xde, 0xb8, 0x05, 0xf4, 0x04, 0x25, 0x72, 0xe5, 0xec, 0xea, 0x31, 0x87, 0x92, 0xdf,
+	0x1b, 0xd0, 0xf5, 0x77, 0x9c, 0xc3, 0x61, 0x95, 0xba, 0xd7, 0xac, 0x6d, 0x35, 0xe1, 0x62, 0xb1,
+	0x59, 0x87, 0x96, 0x2c, 0x27, 0x1a, 0x5d, 0xe3, 0xb0, 0x80, 0xa8, 0x69, 0xc1, 0x15, 0xb5, 0x0d,
+	0x43, 0x35, 0xc0, 0x06, 0xc4, 0xa4, 0xa8, 0x6d, 0x1c, 0x26, 0x20, 0x16, 0x9b, 0x96, 0x25, 0x65,
+	0x29, 0x55, 0xdc, 0x35, 0x3b, 0x0e, 0x45, 0xd7, 0x01, 0x54, 0x51, 0x9e, 0xec, 0x1f, 0xe6, 0x52,
+	0xe9, 0xb8, 0x67, 0xf6, 0x7a, 0x44, 0x79, 0x40, 0x84, 0xe8, 0x2a, 0x18, 0xb0, 0x3f, 0xe4, 0x63,
+	0x15, 0x83, 0x95, 0x49, 0x84, 0x2f, 0xf8, 0x58, 0x45, 0xd7, 0xa0, 0xa7, 0xe5, 0x44, 0xa4, 0x9c,
+	0x8a, 0x55, 0xdf, 0x1e, 0x9d, 0x11, 0xe8, 0xc6, 0x51, 0x2e, 0x48, 0xf5, 0x81, 0xad, 0x26, 0x16,
+	0x25, 0xb7, 0x61, 0xf0, 0x94, 0xca, 0x7a, 0xa5, 0x18, 0x09, 0x3e, 0x72, 0xb5, 0xa4, 0xc7, 0x2c,
+	0x48, 0x3e, 0x01, 0x70, 0x5c, 0x94, 0x9c, 0x3b, 0xbe, 0x2f, 0xd8, 0x7a, 0x73, 0x65, 0x69, 0xf4,
+	0x89, 0xdf, 0xb5, 0x8c, 0xe4, 0x7d, 0x08, 0x09, 0x52, 0xcc, 0x49, 0x9e, 0x8f, 0x39, 0xad, 0x97,
+	0x97, 0x8b, 0xe4, 0x8f, 0x00, 0x06, 0x7b, 0x05, 0xcf, 0x47, 0x5e, 0xaf, 0xeb, 0x00, 0xc7, 0x78,
+	0xba, 0x9f, 0xe5, 0x43, 0x54, 0xb6, 0x35, 0x0c, 0x58, 0xef, 0x18, 0x4f, 0x3f, 0x37, 0x84, 0xe8,
+	0x26, 0xf4, 0x0f, 0xca, 0x6c, 0xb6, 0x6f, 0x65, 0x01, 0x91, 0x1c, 0xc3, 0x15, 0xe8, 0xa6, 0x24,
+	0x6f, 0x3f, 0xcf, 0x7c, 0xb8, 0x0d, 0xfe, 0x32, 0xa3, 0xb3, 0x19, 0xf2, 0xac, 0xc8, 0x85, 0xa9,
+	0x76, 0xa1, 0xf1, 0x0f, 0x78, 0xd2, 0x13, 0x35, 0x4f, 0xcb, 0xd6, 0x99, 0xb4, 0xe4, 0x42, 0x9d,
+	0xa0, 0x34, 0x61, 0x1f, 0x30, 0x87, 0x6c, 0x5b, 0xe6, 0x7a, 0x62, 0xa3, 0xde, 0x62, 0x0e, 0x25,
+	0x3f, 0x05, 0x00, 0xce, 0x24, 0x72, 0xe2, 0x25, 0x68, 0x9e, 0x94, 0xc2, 0x58, 0xd2, 0x65, 0xb4,
+	0xa4, 0x83, 0x47, 0x65, 0x91, 0xa1, 0x74, 0xe9, 0xef, 0xd0, 0xfc, 0xfa, 0x66, 0xf5, 0xfa, 0x33,
+	0x16, 0x87, 0xaf, 0x58, 0x3c, 0xd7, 0xaf, 0x55, 0xa3, 0x5f, 0x7b, 0x41, 0xbf, 0x35, 0xe8, 0xdf,
+	0x9b, 0x48, 0x3f, 0x16, 0x24, 0x2f, 0xa1, 0x67, 0xe1, 0xf9, 0xca, 0xd1, 0xc7, 0xd0, 0x4d, 0xcb,
+	0x89, 0xd0, 0x28, 0xa9, 0x7f, 0xd4, 0xb7, 0x25, 0xba, 0x63, 0xcf, 0x32, 0xb2, 0xd9, 0x89, 0xe4,
+	0xe7, 0xc0, 0x2a, 0xe3, 0x76, 0x56, 0xcc, 0x28, 0xd7, 0xa0, 0x77, 0x52, 0xca, 0x63, 0x35, 0xe6,
+	0xa9, 0x2f, 0x1b, 0x73, 0x02, 0xed, 0x96, 0x07, 0xdf, 0x63, 0xaa, 0xf3, 0xa9, 0x77, 0xdf, 0x9c,
+	0x50, 0x79, 0x13, 0x61, 0xf5, 0x4d, 0xd8, 0xce, 0x53, 0x66, 0xc6, 0x6f, 0x21, 0x33, 0x6b, 0x0a,
+	0xd7, 0x01, 0xcf, 0x8c, 0xcb, 0x42, 0x46, 0xcb, 0xe4, 0x9f, 0x00, 0xda, 0x7b, 0x13, 0xa9, 0x4a,
+	0xa3, 0x9e, 0x7b, 0xda, 0x5e, 0x3d, 0xf9, 0xea, 0x70, 0xd5, 0xa8, 0x2d, 0x32, 0xcd, 0xba, 0x79,
+	0x36, 0x5c, 0x98, 0x67, 0x63, 0xe8, 0xf0, 0x2c, 0x93, 0xa8, 0x94, 0x9f, 0x5b, 0x1d, 0x34, 0x3b,
+	0x5a, 0xe3, 0x68, 0xac, 0x8d, 0x82, 0x6b, 0xcc, 0x43, 0x92, 0x55, 0x1e, 0x1e, 0x2a, 0xd4, 0x26,
+	0x19, 0xd7, 0x98, 0x43, 0x64, 0xa2, 0x42, 0xcc, 0x5c, 0xf9, 0x31, 0x6b, 0x33, 0x2f, 0xdb, 0x64,
+	0xb2, 0x85, 0xc7, 0x21, 0xe2, 0xa5, 0xb4, 0x72, 0x05, 0xc7, 0xac, 0x77, 0x7f, 0x6b, 0x40, 0xf8,
+	0x14, 0x51, 0x46, 0xcf, 0xa1, 0xeb, 0x3b, 0x57, 0x74, 0x7b, 0x79, 0x1b, 0x58, 0xec, 0xd7, 0x1b,
+	0xc9, 0x6b, 0xb8, 0x28, 0xdf, 0x1e, 0x41, 0xcb, 0xd4, 0x9b, 0xe8, 0x56, 0x6d, 0x6d, 0xf1, 0x15,
+	0x6b, 0xe3, 0xe6, 0x2a, 0x16, 0x27, 0xcc, 0xbc, 0xbb, 0x1a, 0x61, 0xd5, 0x32, 0x53, 0x23, 0xac,
+	0xf2, 0x6c, 0x1f, 0x42, 0x48, 0x89, 0x19, 0xd5, 0x67, 0xb3, 0x17, 0x75, 0x63, 0x05, 0xc7, 0xb8,
+	0x38, 0xdd, 0xfd, 0x25, 0x80, 0xf0, 0x01, 0xf9, 0xfd, 0x6b, 0xe8, 0xb8, 0x81, 0x2e, 0x7a, 0xb7,
+	0x6e, 0x24, 0xad, 0xcc, 0x8b, 0x1b, 0xb7, 0x56, 0x33, 0x59, 0x93, 0x43, 0x1a, 0x46, 0x6b, 0xb4,
+	0xac, 0xcc, 0xa9, 0xff, 0x41, 0xd8, 0xee, 0xdf, 0x01, 0xb4, 0xee, 0x15, 0x54, 0xab, 0xbf, 0x82,
+	0x8e, 0xfb, 0xf2, 0x44, 0xcb, 0x87, 0x05, 0xf7, 0x8d, 0xab, 0x93, 0x5a, 0xfd, 0x2e, 0x3d, 0x84,
+	0x90, 0xfe, 0x0b, 0x35, 0x2a, 0x56, 0x3e, 0x28, 0x35, 0x8e, 0x9c, 0x7f, 0x36, 0x9e, 0x43, 0xd7,
+	0x8f, 0xe2, 0x35, 0x29, 0x78, 0xe6, 0x27, 0x50, 0x93, 0x82, 0x0b, 0xf3, 0xfc, 0xbd, 0xbb, 0xdf,
+	0xde, 0x39, 0xc3, 0x84, 0x2f, 0xf8, 0x68, 0x5c, 0xe0, 0xce, 0x22, 0x79, 0x27, 0xa7, 0x0a, 0x25,
+	0x78, 0xb1, 0x43, 0x42, 0x0e, 0xda, 0xe6, 0xa3, 0x7b, 0xe7, 0xdf, 0x00, 0x00, 0x00, 0xff, 0xff,
+	0x62, 0xa3, 0xa2, 0x30, 0xf6, 0x0e, 0x00, 0x00,
 }
