blame: Don't count a loss without a part beside one with it

Callers saw sound prompts refused that share their first part with deadly ones: two sound prompts that were each lost on an engine that a deadly prompt crashed sufficed to accuse the first part alone, where no VM had seen it survive yet.

The cause: a companion of the accused part counted as refuted by losses without it, even those on engines that were lost with it at the same moment and so say nothing about the accused part.

testdata/core/beside failed before ("ask first: first") and passes now. Only losses at other engines refute a companion.

--- a/internal/blame/ledger.go
+++ b/internal/blame/ledger.go
@@ -237,17 +237,10 @@
 		if part == r.suspect.part {
 			continue
 		}
-		var with, without []Run
-		for _, lost := range r.losses {
-			if lost.has(part) {
-				with = append(with, lost)
-			} else {
-				without = append(without, lost)
-			}
-		}
+		with, without := r.split(part)
 		refuted := len(sessions(without)) >= minSessions && crashes(without) >= minCrashesWithout
 		often := len(sessions(with)) >= minSessions || crashes(with) >= minCrashesAlone
-		if len(without) == 0 || often && !refuted {
+		if len(with) == len(r.losses) || often && !refuted {
 			parts = append(parts, part)
 		}
 	}
@@ -255,6 +248,24 @@
 	return parts
 }
 
+// split returns the losses with a part, and those without it at engines that were
+// not lost with the part as well.
+func (r *record) split(part string) (with, without []Run) {
+	engines := make(map[string]bool)
+	for _, lost := range r.losses {
+		if lost.has(part) {
+			with = append(with, lost)
+			engines[lost.Engine()] = true
+		}
+	}
+	for _, lost := range r.losses {
+		if !lost.has(part) && !engines[lost.Engine()] {
+			without = append(without, lost)
+		}
+	}
+	return with, without
+}
+
 // crashes returns the number of independent crashes among losses that are ordered
 // by time.
 func crashes(losses []Run) int {
