blame: Refute a companion by repeated losses of one prompt

Callers with rare deadly prompts, each with a part of its own, crashed as many engines as their route has attempts after the part had been charged (BUDGET): the first prompt was charged with its own part, and the second one did not match.

The cause: a companion was refuted only by losses of two prompts without it, so that all repeats of the second prompt went on.

--- a/internal/blame/ledger.go
+++ b/internal/blame/ledger.go
@@ -238,7 +238,7 @@
 			continue
 		}
 		with, without := r.split(part)
-		refuted := len(sessions(without)) >= minSessions && crashes(without) >= minCrashesWithout
+		refuted := crashes(without) >= minCrashesWithout
 		often := len(sessions(with)) >= minSessions || crashes(with) >= minCrashesAlone
 		if len(with) == len(r.losses) || often && !refuted {
 			parts = append(parts, part)
