blame: Make an accusation again that got no answer

Callers' prompts with a deadly part crashed engine after engine when the question about it was dropped from the full queue of rounds (BUDGET).

The cause: the accusation stayed among those under way, so the collector never made it again, and such accusations added up without a bound.

testdata/core/unanswered failed before (no question at 7500) and passes now. An accusation without an answer for 5 s is no longer under way.

--- a/internal/blame/core.go
+++ b/internal/blame/core.go
@@ -19,6 +19,9 @@
 	substitutes = 2
 	// maxTargets bounds the VMs to which one loss is sent.
 	maxTargets = 12
+	// askTimeout is the time after which an accusation without an answer is made
+	// again.
+	askTimeout = 5 * time.Second
 	// maxCharges bounds the charges in force. The oldest are dropped first.
 	maxCharges = 256
 )
@@ -38,8 +41,8 @@
 	ledger    *Ledger
 	survivals *Survivals
 	charges   map[string]inForce
-	// asking holds the accusations whose answers are awaited.
-	asking  map[suspect]bool
+	// asking holds when the accusations were made whose answers are awaited.
+	asking  map[suspect]time.Time
 	actions []Action
 }
 
@@ -51,7 +54,7 @@
 		ledger:    NewLedger(),
 		survivals: NewSurvivals(),
 		charges:   make(map[string]inForce),
-		asking:    make(map[suspect]bool),
+		asking:    make(map[suspect]time.Time),
 	}
 }
 
@@ -76,9 +79,11 @@
 	return list
 }
 
-// begin starts a list of actions and drops the charges that have expired.
+// begin starts a list of actions, and drops the charges that have expired and the
+// accusations that have timed out.
 func (c *Core) begin(now time.Time) {
 	c.actions = nil
+	maps.DeleteFunc(c.asking, func(_ suspect, since time.Time) bool { return now.Sub(since) > askTimeout })
 	for id, f := range c.charges {
 		if now.Sub(f.since) > Lifetime {
 			c.drop(id, "expired")
@@ -165,10 +170,10 @@
 		return c.actions
 	}
 	for _, a := range c.ledger.Add(now, lost) {
-		if c.asking[a.suspect] || c.charged(a) {
+		if _, ok := c.asking[a.suspect]; ok || c.charged(a) {
 			continue
 		}
-		c.asking[a.suspect] = true
+		c.asking[a.suspect] = now
 		c.emit(Action{
 			kind:       Ask,
 			accusation: a,
