accord: Don't charge a part while most VMs are silent

Callers would see sound prompts refused by all VMs for ten minutes after one VM was cut off for a few seconds: it lost run after run, became the collector of its own losses since no other VM answered, charged their common part because no VM answered the question either, and wrote the charge to the store once its link was back (LOST).

The cause: a VM without an answer counted as one that has not seen the part survive. The core now decides nothing while the majority is silent, and the next loss makes the accusation again. VMs that refuse the connection have been stopped and don't count as silent.

--- a/internal/accord/calls.go
+++ b/internal/accord/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"syscall"
 	"time"
 
 	"clementinelink.example/clementinelink/internal/blame"
@@ -67,11 +68,12 @@
 	}
 }
 
-// carryOut calls all VMs of a round and waits for their answers. VMs that do not
-// answer have seen nothing.
+// carryOut calls all VMs of a round and waits for their answers. VMs that refuse the
+// connection have been stopped and have seen nothing.
 func (d *Duty) carryOut(ctx context.Context, r round) {
 	var mu sync.Mutex
 	var sights []blame.Sight
+	silent := 0
 	var wait sync.WaitGroup
 	slots := make(chan struct{}, fanOut)
 	for _, address := range r.addresses {
@@ -84,11 +86,11 @@
 				return
 			}
 			seen, err := d.callSeen(ctx, address, *r.accusation)
-			if err != nil {
-				return
-			}
 			mu.Lock()
 			defer mu.Unlock()
+			if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
+				silent++
+			}
 			sights = append(sights, seen...)
 		})
 	}
@@ -97,8 +99,11 @@
 		return
 	}
 	a := *r.accusation
+	if silent > 0 {
+		d.log.Warn().Str("service", a.Service()).Str("part", a.Part()).Int("silent", silent).Int("asked", len(r.addresses)).Msg("blame: VMs did not answer.")
+	}
 	d.submit(ctx, func(now time.Time) []blame.Action {
-		return d.core.Answered(now, a, append(sights, d.core.Seen(a.Service(), a.Parts(), a.Since())...))
+		return d.core.Answered(now, a, append(sights, d.core.Seen(a.Service(), a.Parts(), a.Since())...), silent)
 	})
 }
 
--- a/internal/blame/core.go
+++ b/internal/blame/core.go
@@ -198,10 +198,15 @@
 }
 
 // Answered decides about an accusation, given what all VMs have seen survive since
-// its first loss.
-func (c *Core) Answered(now time.Time, a Accusation, sights []Sight) []Action {
+// its first loss. silent is the number of VMs that run but did not answer. If they
+// are the majority, this VM may be cut off and the losses its own, so that nothing
+// is decided.
+func (c *Core) Answered(now time.Time, a Accusation, sights []Sight, silent int) []Action {
 	c.begin(now)
 	delete(c.asking, a.suspect)
+	if 2*silent > len(c.vms) {
+		return c.actions
+	}
 	restricted := false
 	parts := slices.Clone(a.parts)
 	for _, s := range sights {
--- a/internal/blame/fleet_test.go
+++ b/internal/blame/fleet_test.go
@@ -332,7 +332,7 @@
 		core := v.core
 		f.after(latency, func() {
 			if v.up && v.core == core {
-				f.execute(v, v.core.Answered(f.now, a, sights))
+				f.execute(v, v.core.Answered(f.now, a, sights, 0))
 			}
 		})
 	})
--- a/internal/blame/script_test.go
+++ b/internal/blame/script_test.go
@@ -67,7 +67,7 @@
 				sights = append(sights, NewSight(part, version, s.base.Add(time.Duration(at)*time.Millisecond)))
 			}
 		}
-		return s.print(s.core.Answered(now, a, sights))
+		return s.print(s.core.Answered(now, a, sights, s.number(d, "silent")))
 	case "learn":
 		return s.print(s.core.Learn(now, NewCharge("llm", s.list(d, "parts"), s.text(d, "version", "v1"), d.HasArg("restricted"))))
 	case "lift":
