blame: Ignore a charge that was lifted a moment ago

Callers saw sound prompts refused until the charge expired although a survival had lifted it: both collectors of a part charge it, and the later announcement, or the decision of a collector that still waited for answers, put the charge in force again.

The cause: a VM kept no trace of a charge that it had lifted or heard to be lifted before it knew it. It now ignores announcements for a second and decides nothing on losses from before the lift.

testdata/core/lifted failed before ("fence popular (learned)") and passes now.

--- a/internal/blame/core.go
+++ b/internal/blame/core.go
@@ -22,6 +22,9 @@
 	// askTimeout is the time after which an accusation without an answer is made
 	// again.
 	askTimeout = 5 * time.Second
+	// settleTime is how long a charge that was lifted is not learned again, since
+	// announcements of it may still be under way.
+	settleTime = time.Second
 	// maxCharges bounds the charges in force. The oldest are dropped first.
 	maxCharges = 256
 )
@@ -41,6 +44,8 @@
 	ledger    *Ledger
 	survivals *Survivals
 	charges   map[string]inForce
+	// lifted holds when charges were lifted, by id, for askTimeout.
+	lifted map[string]time.Time
 	// asking holds when the accusations were made whose answers are awaited.
 	asking  map[suspect]time.Time
 	actions []Action
@@ -54,6 +59,7 @@
 		ledger:    NewLedger(),
 		survivals: NewSurvivals(),
 		charges:   make(map[string]inForce),
+		lifted:    make(map[string]time.Time),
 		asking:    make(map[suspect]time.Time),
 	}
 }
@@ -83,6 +89,7 @@
 // accusations that have timed out.
 func (c *Core) begin(now time.Time) {
 	c.actions = nil
+	maps.DeleteFunc(c.lifted, func(_ string, at time.Time) bool { return now.Sub(at) > askTimeout })
 	maps.DeleteFunc(c.asking, func(_ suspect, since time.Time) bool { return now.Sub(since) > askTimeout })
 	for id, f := range c.charges {
 		if now.Sub(f.since) > Lifetime {
@@ -220,7 +227,12 @@
 	if !slices.Contains(parts, a.suspect.part) {
 		return c.actions
 	}
-	c.raise(now, NewCharge(a.suspect.service, parts, a.suspect.version, restricted), "accused")
+	charge := NewCharge(a.suspect.service, parts, a.suspect.version, restricted)
+	if at, ok := c.lifted[charge.ID()]; ok && !a.since.After(at) {
+		c.ledger.Clear(a.suspect.service, a.suspect.part, a.suspect.version, at)
+		return c.actions
+	}
+	c.raise(now, charge, "accused")
 	return c.actions
 }
 
@@ -240,7 +252,8 @@
 }
 
 // lift ends a charge that this VM has refuted, and makes that known.
-func (c *Core) lift(charge Charge, reason string) {
+func (c *Core) lift(now time.Time, charge Charge, reason string) {
+	c.lifted[charge.ID()] = now
 	c.drop(charge.ID(), reason)
 	c.emit(Action{
 		kind:   Announce,
@@ -256,7 +269,9 @@
 // Learn puts a charge in force that another VM has found.
 func (c *Core) Learn(now time.Time, charge Charge) []Action {
 	c.begin(now)
-	c.adopt(now, charge, "learned")
+	if at, ok := c.lifted[charge.ID()]; !ok || now.Sub(at) >= settleTime {
+		c.adopt(now, charge, "learned")
+	}
 	return c.actions
 }
 
@@ -269,6 +284,7 @@
 // Lift ends the charge with an id.
 func (c *Core) Lift(now time.Time, id string) []Action {
 	c.begin(now)
+	c.lifted[id] = now
 	c.drop(id, "lifted")
 	return c.actions
 }
@@ -326,13 +342,13 @@
 		rest := slices.DeleteFunc(slices.Clone(charge.parts), r.has)
 		switch {
 		case r.Version() == charge.struck && len(rest) == 0:
-			c.lift(charge, "survived")
+			c.lift(now, charge, "survived")
 		case r.Version() == charge.struck:
 			c.raise(now, NewCharge(charge.service, rest, charge.struck, charge.restricted), "a part survived")
-			c.lift(charge, "a part survived")
+			c.lift(now, charge, "a part survived")
 		case len(rest) == 0 && !charge.restricted:
 			c.raise(now, NewCharge(charge.service, charge.parts, charge.struck, true), "another version survived")
-			c.lift(charge, "another version survived")
+			c.lift(now, charge, "another version survived")
 		}
 	}
 	return c.actions
