accord: Don't store a charge that has been lifted

Callers would see sound prompts refused by all VMs until the charge expired when a VM lifted it before another one could store it: the store was down, the VM that lifted the charge found no key to delete, and the repeated write stored it afterwards (LOST).

The cause: a write was repeated without a look at whether the charge was still in force. Each attempt now asks the core first.

internal/accord/testdata/store-down failed before ("stored: [p]") and passes now. Before the change, one of its runs also ended with three VMs that had not heard of the lift; 13 further runs did not show this.

--- a/internal/accord/calls.go
+++ b/internal/accord/calls.go
@@ -120,13 +120,17 @@
 }
 
 // writeCharge writes or deletes the key of a charge. All VMs have been told of it
-// already, so a key that can't be written only concerns VMs that start later.
+// already, so a key that can't be written only concerns VMs that start later. A
+// charge that is no longer in force is not written.
 func (d *Duty) writeCharge(ctx context.Context, w write) {
 	carryOut := d.put
 	if w.deleted {
 		carryOut = d.remove
 	}
 	for range writeAttempts {
+		if inForce, err := d.inForce(ctx, w.charge); err != nil || inForce == w.deleted {
+			return
+		}
 		err := carryOut(ctx, w.charge)
 		switch {
 		case err == nil, errors.Is(err, store.ErrConflict), ctx.Err() != nil:
--- a/internal/accord/duty.go
+++ b/internal/accord/duty.go
@@ -227,6 +227,16 @@
 	return await(ctx, reply)
 }
 
+// inForce reports whether a charge is in force at this VM.
+func (d *Duty) inForce(ctx context.Context, charge blame.Charge) (bool, error) {
+	reply := make(chan bool, 1)
+	d.submit(ctx, func(time.Time) []blame.Action {
+		reply <- slices.ContainsFunc(d.core.Charges(), func(c blame.Charge) bool { return c.ID() == charge.ID() })
+		return nil
+	})
+	return await(ctx, reply)
+}
+
 // announced applies a charge that another VM announces.
 func (d *Duty) announced(ctx context.Context, charge blame.Charge, lifted bool) error {
 	reply := make(chan bool, 1)
--- a/internal/accord/script_test.go
+++ b/internal/accord/script_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -14,6 +15,7 @@
 	"clementinelink.example/clementinelink/internal/blame"
 	"clementinelink.example/clementinelink/internal/store"
 	"github.com/cockroachdb/datadriven"
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 )
 
@@ -35,6 +37,13 @@
 type script struct {
 	t     *testing.T
 	nodes map[string]*node
+
+	// mutex guards the fields below.
+	mutex sync.Mutex
+	// stored holds the parts of the charges in the store, and down is true while
+	// the store is down.
+	stored map[string]bool
+	down   bool
 }
 
 // TestScripts guards against charges that do not reach all VMs, and against those
@@ -43,8 +52,9 @@
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		s := &script{
-			t:     t,
-			nodes: make(map[string]*node),
+			t:      t,
+			nodes:  make(map[string]*node),
+			stored: make(map[string]bool),
 		}
 		datadriven.RunTest(t, path, s.run)
 	})
@@ -68,6 +78,16 @@
 		}
 	case "lost", "survived":
 		s.end(d)
+	case "store":
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		s.down = d.HasArg("down")
+	case "stored":
+		// A write that failed has been tried again by then.
+		time.Sleep(writePause + maxDelay)
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		return fmt.Sprintln(slices.Sorted(maps.Keys(s.stored)))
 	case "charged":
 		return s.await(d, true)
 	case "free":
@@ -84,8 +104,8 @@
 	for _, name := range names {
 		n := &node{}
 		n.duty = New(name, store.New("http://127.0.0.1:0", 1), n.setCharges, func(string) {}, zerolog.Nop())
-		n.duty.put = func(context.Context, blame.Charge) error { return nil }
-		n.duty.remove = n.duty.put
+		n.duty.put = func(_ context.Context, c blame.Charge) error { return s.write(c, true) }
+		n.duty.remove = func(_ context.Context, c blame.Charge) error { return s.write(c, false) }
 		n.server = httptest.NewServer(n.gated(NewServer(n.duty).Handler()))
 		s.t.Cleanup(n.server.Close)
 		addresses[name] = n.server.Listener.Addr().String()
@@ -154,6 +174,20 @@
 	})
 }
 
+// write stores or deletes a charge.
+func (s *script) write(c blame.Charge, put bool) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.down {
+		return errors.New("the store is down")
+	}
+	key := strings.Join(c.Parts(), "+")
+	if delete(s.stored, key); put {
+		s.stored[key] = true
+	}
+	return nil
+}
+
 func (n *node) setCharges(_ context.Context, charges []blame.Charge) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
