blame: Report a loss to a collector of each part

Callers' prompts with more than six shared parts could crash engine after engine where the deadly part's name sorts last (BUDGET): a loss went to at most twelve VMs, two for each of the first six parts, and none of them collects the losses of the others.

testdata/core/many-parts failed before: vm19 and vm17, which collect z1 and z2, were not among the targets of prompts with 10 and 16 parts. Prompts with many parts now have one collector for each part, and at most 16 targets.

--- a/internal/blame/core.go
+++ b/internal/blame/core.go
@@ -17,8 +17,8 @@
 	// substitutes the number of VMs that can take the place of each.
 	collectors  = 2
 	substitutes = 2
-	// maxTargets bounds the VMs to which one loss is sent.
-	maxTargets = 12
+	// maxTargets bounds the VMs to which one loss is sent, at least one for each part.
+	maxTargets = MaxParts
 	// askTimeout is the time after which an accusation without an answer is made
 	// again.
 	askTimeout = 5 * time.Second
@@ -130,10 +130,11 @@
 func (c *Core) targets(lost Run) [][]string {
 	var list [][]string
 	seen := make(map[string]bool)
+	each := min(collectors, maxTargets/len(lost.Parts()))
 	for _, part := range lost.Parts() {
 		ranked := c.ranked(part)
-		for i := range min(collectors, len(ranked)) {
-			if seen[ranked[i]] || len(list) == maxTargets {
+		for i := range min(each, len(ranked)) {
+			if seen[ranked[i]] {
 				continue
 			}
 			seen[ranked[i]] = true
