proxy: Drop the candidates that a charge rules out

Callers' prompts with a part that crashes one version were sent to an engine of that version after the charge (BUDGET), if their candidates were being asked as it came: the placement kept the candidates chosen before.

testdata/charged-version failed before ("send to=u1", a v1 engine) and passes now.

--- a/internal/proxy/fence.go
+++ b/internal/proxy/fence.go
@@ -75,6 +75,9 @@
 			cancelled = true
 		}
 	}
+	if x.placement != nil {
+		x.placement.candidates = slices.DeleteFunc(x.placement.candidates, x.fence.excludes)
+	}
 	if x.fence.closed {
 		x.placement, x.hedgeAt = nil, time.Time{}
 	}
