proxy: Don't report the run of a silent engine as a crash

Callers would see sound prompts refused for ten minutes after engines were silent for a few seconds, because of load or a cut link: each run that was given up counted as a crash of its engine, and while no engine answers no part is seen to survive (LOST).

The cause: an engine counted as crashed after a state query without an answer for 130 ms. A crashed process breaks off its connections and refuses new ones; only these are reported now.

testdata/charged-silent failed before (report-crash after silence) and passes now.

--- a/internal/edge/query.go
+++ b/internal/edge/query.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"clementinelink.example/clementinelink/internal/proxy"
@@ -41,7 +42,7 @@
 	case errors.Is(err, ErrMalformedAnswer):
 		d.log.logQueryFailure(id, err)
 	case err != nil:
-		d.notify(ctx, proxy.NewStateTimeout(id, instance, err.Error()))
+		d.notify(ctx, proxy.NewStateTimeout(id, instance, err.Error(), errors.Is(err, syscall.ECONNREFUSED)))
 		return
 	}
 	d.notify(ctx, proxy.NewStateReported(id, instance, s))
--- a/internal/proxy/event.go
+++ b/internal/proxy/event.go
@@ -143,6 +143,8 @@
 	// leaving is true if the upstream states that it accepts no new work.
 	leaving bool
 	charges []blame.Charge
+	// refused is true if the upstream's address refused the connection.
+	refused bool
 }
 
 // Load is the number of requests that an upstream reports. The zero value means
@@ -317,13 +319,15 @@
 }
 
 // NewStateTimeout returns the event of an engine that did not answer a
-// QueryState action in time.
-func NewStateTimeout(upstream, instance, detail string) Event {
+// QueryState action in time. refused is true if its address refused the connection,
+// because its process has ended.
+func NewStateTimeout(upstream, instance, detail string, refused bool) Event {
 	return Event{
 		kind:     StateReported,
 		upstream: upstream,
 		instance: instance,
 		detail:   detail,
+		refused:  refused,
 	}
 }
 
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -42,6 +42,9 @@
 	pieces     int
 	firstPiece time.Time
 	survived   bool
+	// refused is true if the attempt ended because its engine's address refused a
+	// connection.
+	refused bool
 }
 
 // exchange is the state of one request of a caller.
--- a/internal/proxy/fence.go
+++ b/internal/proxy/fence.go
@@ -119,9 +119,10 @@
 }
 
 // reportCrash reports a run that ended with its engine before the engine could
-// survive it.
+// survive it. The connections of a crashed process break, and it refuses new ones; an
+// engine that is merely silent may be overloaded or cut off.
 func (c *Core) reportCrash(now time.Time, x *exchange, a *attempt, cause Cause) {
-	if !a.survived && (cause == Broken || cause == Silent) {
+	if !a.survived && (cause == Broken || cause == Silent && a.refused) {
 		c.reportRun(now, x, a, ReportCrash)
 	}
 }
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -80,7 +80,7 @@
 		if u != nil {
 			c.upstreamUnreachable(now, u)
 		}
-		c.engineDown(now, e.upstream)
+		c.engineDown(now, e.upstream, e.refused)
 	}
 	if _, ok := c.awaitingID[e.upstream]; !ok {
 		c.markAnswered(now, e.upstream, nil)
@@ -145,14 +145,15 @@
 }
 
 // engineDown ends all attempts of repeatable streams at an engine that does not
-// answer.
-func (c *Core) engineDown(now time.Time, id string) {
+// answer, or refuses connections.
+func (c *Core) engineDown(now time.Time, id string, refused bool) {
 	for _, x := range c.sortedExchanges() {
 		if !x.stream() || !x.route.Repeatable() {
 			continue
 		}
 		for _, a := range x.running() {
 			if a.upstream.ID() == id {
+				a.refused = refused
 				c.giveUp(now, x, a, Silent, "engine dead")
 			}
 		}
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -106,7 +106,7 @@
 	case "state-reported":
 		id, instance := s.text(d, "id", ""), s.text(d, "instance", "")
 		if d.HasArg("silent") {
-			return s.step(NewStateTimeout(id, instance, ""))
+			return s.step(NewStateTimeout(id, instance, "", d.HasArg("refused")))
 		}
 		return s.step(NewStateReported(id, instance, pool.NewState(pool.StateSpec{
 			Running:    s.number(d, "running", 0),
