blame: Bound the survivals exactly

The memory of survived parts exceeded its stated bound by up to 15 parts, since room was made once for each run and not for each of its parts. Callers saw nothing of it.

TestBounds passes a million distinct parts through the core. It failed before (16399 survivals, want at most 16384) and passes now.

--- a/internal/blame/survivals.go
+++ b/internal/blame/survivals.go
@@ -67,7 +67,7 @@
 
 // Add records that an engine survived a run.
 func (s *Survivals) Add(now time.Time, r Run) {
-	for front := s.order.Front(); front != nil && (s.order.Len() >= maxSurvivals || now.Sub(front.Value.(*survival).at) > memory); front = s.order.Front() {
+	for front := s.order.Front(); front != nil && now.Sub(front.Value.(*survival).at) > memory; front = s.order.Front() {
 		s.remove(front)
 	}
 	for _, part := range r.Parts() {
@@ -80,6 +80,9 @@
 			s.order.MoveToBack(e)
 			continue
 		}
+		if s.order.Len() >= maxSurvivals {
+			s.remove(s.order.Front())
+		}
 		if s.byPart[k] == nil {
 			s.byPart[k] = make(map[string]*list.Element)
 		}
