accord: Repeat an announcement to VMs that do not answer

The cause: an announcement was made once, with 300 ms for an answer, and everything else was left to the store. It is now repeated each second, up to eight times, to the VMs that did not answer or refused the connection, while it still holds.

internal/accord/testdata/frozen failed before (vm7 without the charge) and passes now.

--- a/internal/accord/calls.go
+++ b/internal/accord/calls.go
@@ -73,6 +73,7 @@
 func (d *Duty) carryOut(ctx context.Context, r round) {
 	var mu sync.Mutex
 	var sights []blame.Sight
+	var missed []string
 	silent := 0
 	var wait sync.WaitGroup
 	slots := make(chan struct{}, fanOut)
@@ -81,8 +82,11 @@
 		wait.Go(func() {
 			defer func() { <-slots }()
 			if r.accusation == nil {
-				// The store delivers the charge to VMs that do not answer.
-				_ = d.callAnnounce(ctx, address, r.charge, r.lifted)
+				if err := d.callAnnounce(ctx, address, r.charge, r.lifted); err != nil {
+					mu.Lock()
+					defer mu.Unlock()
+					missed = append(missed, address)
+				}
 				return
 			}
 			seen, err := d.callSeen(ctx, address, *r.accusation)
@@ -96,6 +100,7 @@
 	}
 	wait.Wait()
 	if r.accusation == nil {
+		d.repeat(ctx, r, missed)
 		return
 	}
 	a := *r.accusation
@@ -107,6 +112,21 @@
 	})
 }
 
+// repeat announces a charge to VMs that did not answer once more after a pause,
+// because the store may be down. An announcement that no longer holds is dropped.
+func (d *Duty) repeat(ctx context.Context, r round, missed []string) {
+	if len(missed) == 0 || r.repeats == maxRepeats {
+		return
+	}
+	r.addresses = missed
+	r.repeats++
+	time.AfterFunc(repeatPause, func() {
+		if inForce, err := d.inForce(ctx, r.charge); err == nil && inForce != r.lifted {
+			d.rounds.Put(ctx, r)
+		}
+	})
+}
+
 // runWrites writes charges to the store until ctx ends.
 func (d *Duty) runWrites(ctx context.Context) {
 	for {
--- a/internal/accord/duty.go
+++ b/internal/accord/duty.go
@@ -28,6 +28,10 @@
 	// VMs, and fanOut the number of VMs that are called at the same time.
 	roundCap = 256
 	fanOut   = 64
+	// maxRepeats is how often an announcement is repeated to VMs that do not answer,
+	// repeatPause apart. They may be frozen or about to start.
+	maxRepeats  = 8
+	repeatPause = time.Second
 	// writeCap is the capacity of the queue of writes to the store.
 	writeCap = 256
 	// expiryInterval is how often the charges are checked for their expiry.
@@ -59,6 +63,9 @@
 	accusation *blame.Accusation
 	charge     blame.Charge
 	lifted     bool
+	// repeats counts how often an announcement has been repeated to the VMs that did
+	// not answer.
+	repeats int
 }
 
 // write is a write of a charge to the store, or its deletion.
--- a/internal/accord/script_test.go
+++ b/internal/accord/script_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,11 +23,11 @@
 // maxDelay is the time within which the VMs agree.
 const maxDelay = 2 * time.Second
 
-// node is one VM of a script. gate is locked while the VM does not answer.
+// node is one VM of a script. hang is true while the VM does not answer.
 type node struct {
 	duty   *Duty
 	server *httptest.Server
-	gate   sync.RWMutex
+	hang   atomic.Bool
 
 	mutex   sync.Mutex
 	charges []blame.Charge
@@ -67,8 +68,11 @@
 	case "hang":
 		// The VMs keep their connections and answer nothing.
 		for name := range strings.FieldsSeq(d.Input) {
-			s.nodes[name].gate.Lock()
-			s.t.Cleanup(s.nodes[name].gate.Unlock)
+			s.nodes[name].hang.Store(true)
+		}
+	case "resume":
+		for name := range strings.FieldsSeq(d.Input) {
+			s.nodes[name].hang.Store(false)
 		}
 	case "stop":
 		// The VMs refuse connections.
@@ -165,11 +169,13 @@
 	return b.String()
 }
 
-// gated returns a handler that waits for the gate before it passes a request on.
+// gated returns a handler that passes requests on unless the VM hangs.
 func (n *node) gated(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n.gate.RLock()
-		defer n.gate.RUnlock()
+		if n.hang.Load() {
+			time.Sleep(2 * callTimeout)
+			return
+		}
 		next.ServeHTTP(w, r)
 	})
 }
