--- a/internal/accord/calls.go
+++ b/internal/accord/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"syscall"
 	"time"
 
 	"clementinelink.example/clementinelink/internal/blame"
@@ -67,11 +68,13 @@
 	}
 }
 
-// carryOut calls all VMs of a round and waits for their answers. VMs that do not
-// answer have seen nothing.
+// carryOut calls all VMs of a round and waits for their answers. VMs that refuse the
+// connection have been stopped and have seen nothing.
 func (d *Duty) carryOut(ctx context.Context, r round) {
 	var mu sync.Mutex
 	var sights []blame.Sight
+	var missed []string
+	silent := 0
 	var wait sync.WaitGroup
 	slots := make(chan struct{}, fanOut)
 	for _, address := range r.addresses {
@@ -79,26 +82,48 @@
 		wait.Go(func() {
 			defer func() { <-slots }()
 			if r.accusation == nil {
-				// The store delivers the charge to VMs that do not answer.
-				_ = d.callAnnounce(ctx, address, r.charge, r.lifted)
+				if err := d.callAnnounce(ctx, address, r.charge, r.lifted); err != nil {
+					mu.Lock()
+					defer mu.Unlock()
+					missed = append(missed, address)
+				}
 				return
 			}
 			seen, err := d.callSeen(ctx, address, *r.accusation)
-			if err != nil {
-				return
-			}
 			mu.Lock()
 			defer mu.Unlock()
+			if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
+				silent++
+			}
 			sights = append(sights, seen...)
 		})
 	}
 	wait.Wait()
 	if r.accusation == nil {
+		d.repeat(ctx, r, missed)
 		return
 	}
 	a := *r.accusation
+	if silent > 0 {
+		d.log.Warn().Str("service", a.Service()).Str("part", a.Part()).Int("silent", silent).Int("asked", len(r.addresses)).Msg("blame: VMs did not answer.")
+	}
 	d.submit(ctx, func(now time.Time) []blame.Action {
-		return d.core.Answered(now, a, append(sights, d.core.Seen(a.Service(), a.Parts(), a.Since())...))
+		return d.core.Answered(now, a, append(sights, d.core.Seen(a.Service(), a.Parts(), a.Since())...), silent)
+	})
+}
+
+// repeat announces a charge to VMs that did not answer once more after a pause,
+// because the store may be down. An announcement that no longer holds is dropped.
+func (d *Duty) repeat(ctx context.Context, r round, missed []string) {
+	if len(missed) == 0 || r.repeats == maxRepeats {
+		return
+	}
+	r.addresses = missed
+	r.repeats++
+	time.AfterFunc(repeatPause, func() {
+		if inForce, err := d.inForce(ctx, r.charge); err == nil && inForce != r.lifted {
+			d.rounds.Put(ctx, r)
+		}
 	})
 }
 
@@ -115,13 +140,17 @@
 }
 
 // writeCharge writes or deletes the key of a charge. All VMs have been told of it
-// already, so a key that can't be written only concerns VMs that start later.
+// already, so a key that can't be written only concerns VMs that start later. A
+// charge that is no longer in force is not written.
 func (d *Duty) writeCharge(ctx context.Context, w write) {
 	carryOut := d.put
 	if w.deleted {
 		carryOut = d.remove
 	}
 	for range writeAttempts {
+		if inForce, err := d.inForce(ctx, w.charge); err != nil || inForce == w.deleted {
+			return
+		}
 		err := carryOut(ctx, w.charge)
 		switch {
 		case err == nil, errors.Is(err, store.ErrConflict), ctx.Err() != nil:
--- a/internal/accord/duty.go
+++ b/internal/accord/duty.go
@@ -28,6 +28,10 @@
 	// VMs, and fanOut the number of VMs that are called at the same time.
 	roundCap = 256
 	fanOut   = 64
+	// maxRepeats is how often an announcement is repeated to VMs that do not answer,
+	// repeatPause apart. They may be frozen or about to start.
+	maxRepeats  = 8
+	repeatPause = time.Second
 	// writeCap is the capacity of the queue of writes to the store.
 	writeCap = 256
 	// expiryInterval is how often the charges are checked for their expiry.
@@ -59,6 +63,9 @@
 	accusation *blame.Accusation
 	charge     blame.Charge
 	lifted     bool
+	// repeats counts how often an announcement has been repeated to the VMs that did
+	// not answer.
+	repeats int
 }
 
 // write is a write of a charge to the store, or its deletion.
@@ -227,6 +234,16 @@
 	return await(ctx, reply)
 }
 
+// inForce reports whether a charge is in force at this VM.
+func (d *Duty) inForce(ctx context.Context, charge blame.Charge) (bool, error) {
+	reply := make(chan bool, 1)
+	d.submit(ctx, func(time.Time) []blame.Action {
+		reply <- slices.ContainsFunc(d.core.Charges(), func(c blame.Charge) bool { return c.ID() == charge.ID() })
+		return nil
+	})
+	return await(ctx, reply)
+}
+
 // announced applies a charge that another VM announces.
 func (d *Duty) announced(ctx context.Context, charge blame.Charge, lifted bool) error {
 	reply := make(chan bool, 1)
--- a/internal/blame/core.go
+++ b/internal/blame/core.go
@@ -17,8 +17,14 @@
 	// substitutes the number of VMs that can take the place of each.
 	collectors  = 2
 	substitutes = 2
-	// maxTargets bounds the VMs to which one loss is sent.
-	maxTargets = 12
+	// maxTargets bounds the VMs to which one loss is sent, at least one for each part.
+	maxTargets = MaxParts
+	// askTimeout is the time after which an accusation without an answer is made
+	// again.
+	askTimeout = 5 * time.Second
+	// settleTime is how long a charge that was lifted is not learned again, since
+	// announcements of it may still be under way.
+	settleTime = time.Second
 	// maxCharges bounds the charges in force. The oldest are dropped first.
 	maxCharges = 256
 )
@@ -38,8 +44,10 @@
 	ledger    *Ledger
 	survivals *Survivals
 	charges   map[string]inForce
-	// asking holds the accusations whose answers are awaited.
-	asking  map[suspect]bool
+	// lifted holds when charges were lifted, by id, for askTimeout.
+	lifted map[string]time.Time
+	// asking holds when the accusations were made whose answers are awaited.
+	asking  map[suspect]time.Time
 	actions []Action
 }
 
@@ -51,7 +59,8 @@
 		ledger:    NewLedger(),
 		survivals: NewSurvivals(),
 		charges:   make(map[string]inForce),
-		asking:    make(map[suspect]bool),
+		lifted:    make(map[string]time.Time),
+		asking:    make(map[suspect]time.Time),
 	}
 }
 
@@ -76,9 +85,12 @@
 	return list
 }
 
-// begin starts a list of actions and drops the charges that have expired.
+// begin starts a list of actions, and drops the charges that have expired and the
+// accusations that have timed out.
 func (c *Core) begin(now time.Time) {
 	c.actions = nil
+	maps.DeleteFunc(c.lifted, func(_ string, at time.Time) bool { return now.Sub(at) > askTimeout })
+	maps.DeleteFunc(c.asking, func(_ suspect, since time.Time) bool { return now.Sub(since) > askTimeout })
 	for id, f := range c.charges {
 		if now.Sub(f.since) > Lifetime {
 			c.drop(id, "expired")
@@ -118,10 +130,11 @@
 func (c *Core) targets(lost Run) [][]string {
 	var list [][]string
 	seen := make(map[string]bool)
+	each := min(collectors, maxTargets/len(lost.Parts()))
 	for _, part := range lost.Parts() {
 		ranked := c.ranked(part)
-		for i := range min(collectors, len(ranked)) {
-			if seen[ranked[i]] || len(list) == maxTargets {
+		for i := range min(each, len(ranked)) {
+			if seen[ranked[i]] {
 				continue
 			}
 			seen[ranked[i]] = true
@@ -165,10 +178,10 @@
 		return c.actions
 	}
 	for _, a := range c.ledger.Add(now, lost) {
-		if c.asking[a.suspect] || c.charged(a) {
+		if _, ok := c.asking[a.suspect]; ok || c.charged(a) {
 			continue
 		}
-		c.asking[a.suspect] = true
+		c.asking[a.suspect] = now
 		c.emit(Action{
 			kind:       Ask,
 			accusation: a,
@@ -193,10 +206,15 @@
 }
 
 // Answered decides about an accusation, given what all VMs have seen survive since
-// its first loss.
-func (c *Core) Answered(now time.Time, a Accusation, sights []Sight) []Action {
+// its first loss. silent is the number of VMs that run but did not answer. If they
+// are the majority, this VM may be cut off and the losses its own, so that nothing
+// is decided.
+func (c *Core) Answered(now time.Time, a Accusation, sights []Sight, silent int) []Action {
 	c.begin(now)
 	delete(c.asking, a.suspect)
+	if 2*silent > len(c.vms) {
+		return c.actions
+	}
 	restricted := false
 	parts := slices.Clone(a.parts)
 	for _, s := range sights {
@@ -210,7 +228,12 @@
 	if !slices.Contains(parts, a.suspect.part) {
 		return c.actions
 	}
-	c.raise(now, NewCharge(a.suspect.service, parts, a.suspect.version, restricted), "accused")
+	charge := NewCharge(a.suspect.service, parts, a.suspect.version, restricted)
+	if at, ok := c.lifted[charge.ID()]; ok && !a.since.After(at) {
+		c.ledger.Clear(a.suspect.service, a.suspect.part, a.suspect.version, at)
+		return c.actions
+	}
+	c.raise(now, charge, "accused")
 	return c.actions
 }
 
@@ -230,7 +253,8 @@
 }
 
 // lift ends a charge that this VM has refuted, and makes that known.
-func (c *Core) lift(charge Charge, reason string) {
+func (c *Core) lift(now time.Time, charge Charge, reason string) {
+	c.lifted[charge.ID()] = now
 	c.drop(charge.ID(), reason)
 	c.emit(Action{
 		kind:   Announce,
@@ -246,7 +270,9 @@
 // Learn puts a charge in force that another VM has found.
 func (c *Core) Learn(now time.Time, charge Charge) []Action {
 	c.begin(now)
-	c.adopt(now, charge, "learned")
+	if at, ok := c.lifted[charge.ID()]; !ok || now.Sub(at) >= settleTime {
+		c.adopt(now, charge, "learned")
+	}
 	return c.actions
 }
 
@@ -259,6 +285,7 @@
 // Lift ends the charge with an id.
 func (c *Core) Lift(now time.Time, id string) []Action {
 	c.begin(now)
+	c.lifted[id] = now
 	c.drop(id, "lifted")
 	return c.actions
 }
@@ -316,13 +343,13 @@
 		rest := slices.DeleteFunc(slices.Clone(charge.parts), r.has)
 		switch {
 		case r.Version() == charge.struck && len(rest) == 0:
-			c.lift(charge, "survived")
+			c.lift(now, charge, "survived")
 		case r.Version() == charge.struck:
 			c.raise(now, NewCharge(charge.service, rest, charge.struck, charge.restricted), "a part survived")
-			c.lift(charge, "a part survived")
+			c.lift(now, charge, "a part survived")
 		case len(rest) == 0 && !charge.restricted:
 			c.raise(now, NewCharge(charge.service, charge.parts, charge.struck, true), "another version survived")
-			c.lift(charge, "another version survived")
+			c.lift(now, charge, "another version survived")
 		}
 	}
 	return c.actions
