engine: Send attempts, cancels and orders on connections of their own

What callers may see: their generation is refused or moved while it runs, or two engines go on with one generation, or a roll-out counts an order as accepted that the engine has never read.

Cause: all requests to an engine shared a pool of kept connections. net/http takes bytes that arrive after a request has been handed to the connection as its answer. An engine's answers have no id, so a repeated 429 refused an attempt that ran, and a repeated 200 confirmed a cancel or an order that was not carried out.

Change: attempts, cancels and orders each have a connection of their own, on which nothing was answered before. Load reports keep their connections, which carry nothing else: a repeated report is older by one poll, and net/http drops the connection when the true answer follows it.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -37,7 +37,12 @@
 
 // Client sends requests to model engines. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
+	// polls fetches load reports on kept connections, which carry nothing else. A
+	// repeated report is at most one poll older than the engine says.
+	polls *http.Client
+	// single sends each attempt, cancel and order on a connection of its own, on
+	// which no engine can repeat its answer to an earlier request.
+	single *http.Client
 	// emit passes an event to the dispatcher. It blocks while the dispatcher's
 	// ring is full.
 	emit func(ctx context.Context, ev router.Event)
@@ -48,7 +53,7 @@
 func NewClient(emit func(ctx context.Context, ev router.Event)) *Client {
 	d := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
-		http: &http.Client{
+		polls: &http.Client{
 			Transport: &http.Transport{
 				DialContext:         d.DialContext,
 				MaxIdleConnsPerHost: maxIdle,
@@ -58,6 +63,15 @@
 				MaxResponseHeaderBytes: bound.MaxHead,
 			},
 		},
+		single: &http.Client{
+			Transport: &http.Transport{
+				DialContext:        d.DialContext,
+				DisableKeepAlives:  true,
+				DisableCompression: true,
+
+				MaxResponseHeaderBytes: bound.MaxHead,
+			},
+		},
 		emit: emit,
 	}
 }
@@ -102,7 +116,7 @@
 	if err != nil {
 		return errors.Wrap(err, "engine: cancel")
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.single.Do(req)
 	if err != nil {
 		return errors.Wrap(err, "engine: cancel")
 	}
@@ -119,7 +133,7 @@
 	if err != nil {
 		return fleet.Load{}, errors.Wrap(err, "engine: load")
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.polls.Do(req)
 	if err != nil {
 		return fleet.Load{}, errors.Wrap(err, "engine: load")
 	}
@@ -140,14 +154,14 @@
 func Unreachable(err error) bool { return dialCause(err) == relay.Unreachable }
 
 // Close closes idle connections.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() { c.polls.CloseIdleConnections() }
 
 // run sends the request of an attempt and emits the events of its stream.
 func (c *Client) run(ctx context.Context, req *http.Request, a relay.Action) {
 	if t := a.Request().Trace(); t != "" {
 		req.Header.Set("Traceparent", t)
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.single.Do(req)
 	if err != nil {
 		c.reportLost(ctx, a, dialCause(err))
 		return
--- a/internal/engine/order.go
+++ b/internal/engine/order.go
@@ -32,7 +32,7 @@
 		return order.Unanswered, errors.Wrap(err, "engine: order")
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.http.Do(req)
+	resp, err := c.single.Do(req)
 	if err != nil {
 		return order.Unanswered, errors.Wrap(err, "engine: order")
 	}
