platform, plain: Reject an answer with several ids, or with an empty one

What callers may see: 503 "not run" for a request that runs, because an upstream sent the refusal of another request with both ids, or with an empty one.

Cause: the check read only the first id of an answer, and took an empty one for none.

Evidence: on the code before, platform/testdata/wire/refusals answers q4 and q5 with "503 Content-Type=application/problem+json Retry-After" in place of 502, and plain/testdata/outcomes gives "not-run unavailable retry=1s" in place of "unknown upstream" twice.

Change: an answer belongs to a request only if it has no id, or the request's id and no other.

--- a/internal/plain/client.go
+++ b/internal/plain/client.go
@@ -180,7 +180,8 @@
 		return failure(err, maybeSent())
 	}
 	defer resp.Body.Close()
-	if id := resp.Header.Get("X-Request-Id"); id != "" && id != call.id {
+	ids := resp.Header.Values("X-Request-Id")
+	if len(ids) > 1 || len(ids) == 1 && ids[0] != call.id {
 		// Closing the body before its end also closes the connection, so that it is
 		// not used again.
 		return Failed(errs.New(errs.Upstream, errs.Unknown, "the upstream sent the answer of another request"))
