plain: Send each lookup on a connection of its own

What callers may see: "not run" for a lookup that runs, or the answer of another lookup, after an upstream wrote an earlier answer once more on a kept connection.

Cause: lookups shared a pool of kept connections. Answers of plain services need not have the call's id, and net/http takes bytes that arrive after a call has been handed to the connection as its answer. Rejecting an answer doesn't help: one without a body has given its connection back to the pool by then, and the true answer, when it arrives, is taken for that of the next call.

Change: each lookup has a connection of its own, as bookings and the requests of the platform's front end have. The cost is one round trip for the connection.

--- a/internal/plain/client.go
+++ b/internal/plain/client.go
@@ -64,12 +64,10 @@
 	}
 	return &Client{
 		lookups: &http.Transport{
-			DialContext:           d.DialContext,
-			DisableCompression:    true,
-			MaxIdleConnsPerHost:   64,
-			IdleConnTimeout:       30 * time.Second,
-			ExpectContinueTimeout: time.Second,
-
+			DialContext:            d.DialContext,
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
+			ExpectContinueTimeout:  time.Second,
 			MaxResponseHeaderBytes: bound.MaxHead,
 		},
 		bodies: bound.NewBudget(maxHeldBytes),
@@ -116,9 +114,9 @@
 	return c.send(once, req, call, func() bool { return !permit.revoke() })
 }
 
-// Lookup sends an idempotent call on a pooled connection. The connection is
-// closed when the call is cancelled, so that a late answer can't be taken for the
-// answer to another call.
+// Lookup sends an idempotent call on a connection of its own. An answer need not
+// have the call's id, so on a kept connection a late or repeated one could be taken
+// for the answer to another call.
 func (c *Client) Lookup(ctx context.Context, address string, call *Call) Result {
 	connected := new(atomic.Bool)
 	trace := &httptrace.ClientTrace{
@@ -182,8 +180,6 @@
 	defer resp.Body.Close()
 	ids := resp.Header.Values("X-Request-Id")
 	if len(ids) > 1 || len(ids) == 1 && ids[0] != call.id {
-		// Closing the body before its end also closes the connection, so that it is
-		// not used again.
 		return Failed(errs.New(errs.Upstream, errs.Unknown, "the upstream sent the answer of another request"))
 	}
 	if statesNotRun(resp) {
--- a/internal/plain/client_test.go
+++ b/internal/plain/client_test.go
@@ -25,7 +25,8 @@
 	listener net.Listener
 	// steps are the answers in the order of the requests, with "|" for a line
 	// end. "close" closes the connection without an answer, "hang" waits until the
-	// test ends, the prefix "late " delays the answer and the suffix "cut" closes
+	// test ends, the prefix "late " delays the answer, the prefix "repeat " writes
+	// the connection's first answer, if any, before it, and the suffix "cut" closes
 	// the connection after it.
 	steps []string
 	done  chan struct{}
@@ -76,6 +77,7 @@
 		}
 	})
 	r := bufio.NewReader(c)
+	first := ""
 	for {
 		req, err := http.ReadRequest(r)
 		if err != nil {
@@ -94,6 +96,11 @@
 		case strings.HasPrefix(step, "late "):
 			time.Sleep(300 * time.Millisecond)
 			step = strings.TrimPrefix(step, "late ")
+		case strings.HasPrefix(step, "repeat "):
+			step = first + strings.TrimPrefix(step, "repeat ")
+		}
+		if first == "" {
+			first = step
 		}
 		if _, err := io.WriteString(c, strings.ReplaceAll(step, "|", "\r\n")); err != nil || strings.HasSuffix(step, "cut") {
 			return
