proxy: Don't pass on a 429, 408 or 421 that doesn't state that the request did not run

What callers may see: "not run, try again" for a booking that ran.

Cause: callers take four statuses for the promise that a request did not run and never will. Only a 503 without the upstream's statement was held back; the others counted as answers like any other.

Evidence: on the code before, proxy/testdata/booking gives "50 deliver 429 (answered)" in place of "50 refuse 502 unknown (failed by upstream)", and platform/testdata/wire/ refusals passes on 429 for q12 and 408 for q13.

Change: a complete response with one of these statuses counts as a failure, after which only a request that may run again is repeated, and is not passed on.

--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"net/http"
 	"time"
 
 	"clementinelink.example/clementinelink/internal/errs"
@@ -85,12 +84,9 @@
 	c.reportOutcome(now, x, a, move.Errors)
 	a.upstream.RecordActivity(now)
 	a.upstream.RecordFault(now)
-	if answer.Status() == http.StatusServiceUnavailable {
-		// A 503 that does not state that the request did not run is not passed
-		// on, because callers take a 503 as the promise that it did not.
-		answer = nil
-	}
-	if answer != nil {
+	if !answer.promisesNotRun() {
+		// The upstream of a complete response has not stated that the request did
+		// not run, so a status that promises it is not passed on.
 		x.reply = answer
 	}
 	if len(x.running()) > 0 {
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -78,5 +78,19 @@
 // Body returns the body. The caller must not change it.
 func (a *Answer) Body() []byte { return a.body }
 
-// Failed reports whether the status is a server error (5xx).
-func (a *Answer) Failed() bool { return a.status >= http.StatusInternalServerError }
+// Failed reports whether the status is a server error (5xx), or one that callers
+// take for the promise that the request did not run.
+func (a *Answer) Failed() bool {
+	return a.status >= http.StatusInternalServerError || a.promisesNotRun()
+}
+
+// promisesNotRun reports whether callers take the status for the promise that the
+// request did not run and never will.
+func (a *Answer) promisesNotRun() bool {
+	switch a.status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
