proxy: Go on with a stream after an answer in place of its rest

What callers saw: a stream had begun and broke off, the next engine answered with an error or with something other than a stream, and the caller's stream was broken off though other engines could have gone on with it. The error's text did not reach callers: the connection was closed without the end of the answer.

Cause: a complete response ended the exchange, at best by an abort if the caller had a part of a stream.

Change: a complete response can't continue a started stream, so it counts as a failure. The stream goes on elsewhere while its attempts allow it, and waits for the budget of repeats like other started streams.

--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -71,14 +71,19 @@
 	}
 }
 
-// handleReply applies a complete response of an upstream.
+// handleReply applies a complete response of an upstream. It can't continue a
+// stream that the caller has a part of, so that it counts as a failure then.
 func (c *Core) handleReply(now time.Time, x *exchange, a *attempt, answer *Answer) {
 	c.endAttempt(x, a)
 	x.possibleRuns++
-	if !answer.Failed() {
+	if !answer.Failed() && !x.headSent {
 		c.reportOutcome(now, x, a)
 		a.upstream.RecordSuccess(now)
-		c.deliver(now, x, answer, "answered")
+		c.finish(now, x, Action{
+			kind:   Deliver,
+			reason: "answered",
+			answer: answer,
+		})
 		return
 	}
 	c.reportOutcome(now, x, a, move.Errors)
@@ -92,26 +97,20 @@
 	if len(x.running()) > 0 {
 		return
 	}
-	if x.mayRepeat() && !x.headSent && c.allowed(now, x) {
-		c.startAttempt(now, x, "after failure")
-		return
-	}
-	c.fail(now, x, "failed by upstream", errs.Upstream)
+	c.repeatFailed(now, x)
 }
 
-// deliver ends the exchange with a complete response. A caller that already has
-// the head of a stream can't be sent one.
-func (c *Core) deliver(now time.Time, x *exchange, answer *Answer, reason string) {
-	if x.headSent {
-		c.finish(now, x, Action{
-			kind:   Abort,
-			reason: "answer in place of a stream",
-		})
-		return
+// repeatFailed sends a request again after a response that can't be its answer, or
+// fails it. A started stream waits for the budget of repeats.
+func (c *Core) repeatFailed(now time.Time, x *exchange) {
+	switch {
+	case !x.mayRepeat():
+		c.fail(now, x, "failed by upstream", errs.Upstream)
+	case c.allowed(now, x):
+		c.startAttempt(now, x, "after failure")
+	case x.headSent:
+		x.retryAt = now.Add(retryPause)
+	default:
+		c.fail(now, x, "failed by upstream", errs.Upstream)
 	}
-	c.finish(now, x, Action{
-		kind:   Deliver,
-		reason: reason,
-		answer: answer,
-	})
 }
