reap: Look for queued runs until they can't begin unseen

What callers saw: nothing yet; found in a review of the orders to stop runs. Two engines could still go on with one request (TWICE) after a hedge on a silent connection.

Cause: an engine does not find a run that it has queued or whose prompt it is still reading. Such a run was looked for at once, after 0.5 s, after 1.5 s and after 3.5 s, so that one that began between two looks worked for up to 2 s beside the new one, where the platform allows 400 ms. One with output that had been preempted was looked for twice only.

Change: the run is looked for every 250 ms for 4 s. A look takes two round trips of 24 ms, so that it is stopped within 300 ms of its begin.

--- a/internal/reap/reap.go
+++ b/internal/reap/reap.go
@@ -8,18 +8,16 @@
 
 const (
 	// checkDelay is the time that the close of a connection has to reach the
-	// engine before the run is looked for. A round trip between regions takes 24 ms.
+	// engine before the run is looked for, and the time between two checks. A round
+	// trip between regions takes 24 ms, and a run must be stopped within 400 ms of
+	// its begin.
 	checkDelay = 250 * time.Millisecond
 	// retryDelay is the pause before an order is sent again that was not answered, or
 	// that the engine could not carry out.
 	retryDelay = 100 * time.Millisecond
-	// maxQueuedChecks is the number of times that a run is looked for which had no
-	// output when it was cancelled. It may be in the engine's queue, which an
-	// engine does not report. The delay doubles with each check.
-	maxQueuedChecks = 4
-	// maxSilentChecks is that number for a run with output on a silent connection. It
-	// may have been preempted, and be in the queue again.
-	maxSilentChecks = 2
+	// maxChecks is the number of times that a run is looked for which may be in the
+	// engine's queue, where it is not found. It covers 4 s.
+	maxChecks = 16
 	// maxRuns bounds the tracked runs. No more are tracked until some have ended.
 	maxRuns = 1024
 )
@@ -85,8 +83,6 @@
 	due       time.Time
 	// checks is the number of orders that may find no run.
 	checks int
-	// delay is the time to the next order after one that found no run.
-	delay time.Duration
 	// suspended is true while another attempt of the request is at the engine.
 	suspended bool
 }
@@ -138,13 +134,10 @@
 			cancelled: now,
 			due:       now.Add(checkDelay),
 			checks:    1,
-			delay:     2 * checkDelay,
 		}
-		switch {
-		case !r.Begun:
-			e.checks = maxQueuedChecks
-		case silent:
-			e.checks = maxSilentChecks
+		if silent || !r.Begun {
+			// A run with output may have been preempted, and be in the queue again.
+			e.checks = maxChecks
 		}
 		if silent {
 			e.due = now
@@ -242,8 +235,7 @@
 // be looked for any more.
 func (e *entry) absent(now time.Time) bool {
 	e.checks--
-	e.due = now.Add(e.delay)
-	e.delay *= 2
+	e.due = now.Add(checkDelay)
 	return e.checks <= 0
 }
 
--- a/internal/reap/script_test.go
+++ b/internal/reap/script_test.go
@@ -59,6 +59,8 @@
 		s.set.Resume(now, r.Instance, r.Request)
 	case "answer":
 		s.set.Answer(now, s.orders[d.CmdArgs[0].Key], s.outcome(d))
+	case "absent":
+		return s.absent(d, r)
 	case "due":
 	default:
 		s.t.Fatalf("%s: unknown command %q", d.Pos, d.Cmd)
@@ -66,6 +68,27 @@
 	return s.state(now)
 }
 
+// absent answers the orders between two times that there is no such run, and prints
+// their times.
+func (s *script) absent(d *datadriven.TestData, r Run) string {
+	var from, to int
+	d.ScanArgs(s.t, "from", &from)
+	d.ScanArgs(s.t, "to", &to)
+	var b strings.Builder
+	for at := from; at <= to; at++ {
+		now := s.base.Add(time.Duration(at) * time.Millisecond)
+		for _, o := range s.set.Due(now) {
+			if o.Run().Instance != r.Instance || o.Run().Request != r.Request {
+				s.t.Fatalf("%s: an order about %s", d.Pos, o.Run().Request)
+			}
+			fmt.Fprintf(&b, "stop %s/%s at %d\n", r.Instance, r.Request, at)
+			s.set.Answer(now, o, Absent)
+		}
+	}
+	fmt.Fprintf(&b, "%d tracked\n", s.set.Len())
+	return b.String()
+}
+
 // state prints the orders that are due, and the time of the next one.
 func (s *script) state(now time.Time) string {
 	var b strings.Builder
