platform, reap: Send an order again whose connection was refused

What callers saw: nothing yet; found in a review of the orders to stop runs. Two engines could go on with one request (TWICE) after a cut in which connections are refused, or while a host on the way refuses them.

Cause: an order whose connection was refused counted as proof that the incarnation had ended, and all runs at that engine were forgotten. Cuts refuse connections too, and the engine works on behind them.

Change: such an order counts as unanswered. Only another incarnation's answer shows that the one before has ended. A refusal arrives at once, so the interval of the repeats is counted from the sending, which leaves those of orders without an answer as they were.

--- a/internal/reap/reap.go
+++ b/internal/reap/reap.go
@@ -12,9 +12,12 @@
 	// trip between regions takes 24 ms, and a run must be stopped within 400 ms of
 	// its begin.
 	checkDelay = 250 * time.Millisecond
-	// retryDelay is the pause before an order is sent again that was not answered, or
-	// that the engine could not carry out.
+	// retryDelay is the pause before an order is sent again that the engine could not
+	// carry out.
 	retryDelay = 100 * time.Millisecond
+	// retryInterval is the time between two orders to an engine that does not answer
+	// or refuses connections.
+	retryInterval = 300 * time.Millisecond
 	// maxChecks is the number of times that a run is looked for which may be in the
 	// engine's queue, where it is not found. It covers 4 s.
 	maxChecks = 16
@@ -67,6 +70,7 @@
 	number    uint64
 	run       Run
 	cancelled time.Time
+	sent      time.Time
 }
 
 // Run returns the run to stop.
@@ -193,6 +197,7 @@
 			number:    s.number,
 			run:       e.run,
 			cancelled: e.cancelled,
+			sent:      now,
 		})
 	}
 	s.settle()
@@ -212,7 +217,7 @@
 		s.remove(g, func(*entry) bool { return true })
 	case Unanswered:
 		for _, e := range g.entries {
-			e.postpone(now.Add(retryDelay))
+			e.postpone(o.sent.Add(retryInterval))
 		}
 	case Refused:
 		answered.postpone(now.Add(retryDelay))
