reap: Send no order to an address that is sent its request again

What callers saw: a stream that went on at an engine that had just started again broke off there, and was resumed once more.

Cause: the orders about a run were paused while its request was at the same incarnation again, and not while it was at another one at the same address. The order names its incarnation, but engines need not check that when they move a run. The next one at the address stopped the run of the new attempt.

Change: runs are tracked by address. An answer that an incarnation has ended drops the runs of that one only.

go test -race ./internal/reap ./internal/proxy: ok.

--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -80,7 +80,7 @@
 		lastProgress: now,
 	}
 	x.attempts = append(x.attempts, a)
-	c.cancelled.Suspend(a.instance, x.q.ID())
+	c.cancelled.Suspend(upstream.Address(), x.q.ID())
 	x.retryAt = time.Time{}
 	x.placement = nil
 	upstream.AddAttempt(now, x.tokens, x.stream())
@@ -124,7 +124,7 @@
 // attemptLost applies the end of an attempt without an answer.
 func (c *Core) attemptLost(now time.Time, x *exchange, a *attempt, e Event) {
 	c.endAttempt(x, a)
-	c.cancelled.Resume(now, a.instance, x.q.ID())
+	c.cancelled.Resume(now, a.upstream.Address(), x.q.ID())
 	c.reportLost(now, x, a, e.cause)
 	switch e.cause {
 	case Unsent, Silent:
--- a/internal/reap/reap.go
+++ b/internal/reap/reap.go
@@ -91,7 +91,7 @@
 	suspended bool
 }
 
-// engine holds the tracked runs of one incarnation.
+// engine holds the tracked runs of the incarnations at one address.
 type engine struct {
 	entries []*entry
 	// order is the number of the order that is unanswered, or 0, and ordered the
@@ -102,7 +102,8 @@
 
 // Set is the set of tracked runs. It is not safe for concurrent use.
 type Set struct {
-	// engines holds the engines with tracked runs or an unanswered order, by id.
+	// engines holds the engines with tracked runs or an unanswered order, by address.
+	// An order reaches the incarnation that has the address.
 	engines map[string]*engine
 	// size is the number of tracked runs.
 	size int
@@ -123,10 +124,10 @@
 // because the attempt's connection has delivered nothing, and otherwise if its end
 // is not seen.
 func (s *Set) Add(now time.Time, r Run, silent bool) {
-	g := s.engines[r.Instance]
+	g := s.engines[r.Address]
 	if g == nil {
 		g = new(engine)
-		s.engines[r.Instance] = g
+		s.engines[r.Address] = g
 	}
 	s.remove(g, func(e *entry) bool { return e.run.Request == r.Request })
 	if s.size >= maxRuns {
@@ -152,19 +153,20 @@
 	s.settle()
 }
 
-// Suspend pauses the orders about a request at an engine that is sent the request
-// again, because they would stop the new attempt.
-func (s *Set) Suspend(instance, request string) {
-	if e := s.find(instance, request); e != nil {
+// Suspend pauses the orders about a request at an address to which the request is
+// sent again, because they would stop the new attempt. That holds for another
+// incarnation too: engines need not check the one that an order names.
+func (s *Set) Suspend(address, request string) {
+	if e := s.find(address, request); e != nil {
 		e.suspended = true
 		s.settle()
 	}
 }
 
-// Resume continues the orders about a request at an engine, whose later attempt has
-// ended.
-func (s *Set) Resume(now time.Time, instance, request string) {
-	if e := s.find(instance, request); e != nil && e.suspended {
+// Resume continues the orders about a request at an address, where the later attempt
+// has ended.
+func (s *Set) Resume(now time.Time, address, request string) {
+	if e := s.find(address, request); e != nil && e.suspended {
 		e.suspended, e.due = false, now
 		s.settle()
 	}
@@ -185,8 +187,8 @@
 	}
 	s.expire(now)
 	var orders []Order
-	for _, id := range slices.Sorted(maps.Keys(s.engines)) {
-		g := s.engines[id]
+	for _, address := range slices.Sorted(maps.Keys(s.engines)) {
+		g := s.engines[address]
 		e := g.first()
 		if e == nil || g.order != 0 || now.Before(e.due) {
 			continue
@@ -206,7 +208,7 @@
 
 // Answer applies the answer to an order.
 func (s *Set) Answer(now time.Time, o Order, outcome Outcome) {
-	g := s.engines[o.run.Instance]
+	g := s.engines[o.run.Address]
 	if g == nil || g.order != o.number {
 		return
 	}
@@ -214,7 +216,7 @@
 	g.order, g.ordered = 0, nil
 	switch outcome {
 	case Replaced:
-		s.remove(g, func(*entry) bool { return true })
+		s.remove(g, func(e *entry) bool { return e.run.Instance == o.run.Instance })
 	case Unanswered:
 		for _, e := range g.entries {
 			e.postpone(o.sent.Add(retryInterval))
@@ -255,9 +257,9 @@
 	return first
 }
 
-// find returns the entry of a request at an engine, or nil.
-func (s *Set) find(instance, request string) *entry {
-	g := s.engines[instance]
+// find returns the entry of a request at an address, or nil.
+func (s *Set) find(address, request string) *entry {
+	g := s.engines[address]
 	if g == nil {
 		return nil
 	}
@@ -293,9 +295,9 @@
 // settle drops the engines without runs and sets next after a change.
 func (s *Set) settle() {
 	s.next = time.Time{}
-	for id, g := range s.engines {
+	for address, g := range s.engines {
 		if len(g.entries) == 0 && g.order == 0 {
-			delete(s.engines, id)
+			delete(s.engines, address)
 			continue
 		}
 		if e := g.first(); e != nil && g.order == 0 {
--- a/internal/reap/script_test.go
+++ b/internal/reap/script_test.go
@@ -48,15 +48,19 @@
 		Until: now.Add(lifetime),
 	}
 	if len(d.CmdArgs) > 0 {
-		r.Instance, r.Request, _ = strings.Cut(d.CmdArgs[0].Key, "/")
+		r.Address, r.Request, _ = strings.Cut(d.CmdArgs[0].Key, "/")
+		r.Instance = r.Address
+	}
+	if d.HasArg("instance") {
+		d.ScanArgs(s.t, "instance", &r.Instance)
 	}
 	switch d.Cmd {
 	case "add":
 		s.set.Add(now, r, d.HasArg("silent"))
 	case "suspend":
-		s.set.Suspend(r.Instance, r.Request)
+		s.set.Suspend(r.Address, r.Request)
 	case "resume":
-		s.set.Resume(now, r.Instance, r.Request)
+		s.set.Resume(now, r.Address, r.Request)
 	case "answer":
 		s.set.Answer(now, s.orders[d.CmdArgs[0].Key], s.outcome(d))
 	case "absent":
@@ -78,10 +82,10 @@
 	for at := from; at <= to; at++ {
 		now := s.base.Add(time.Duration(at) * time.Millisecond)
 		for _, o := range s.set.Due(now) {
-			if o.Run().Instance != r.Instance || o.Run().Request != r.Request {
+			if o.Run().Address != r.Address || o.Run().Request != r.Request {
 				s.t.Fatalf("%s: an order about %s", d.Pos, o.Run().Request)
 			}
-			fmt.Fprintf(&b, "stop %s/%s at %d\n", r.Instance, r.Request, at)
+			fmt.Fprintf(&b, "stop %s/%s at %d\n", r.Address, r.Request, at)
 			s.set.Answer(now, o, Absent)
 		}
 	}
@@ -93,7 +97,7 @@
 func (s *script) state(now time.Time) string {
 	var b strings.Builder
 	for _, o := range s.set.Due(now) {
-		name := o.Run().Instance + "/" + o.Run().Request
+		name := o.Run().Address + "/" + o.Run().Request
 		s.orders[name] = o
 		fmt.Fprintf(&b, "stop %s, cancelled at %d\n", name, o.Cancelled().Sub(s.base).Milliseconds())
 	}
@@ -123,6 +127,7 @@
 	for i := range 2 * maxRuns {
 		s.Add(now, Run{
 			Instance: "e1",
+			Address:  "e1",
 			Request:  fmt.Sprint(i),
 			Until:    now.Add(lifetime),
 		}, false)
