reap, proxy: Offer the memory of a run to another engine after each refusal

Cause: engines have no call to stop a run alone, so its memory is moved to another engine. That one was chosen at the time of the cancel, by this VM's own use of it, which is least for engines that are down or full elsewhere. An engine that finds no room there, or does not reach it, answers 503 and goes on with the run. The order was sent again with the same one. With no engine that seemed fit, it named none.

Change: up to eight engines are offered the memory in turn. Engines that seem unfit come last instead of being left out. The log line names the engine that was offered it.

--- a/internal/edge/eventlog.go
+++ b/internal/edge/eventlog.go
@@ -80,7 +80,7 @@
 // since the run was cancelled, in milliseconds.
 func (j *eventLog) logStop(now time.Time, o reap.Order, outcome reap.Outcome, err error) {
 	j.metrics.Counter("stops_total", "Orders to stop runs of cancelled attempts.", meter.Outcome, outcome.String()).Inc()
-	j.log.Info().Str("request", o.Run().Request).Str("upstream", o.Run().Instance).Str("outcome", outcome.String()).
+	j.log.Info().Str("request", o.Run().Request).Str("upstream", o.Run().Instance).Str("outcome", outcome.String()).Str("other", o.Other()).
 		Int64("after", now.Sub(o.Cancelled()).Milliseconds()).AnErr("detail", err).Msg("proxy: A cancelled run was looked for.")
 }
 
--- a/internal/edge/message.go
+++ b/internal/edge/message.go
@@ -102,7 +102,7 @@
 	// ErrMalformedAnswer if the answer can't be decoded.
 	State func(ctx context.Context, address string) (pool.State, error)
 	// StopRun orders an engine to stop a run, over a connection of its own.
-	StopRun func(ctx context.Context, r reap.Run) (reap.Outcome, error)
+	StopRun func(ctx context.Context, o reap.Order) (reap.Outcome, error)
 	// InstanceID returns the id of the incarnation that answers at address, taken
 	// from a request to the health check path.
 	InstanceID func(ctx context.Context, address, path string) (string, error)
--- a/internal/edge/query.go
+++ b/internal/edge/query.go
@@ -85,7 +85,7 @@
 func (d *Dispatcher) stopRun(ctx context.Context, o reap.Order, wait time.Duration) {
 	limited, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	outcome, err := d.upstreams.StopRun(limited, o.Run())
+	outcome, err := d.upstreams.StopRun(limited, o)
 	d.log.logStop(d.now(), o, outcome, err)
 	d.notify(ctx, proxy.NewStopReported(o, outcome))
 }
--- a/internal/proxy/cancel.go
+++ b/internal/proxy/cancel.go
@@ -1,11 +1,18 @@
 package proxy
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/reap"
 )
 
+// maxOthers is the number of engines that are offered the memory of a cancelled run
+// in turn.
+const maxOthers = 8
+
 // stopTimeout bounds an order to stop a run. A new connection and a request take
 // two round trips of 24 ms between regions.
 const stopTimeout = 200 * time.Millisecond
@@ -23,32 +30,43 @@
 		Instance: a.instance,
 		Address:  a.upstream.Address(),
 		Request:  x.q.ID(),
-		Other:    c.otherEngine(now, a),
+		Others:   c.otherEngines(now, a),
 		Begun:    a.begun,
 		Until:    x.deadline,
 	}, silent)
 }
 
-// otherEngine returns the address of an engine that may be offered the memory of
-// the attempt's run, or "". It is the one that has an ordered copy of the run, which
-// is then only refreshed, or the least used one that the request does not go on at.
-func (c *Core) otherEngine(now time.Time, a *attempt) string {
-	if a.onDemandCopy.handle != "" {
-		return a.onDemandCopy.holder.Address()
-	}
-	other := a.holder
+// otherEngines returns the addresses of the engines that may be offered the memory
+// of the attempt's run, the best one first. It is the one that has an ordered copy of
+// the run, which is then only refreshed, or the least used one that the request does
+// not go on at. One that seems unable to take the memory is better than none.
+func (c *Core) otherEngines(now time.Time, a *attempt) []string {
+	var others []*pool.Upstream
 	for _, u := range c.pool.Service(a.upstream.Entry().Service()) {
-		if u == a.holder || u.Address() == a.upstream.Address() || !available(now, u) || u.Entry().Version() != a.upstream.Entry().Version() {
-			continue
+		if u.Address() != a.upstream.Address() && !u.Gone() {
+			others = append(others, u)
 		}
-		if other == a.holder || u.Tokens() < other.Tokens() {
-			other = u
+	}
+	penalty := func(u *pool.Upstream) int {
+		switch {
+		case a.onDemandCopy.handle != "" && u == a.onDemandCopy.holder:
+			return 0
+		case !available(now, u) || u.Entry().Version() != a.upstream.Entry().Version():
+			return 3
+		case u == a.holder:
+			return 2
+		default:
+			return 1
 		}
 	}
-	if other == nil {
-		return ""
+	slices.SortStableFunc(others, func(u, v *pool.Upstream) int {
+		return cmp.Or(cmp.Compare(penalty(u), penalty(v)), cmp.Compare(u.Tokens(), v.Tokens()))
+	})
+	var addresses []string
+	for _, u := range others[:min(len(others), maxOthers)] {
+		addresses = append(addresses, u.Address())
 	}
-	return other.Address()
+	return addresses
 }
 
 // stopCancelled orders engines to stop the cancelled runs that are due.
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -158,7 +158,7 @@
 		case StopRun:
 			r := a.Stop().Run()
 			s.stops[r.Request+" at "+r.Instance] = a.Stop()
-			fmt.Fprintf(&b, " %s at %s other=%s", r.Request, r.Instance, r.Other)
+			fmt.Fprintf(&b, " %s at %s other=%s", r.Request, r.Instance, a.Stop().Other())
 		case Refuse:
 			fmt.Fprintf(&b, " %d %s", a.Problem().Status(), a.Problem().Outcome())
 		case ReportOutcome:
--- a/internal/reap/reap.go
+++ b/internal/reap/reap.go
@@ -55,9 +55,10 @@
 	Address  string
 	// Request is the id of the request.
 	Request string
-	// Other is the address of another engine of the service. An engine that stops
-	// a run offers the run's memory to it.
-	Other string
+	// Others holds the addresses of other engines of the service. An engine that stops
+	// a run offers the run's memory to one of them, and does not stop the run if that
+	// one can't take it.
+	Others []string
 	// Begun is true if the run had output when it was cancelled.
 	Begun bool
 	// Until is the time at which the engine ends the run by itself.
@@ -71,6 +72,7 @@
 	run       Run
 	cancelled time.Time
 	sent      time.Time
+	other     string
 }
 
 // Run returns the run to stop.
@@ -79,6 +81,9 @@
 // Cancelled returns the time of the cancel.
 func (o Order) Cancelled() time.Time { return o.cancelled }
 
+// Other returns the address of the engine that is offered the run's memory, or "".
+func (o Order) Other() string { return o.other }
+
 // entry is a tracked run.
 type entry struct {
 	run Run
@@ -87,6 +92,8 @@
 	due       time.Time
 	// checks is the number of orders that may find no run.
 	checks int
+	// refusals is the number of orders that the engine could not carry out.
+	refusals int
 	// suspended is true while another attempt of the request is at the engine.
 	suspended bool
 }
@@ -200,6 +207,7 @@
 			run:       e.run,
 			cancelled: e.cancelled,
 			sent:      now,
+			other:     e.other(),
 		})
 	}
 	s.settle()
@@ -222,7 +230,7 @@
 			e.postpone(o.sent.Add(retryInterval))
 		}
 	case Refused:
-		answered.postpone(now.Add(retryDelay))
+		answered.refused(now)
 	case Stopped:
 		s.remove(g, func(e *entry) bool { return e == answered })
 	case Absent:
@@ -238,6 +246,23 @@
 	}
 }
 
+// refused records that the engine could not carry out an order.
+func (e *entry) refused(now time.Time) {
+	if e != nil {
+		e.refusals++
+		e.postpone(now.Add(retryDelay))
+	}
+}
+
+// other returns the engine to offer the run's memory to. Another one is tried after
+// each refusal.
+func (e *entry) other() string {
+	if len(e.run.Others) == 0 {
+		return ""
+	}
+	return e.run.Others[e.refusals%len(e.run.Others)]
+}
+
 // absent records that the engine had no such run, and reports whether it need not
 // be looked for any more.
 func (e *entry) absent(now time.Time) bool {
--- a/internal/reap/script_test.go
+++ b/internal/reap/script_test.go
@@ -51,6 +51,11 @@
 		r.Address, r.Request, _ = strings.Cut(d.CmdArgs[0].Key, "/")
 		r.Instance = r.Address
 	}
+	for _, a := range d.CmdArgs {
+		if a.Key == "others" {
+			r.Others = a.Vals
+		}
+	}
 	if d.HasArg("instance") {
 		d.ScanArgs(s.t, "instance", &r.Instance)
 	}
@@ -99,7 +104,11 @@
 	for _, o := range s.set.Due(now) {
 		name := o.Run().Address + "/" + o.Run().Request
 		s.orders[name] = o
-		fmt.Fprintf(&b, "stop %s, cancelled at %d\n", name, o.Cancelled().Sub(s.base).Milliseconds())
+		fmt.Fprintf(&b, "stop %s, cancelled at %d", name, o.Cancelled().Sub(s.base).Milliseconds())
+		if o.Other() != "" {
+			fmt.Fprintf(&b, ", memory to %s", o.Other())
+		}
+		b.WriteByte('\n')
 	}
 	if at, ok := s.set.Next(); ok {
 		fmt.Fprintf(&b, "next %d\n", at.Sub(s.base).Milliseconds())
