--- a/internal/reap/reap.go
+++ b/internal/reap/reap.go
@@ -12,9 +12,12 @@
 	// trip between regions takes 24 ms, and a run must be stopped within 400 ms of
 	// its begin.
 	checkDelay = 250 * time.Millisecond
-	// retryDelay is the pause before an order is sent again that was not answered, or
-	// that the engine could not carry out.
+	// retryDelay is the pause before an order is sent again that the engine could not
+	// carry out.
 	retryDelay = 100 * time.Millisecond
+	// retryInterval is the time between two orders to an engine that does not answer
+	// or refuses connections.
+	retryInterval = 300 * time.Millisecond
 	// maxChecks is the number of times that a run is looked for which may be in the
 	// engine's queue, where it is not found. It covers 4 s.
 	maxChecks = 16
@@ -52,9 +55,10 @@
 	Address  string
 	// Request is the id of the request.
 	Request string
-	// Other is the address of another engine of the service. An engine that stops
-	// a run offers the run's memory to it.
-	Other string
+	// Others holds the addresses of other engines of the service. An engine that stops
+	// a run offers the run's memory to one of them, and does not stop the run if that
+	// one can't take it.
+	Others []string
 	// Begun is true if the run had output when it was cancelled.
 	Begun bool
 	// Until is the time at which the engine ends the run by itself.
@@ -67,6 +71,8 @@
 	number    uint64
 	run       Run
 	cancelled time.Time
+	sent      time.Time
+	other     string
 }
 
 // Run returns the run to stop.
@@ -75,6 +81,9 @@
 // Cancelled returns the time of the cancel.
 func (o Order) Cancelled() time.Time { return o.cancelled }
 
+// Other returns the address of the engine that is offered the run's memory, or "".
+func (o Order) Other() string { return o.other }
+
 // entry is a tracked run.
 type entry struct {
 	run Run
@@ -83,11 +92,13 @@
 	due       time.Time
 	// checks is the number of orders that may find no run.
 	checks int
+	// refusals is the number of orders that the engine could not carry out.
+	refusals int
 	// suspended is true while another attempt of the request is at the engine.
 	suspended bool
 }
 
-// engine holds the tracked runs of one incarnation.
+// engine holds the tracked runs of the incarnations at one address.
 type engine struct {
 	entries []*entry
 	// order is the number of the order that is unanswered, or 0, and ordered the
@@ -98,7 +109,8 @@
 
 // Set is the set of tracked runs. It is not safe for concurrent use.
 type Set struct {
-	// engines holds the engines with tracked runs or an unanswered order, by id.
+	// engines holds the engines with tracked runs or an unanswered order, by address.
+	// An order reaches the incarnation that has the address.
 	engines map[string]*engine
 	// size is the number of tracked runs.
 	size int
@@ -119,10 +131,10 @@
 // because the attempt's connection has delivered nothing, and otherwise if its end
 // is not seen.
 func (s *Set) Add(now time.Time, r Run, silent bool) {
-	g := s.engines[r.Instance]
+	g := s.engines[r.Address]
 	if g == nil {
 		g = new(engine)
-		s.engines[r.Instance] = g
+		s.engines[r.Address] = g
 	}
 	s.remove(g, func(e *entry) bool { return e.run.Request == r.Request })
 	if s.size >= maxRuns {
@@ -148,19 +160,20 @@
 	s.settle()
 }
 
-// Suspend pauses the orders about a request at an engine that is sent the request
-// again, because they would stop the new attempt.
-func (s *Set) Suspend(instance, request string) {
-	if e := s.find(instance, request); e != nil {
+// Suspend pauses the orders about a request at an address to which the request is
+// sent again, because they would stop the new attempt. That holds for another
+// incarnation too: engines need not check the one that an order names.
+func (s *Set) Suspend(address, request string) {
+	if e := s.find(address, request); e != nil {
 		e.suspended = true
 		s.settle()
 	}
 }
 
-// Resume continues the orders about a request at an engine, whose later attempt has
-// ended.
-func (s *Set) Resume(now time.Time, instance, request string) {
-	if e := s.find(instance, request); e != nil && e.suspended {
+// Resume continues the orders about a request at an address, where the later attempt
+// has ended.
+func (s *Set) Resume(now time.Time, address, request string) {
+	if e := s.find(address, request); e != nil && e.suspended {
 		e.suspended, e.due = false, now
 		s.settle()
 	}
@@ -181,8 +194,8 @@
 	}
 	s.expire(now)
 	var orders []Order
-	for _, id := range slices.Sorted(maps.Keys(s.engines)) {
-		g := s.engines[id]
+	for _, address := range slices.Sorted(maps.Keys(s.engines)) {
+		g := s.engines[address]
 		e := g.first()
 		if e == nil || g.order != 0 || now.Before(e.due) {
 			continue
@@ -193,6 +206,8 @@
 			number:    s.number,
 			run:       e.run,
 			cancelled: e.cancelled,
+			sent:      now,
+			other:     e.other(),
 		})
 	}
 	s.settle()
@@ -201,7 +216,7 @@
 
 // Answer applies the answer to an order.
 func (s *Set) Answer(now time.Time, o Order, outcome Outcome) {
-	g := s.engines[o.run.Instance]
+	g := s.engines[o.run.Address]
 	if g == nil || g.order != o.number {
 		return
 	}
@@ -209,13 +224,13 @@
 	g.order, g.ordered = 0, nil
 	switch outcome {
 	case Replaced:
-		s.remove(g, func(*entry) bool { return true })
+		s.remove(g, func(e *entry) bool { return e.run.Instance == o.run.Instance })
 	case Unanswered:
 		for _, e := range g.entries {
-			e.postpone(now.Add(retryDelay))
+			e.postpone(o.sent.Add(retryInterval))
 		}
 	case Refused:
-		answered.postpone(now.Add(retryDelay))
+		answered.refused(now)
 	case Stopped:
 		s.remove(g, func(e *entry) bool { return e == answered })
 	case Absent:
@@ -231,6 +246,23 @@
 	}
 }
 
+// refused records that the engine could not carry out an order.
+func (e *entry) refused(now time.Time) {
+	if e != nil {
+		e.refusals++
+		e.postpone(now.Add(retryDelay))
+	}
+}
+
+// other returns the engine to offer the run's memory to. Another one is tried after
+// each refusal.
+func (e *entry) other() string {
+	if len(e.run.Others) == 0 {
+		return ""
+	}
+	return e.run.Others[e.refusals%len(e.run.Others)]
+}
+
 // absent records that the engine had no such run, and reports whether it need not
 // be looked for any more.
 func (e *entry) absent(now time.Time) bool {
@@ -250,9 +282,9 @@
 	return first
 }
 
-// find returns the entry of a request at an engine, or nil.
-func (s *Set) find(instance, request string) *entry {
-	g := s.engines[instance]
+// find returns the entry of a request at an address, or nil.
+func (s *Set) find(address, request string) *entry {
+	g := s.engines[address]
 	if g == nil {
 		return nil
 	}
@@ -288,9 +320,9 @@
 // settle drops the engines without runs and sets next after a change.
 func (s *Set) settle() {
 	s.next = time.Time{}
-	for id, g := range s.engines {
+	for address, g := range s.engines {
 		if len(g.entries) == 0 && g.order == 0 {
-			delete(s.engines, id)
+			delete(s.engines, address)
 			continue
 		}
 		if e := g.first(); e != nil && g.order == 0 {
