proxy: Order a run to stop after each end of the later attempt at its engine

What callers saw: nothing yet; found in a review of the orders to stop runs. An engine could go on with a request that went on at another one (TWICE).

Cause: the orders about a run are paused while its request is at the same engine again, and went on only if that attempt was lost. If it was answered with a failure, they stayed paused until the request's deadline.

Evidence: proxy/testdata/again, second request, fails before: no order about u1 after the failure.

Change: the end of an attempt, of any kind, lets the orders go on. The run before is also stopped once the request has ended.

go test -race ./internal/proxy ./internal/reap: ok.

--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -382,12 +382,14 @@
 }
 
 // endAttempt marks an attempt as ended and releases the load and memory that
-// were counted for it.
-func (c *Core) endAttempt(x *exchange, a *attempt) {
+// were counted for it. An earlier run at the same address may be stopped from now
+// on.
+func (c *Core) endAttempt(now time.Time, x *exchange, a *attempt) {
 	if a.ended {
 		return
 	}
 	a.ended = true
+	c.cancelled.Resume(now, a.upstream.Address(), x.q.ID())
 	a.upstream.RemoveAttempt(x.tokens, x.stream() && !a.begun)
 	if a.holder != nil {
 		a.holder.AddCopyTokens(-x.tokens)
@@ -398,11 +400,11 @@
 }
 
 // cancelAttempt cancels an attempt unless it has ended.
-func (c *Core) cancelAttempt(x *exchange, a *attempt, reason string) {
+func (c *Core) cancelAttempt(now time.Time, x *exchange, a *attempt, reason string) {
 	if a.ended {
 		return
 	}
-	c.endAttempt(x, a)
+	c.endAttempt(now, x, a)
 	c.emit(x, Action{
 		kind:     Cancel,
 		attempt:  a.number,
@@ -413,9 +415,9 @@
 
 // finish ends the exchange with its final action and cancels the attempts that
 // still run.
-func (c *Core) finish(_ time.Time, x *exchange, last Action) {
+func (c *Core) finish(now time.Time, x *exchange, last Action) {
 	for _, a := range x.running() {
-		c.cancelAttempt(x, a, "not needed")
+		c.cancelAttempt(now, x, a, "not needed")
 	}
 	x.leaveMove()
 	delete(c.inFlight, x.q.Number())
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -72,7 +72,7 @@
 
 // handleReply applies a complete response of an upstream.
 func (c *Core) handleReply(now time.Time, x *exchange, a *attempt, answer *Answer) {
-	c.endAttempt(x, a)
+	c.endAttempt(now, x, a)
 	x.possibleRuns++
 	if !answer.Failed() {
 		c.reportOutcome(now, x, a)
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -123,8 +123,7 @@
 
 // attemptLost applies the end of an attempt without an answer.
 func (c *Core) attemptLost(now time.Time, x *exchange, a *attempt, e Event) {
-	c.endAttempt(x, a)
-	c.cancelled.Resume(now, a.upstream.Address(), x.q.ID())
+	c.endAttempt(now, x, a)
 	c.reportLost(now, x, a, e.cause)
 	switch e.cause {
 	case Unsent, Silent:
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -192,7 +192,7 @@
 	}
 	for _, other := range x.running() {
 		if other != a {
-			c.cancelAttempt(x, other, "another engine was first")
+			c.cancelAttempt(now, x, other, "another engine was first")
 			c.trackCancelled(now, x, other, true)
 		}
 	}
@@ -201,7 +201,7 @@
 		return
 	}
 	if x.position > 0 && index != x.position+1 {
-		c.cancelAttempt(x, a, "piece missing")
+		c.cancelAttempt(now, x, a, "piece missing")
 		c.trackCancelled(now, x, a, false)
 		x.possibleRuns++
 		c.recoverStream(now, x, a, NewLost(x.q.Number(), a.number, Garbled, "piece missing"))
@@ -231,7 +231,7 @@
 
 // handleFinish applies the complete end of a stream.
 func (c *Core) handleFinish(now time.Time, x *exchange, a *attempt) {
-	c.endAttempt(x, a)
+	c.endAttempt(now, x, a)
 	if !a.begun {
 		c.reportOutcome(now, x, a)
 	}
