reap: Send orders to an engine that answers at once, not in turn

What callers saw: nothing yet; found in a review of the orders to stop runs.

Cause: each engine got one order at a time. An order takes two round trips, 48 ms between regions, and the time of the move, so that about the sixth run is stopped too late after the connections of an engine went silent at once or a cut healed.

Evidence: reap/testdata/many fails before (one order instead of four at 250 and at 600 ms).

Change: an engine gets up to eight orders at once, and one at a time only while it does not answer.

go test -race ./internal/reap ./internal/proxy ./internal/edge: ok.

--- a/internal/reap/reap.go
+++ b/internal/reap/reap.go
@@ -21,6 +21,9 @@
 	// maxChecks is the number of times that a run is looked for which may be in the
 	// engine's queue, where it is not found. It covers 4 s.
 	maxChecks = 16
+	// maxOrders is the number of orders at once to an engine that answers. A run may
+	// go on for 400 ms, and an order takes 50 to 100 ms between regions.
+	maxOrders = 8
 	// maxRuns bounds the tracked runs. No more are tracked until some have ended.
 	maxRuns = 1024
 )
@@ -94,6 +97,8 @@
 	checks int
 	// refusals is the number of orders that the engine could not carry out.
 	refusals int
+	// order is the number of the order about the run that is unanswered, or 0.
+	order uint64
 	// suspended is true while another attempt of the request is at the engine.
 	suspended bool
 }
@@ -101,10 +106,11 @@
 // engine holds the tracked runs of the incarnations at one address.
 type engine struct {
 	entries []*entry
-	// order is the number of the order that is unanswered, or 0, and ordered the
-	// entry that it is about, or nil if that is no longer tracked.
-	order   uint64
-	ordered *entry
+	// orders holds the unanswered orders by number, each with the entry that it is
+	// about, or nil if that is no longer tracked.
+	orders map[uint64]*entry
+	// silent is true if the latest answer is that an order was not answered.
+	silent bool
 }
 
 // Set is the set of tracked runs. It is not safe for concurrent use.
@@ -133,7 +139,9 @@
 func (s *Set) Add(now time.Time, r Run, silent bool) {
 	g := s.engines[r.Address]
 	if g == nil {
-		g = new(engine)
+		g = &engine{
+			orders: make(map[uint64]*entry),
+		}
 		s.engines[r.Address] = g
 	}
 	s.remove(g, func(e *entry) bool { return e.run.Request == r.Request })
@@ -186,8 +194,8 @@
 // none is due.
 func (s *Set) Next() (time.Time, bool) { return s.next, !s.next.IsZero() }
 
-// Due returns the orders to send now. An engine gets one order at a time, so that
-// one that does not answer costs little.
+// Due returns the orders to send now. An engine that does not answer gets one order
+// at a time.
 func (s *Set) Due(now time.Time) []Order {
 	if s.next.IsZero() || now.Before(s.next) {
 		return nil
@@ -196,19 +204,18 @@
 	var orders []Order
 	for _, address := range slices.Sorted(maps.Keys(s.engines)) {
 		g := s.engines[address]
-		e := g.first()
-		if e == nil || g.order != 0 || now.Before(e.due) {
-			continue
+		for e := g.first(); e != nil && !now.Before(e.due); e = g.first() {
+			s.number++
+			e.order = s.number
+			g.orders[e.order] = e
+			orders = append(orders, Order{
+				number:    e.order,
+				run:       e.run,
+				cancelled: e.cancelled,
+				sent:      now,
+				other:     e.other(),
+			})
 		}
-		s.number++
-		g.order, g.ordered = s.number, e
-		orders = append(orders, Order{
-			number:    s.number,
-			run:       e.run,
-			cancelled: e.cancelled,
-			sent:      now,
-			other:     e.other(),
-		})
 	}
 	s.settle()
 	return orders
@@ -217,11 +224,18 @@
 // Answer applies the answer to an order.
 func (s *Set) Answer(now time.Time, o Order, outcome Outcome) {
 	g := s.engines[o.run.Address]
-	if g == nil || g.order != o.number {
+	if g == nil {
+		return
+	}
+	answered, ok := g.orders[o.number]
+	if !ok {
 		return
 	}
-	answered := g.ordered
-	g.order, g.ordered = 0, nil
+	delete(g.orders, o.number)
+	if answered != nil {
+		answered.order = 0
+	}
+	g.silent = outcome == Unanswered
 	switch outcome {
 	case Replaced:
 		s.remove(g, func(e *entry) bool { return e.run.Instance == o.run.Instance })
@@ -271,11 +285,15 @@
 	return e.checks <= 0
 }
 
-// first returns the entry whose order is due first, or nil.
+// first returns the entry whose order is due first, or nil if there is none or the
+// engine has to answer first.
 func (g *engine) first() *entry {
+	if len(g.orders) >= maxOrders || g.silent && len(g.orders) > 0 {
+		return nil
+	}
 	var first *entry
 	for _, e := range g.entries {
-		if !e.suspended && (first == nil || e.due.Before(first.due)) {
+		if !e.suspended && e.order == 0 && (first == nil || e.due.Before(first.due)) {
 			first = e
 		}
 	}
@@ -309,8 +327,8 @@
 		if !match(e) {
 			return false
 		}
-		if g.ordered == e {
-			g.ordered = nil
+		if e.order != 0 {
+			g.orders[e.order] = nil
 		}
 		return true
 	})
@@ -321,14 +339,12 @@
 func (s *Set) settle() {
 	s.next = time.Time{}
 	for address, g := range s.engines {
-		if len(g.entries) == 0 && g.order == 0 {
+		if len(g.entries) == 0 && len(g.orders) == 0 {
 			delete(s.engines, address)
 			continue
 		}
-		if e := g.first(); e != nil && g.order == 0 {
-			if s.next.IsZero() || e.due.Before(s.next) {
-				s.next = e.due
-			}
+		if e := g.first(); e != nil && (s.next.IsZero() || e.due.Before(s.next)) {
+			s.next = e.due
 		}
 	}
 }
