proxy: Offer the memory of cancelled runs to engines in random order

What callers saw: nothing in the runs themselves; two engines went on with one request for up to a second (TWICE).

Cause: of the engines that a VM uses least, the one that is listed first was offered the memory of each run that it ordered to stop. That is the same one on all VMs: it had no room for them all, and the others refused in the same order.

Change: equal ones come in random order.

go test -race ./internal/proxy ./internal/edge: ok.

--- a/internal/proxy/cancel.go
+++ b/internal/proxy/cancel.go
@@ -39,7 +39,8 @@
 // otherEngines returns the addresses of the engines that may be offered the memory
 // of the attempt's run, the best one first. It is the one that has an ordered copy of
 // the run, which is then only refreshed, or the least used one that the request does
-// not go on at. One that seems unable to take the memory is better than none.
+// not go on at. Equal ones come in random order, since all VMs choose when a failure
+// domain is lost. One that seems unable to take the memory is better than none.
 func (c *Core) otherEngines(now time.Time, a *attempt) []string {
 	var others []*pool.Upstream
 	for _, u := range c.pool.Service(a.upstream.Entry().Service()) {
@@ -47,6 +48,10 @@
 			others = append(others, u)
 		}
 	}
+	for i := range others {
+		j := i + int(c.random()*float64(len(others)-i))
+		others[i], others[j] = others[j], others[i]
+	}
 	penalty := func(u *pool.Upstream) int {
 		switch {
 		case a.onDemandCopy.handle != "" && u == a.onDemandCopy.holder:
