reap: Offer the memory of a run to the next engine at once after a refusal

What callers saw: nothing in the runs themselves; two engines went on with one request (TWICE).

Cause: 100 ms passed between two offers, beside a round trip for each. A run whose memory three engines could not take was stopped after more than 400 ms.

Change: the next engine is offered the memory at once. The pause follows after all have been tried.

go test -race ./internal/reap ./internal/proxy: ok.

--- a/internal/reap/reap.go
+++ b/internal/reap/reap.go
@@ -13,7 +13,7 @@
 	// its begin.
 	checkDelay = 250 * time.Millisecond
 	// retryDelay is the pause before an order is sent again that the engine could not
-	// carry out.
+	// carry out with any other engine.
 	retryDelay = 100 * time.Millisecond
 	// retryInterval is the time between two orders to an engine that does not answer
 	// or refuses connections.
@@ -260,10 +260,15 @@
 	}
 }
 
-// refused records that the engine could not carry out an order.
+// refused records that the engine could not carry out an order. The run's memory is
+// offered to the next engine at once, and again after a pause once all have been
+// tried.
 func (e *entry) refused(now time.Time) {
-	if e != nil {
-		e.refusals++
+	if e == nil {
+		return
+	}
+	e.refusals++
+	if len(e.run.Others) == 0 || e.refusals%len(e.run.Others) == 0 {
 		e.postpone(now.Add(retryDelay))
 	}
 }
