platform: Free the memory of a run that was ordered to stop

What callers saw: later answers, once many runs had been ordered to stop: engines had no room for new runs.

Cause: the order moves the run's memory to another engine, and it was left there and at the source until it lapsed, each with the place of a run. It was not freed since a handle may stand for a copy in use; that is so only for runs of which a copy had been ordered before.

go test ./platform -run TestScripts/silent: ok.

--- a/internal/proxy/cancel.go
+++ b/internal/proxy/cancel.go
@@ -31,6 +31,7 @@
 		Address:  a.upstream.Address(),
 		Request:  x.q.ID(),
 		Others:   c.otherEngines(now, a),
+		Copied:   a.onDemandCopy.holder != nil || a.onDemandCopy.handle != "",
 		Begun:    a.begun,
 		Until:    x.deadline,
 	}, silent)
--- a/internal/reap/reap.go
+++ b/internal/reap/reap.go
@@ -62,6 +62,9 @@
 	// a run offers the run's memory to one of them, and does not stop the run if that
 	// one can't take it.
 	Others []string
+	// Copied is true if the engine was asked for a copy of the run before. The copy may
+	// be in use, and is not freed with the one that the order makes.
+	Copied bool
 	// Begun is true if the run had output when it was cancelled.
 	Begun bool
 	// Until is the time at which the engine ends the run by itself.
