proxy: Wait for the answer to an order to stop until the move is complete

What callers saw: later answers, once many runs had been ordered to stop: engines had no room for new runs.

Cause: an order was given up after 200 ms. The engine had stopped the run by then, and answers once the memory has been moved. Without the answer there is no handle, and the memory stayed set aside at two engines until it lapsed.

Change: an order has 1 s. To connect there is a limit of 250 ms, so that orders to an engine that is not reached are repeated as before.

go test ./internal/proxy ./platform -run TestScripts: ok.

--- a/internal/proxy/cancel.go
+++ b/internal/proxy/cancel.go
@@ -13,9 +13,9 @@
 // in turn.
 const maxOthers = 8
 
-// stopTimeout bounds an order to stop a run. A new connection and a request take
-// two round trips of 24 ms between regions.
-const stopTimeout = 200 * time.Millisecond
+// stopTimeout bounds an order to stop a run, whose answer comes once the run's memory
+// has been moved. Connecting has a limit of its own.
+const stopTimeout = time.Second
 
 // trackCancelled tracks the run of an attempt that ended without an answer until
 // its engine is known to have ended it, since the request goes on at another
