--- a/internal/proxy/fence.go
+++ b/internal/proxy/fence.go
@@ -70,7 +70,7 @@
 	cancelled := false
 	for _, a := range x.running() {
 		if !a.begun && x.fence.excludes(a.upstream) {
-			c.cancelAttempt(x, a, promptCharged)
+			c.cancelAttempt(now, x, a, promptCharged)
 			x.possibleRuns++
 			cancelled = true
 		}
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -74,7 +74,7 @@
 // handleReply applies a complete response of an upstream. It can't continue a
 // stream that the caller has a part of, so that it counts as a failure then.
 func (c *Core) handleReply(now time.Time, x *exchange, a *attempt, answer *Answer) {
-	c.endAttempt(x, a)
+	c.endAttempt(now, x, a)
 	x.possibleRuns++
 	if !answer.Failed() && !x.headSent {
 		c.reportOutcome(now, x, a)
--- a/internal/reap/reap.go
+++ b/internal/reap/reap.go
@@ -8,18 +8,22 @@
 
 const (
 	// checkDelay is the time that the close of a connection has to reach the
-	// engine before the run is looked for. A round trip between regions takes 24 ms.
+	// engine before the run is looked for, and the time between two checks. A round
+	// trip between regions takes 24 ms, and a run must be stopped within 400 ms of
+	// its begin.
 	checkDelay = 250 * time.Millisecond
-	// retryDelay is the pause before an order is sent again that was not answered, or
-	// that the engine could not carry out.
+	// retryDelay is the pause before an order is sent again that the engine could not
+	// carry out with any other engine.
 	retryDelay = 100 * time.Millisecond
-	// maxQueuedChecks is the number of times that a run is looked for which had no
-	// output when it was cancelled. It may be in the engine's queue, which an
-	// engine does not report. The delay doubles with each check.
-	maxQueuedChecks = 4
-	// maxSilentChecks is that number for a run with output on a silent connection. It
-	// may have been preempted, and be in the queue again.
-	maxSilentChecks = 2
+	// retryInterval is the time between two orders to an engine that does not answer
+	// or refuses connections.
+	retryInterval = 300 * time.Millisecond
+	// maxChecks is the number of times that a run is looked for which may be in the
+	// engine's queue, where it is not found. It covers 4 s.
+	maxChecks = 16
+	// maxOrders is the number of orders at once to an engine that answers. A run may
+	// go on for 400 ms, and an order takes 50 to 100 ms between regions.
+	maxOrders = 8
 	// maxRuns bounds the tracked runs. No more are tracked until some have ended.
 	maxRuns = 1024
 )
@@ -54,9 +58,13 @@
 	Address  string
 	// Request is the id of the request.
 	Request string
-	// Other is the address of another engine of the service. An engine that stops
-	// a run offers the run's memory to it.
-	Other string
+	// Others holds the addresses of other engines of the service. An engine that stops
+	// a run offers the run's memory to one of them, and does not stop the run if that
+	// one can't take it.
+	Others []string
+	// Copied is true if the engine was asked for a copy of the run before. The copy may
+	// be in use, and is not freed with the one that the order makes.
+	Copied bool
 	// Begun is true if the run had output when it was cancelled.
 	Begun bool
 	// Until is the time at which the engine ends the run by itself.
@@ -69,6 +77,8 @@
 	number    uint64
 	run       Run
 	cancelled time.Time
+	sent      time.Time
+	other     string
 }
 
 // Run returns the run to stop.
@@ -77,6 +87,9 @@
 // Cancelled returns the time of the cancel.
 func (o Order) Cancelled() time.Time { return o.cancelled }
 
+// Other returns the address of the engine that is offered the run's memory, or "".
+func (o Order) Other() string { return o.other }
+
 // entry is a tracked run.
 type entry struct {
 	run Run
@@ -85,24 +98,28 @@
 	due       time.Time
 	// checks is the number of orders that may find no run.
 	checks int
-	// delay is the time to the next order after one that found no run.
-	delay time.Duration
+	// refusals is the number of orders that the engine could not carry out.
+	refusals int
+	// order is the number of the order about the run that is unanswered, or 0.
+	order uint64
 	// suspended is true while another attempt of the request is at the engine.
 	suspended bool
 }
 
-// engine holds the tracked runs of one incarnation.
+// engine holds the tracked runs of the incarnations at one address.
 type engine struct {
 	entries []*entry
-	// order is the number of the order that is unanswered, or 0, and ordered the
-	// entry that it is about, or nil if that is no longer tracked.
-	order   uint64
-	ordered *entry
+	// orders holds the unanswered orders by number, each with the entry that it is
+	// about, or nil if that is no longer tracked.
+	orders map[uint64]*entry
+	// silent is true if the latest answer is that an order was not answered.
+	silent bool
 }
 
 // Set is the set of tracked runs. It is not safe for concurrent use.
 type Set struct {
-	// engines holds the engines with tracked runs or an unanswered order, by id.
+	// engines holds the engines with tracked runs or an unanswered order, by address.
+	// An order reaches the incarnation that has the address.
 	engines map[string]*engine
 	// size is the number of tracked runs.
 	size int
@@ -123,10 +140,12 @@
 // because the attempt's connection has delivered nothing, and otherwise if its end
 // is not seen.
 func (s *Set) Add(now time.Time, r Run, silent bool) {
-	g := s.engines[r.Instance]
+	g := s.engines[r.Address]
 	if g == nil {
-		g = new(engine)
-		s.engines[r.Instance] = g
+		g = &engine{
+			orders: make(map[uint64]*entry),
+		}
+		s.engines[r.Address] = g
 	}
 	s.remove(g, func(e *entry) bool { return e.run.Request == r.Request })
 	if s.size >= maxRuns {
@@ -138,13 +157,10 @@
 			cancelled: now,
 			due:       now.Add(checkDelay),
 			checks:    1,
-			delay:     2 * checkDelay,
 		}
-		switch {
-		case !r.Begun:
-			e.checks = maxQueuedChecks
-		case silent:
-			e.checks = maxSilentChecks
+		if silent || !r.Begun {
+			// A run with output may have been preempted, and be in the queue again.
+			e.checks = maxChecks
 		}
 		if silent {
 			e.due = now
@@ -155,19 +171,20 @@
 	s.settle()
 }
 
-// Suspend pauses the orders about a request at an engine that is sent the request
-// again, because they would stop the new attempt.
-func (s *Set) Suspend(instance, request string) {
-	if e := s.find(instance, request); e != nil {
+// Suspend pauses the orders about a request at an address to which the request is
+// sent again, because they would stop the new attempt. That holds for another
+// incarnation too: engines need not check the one that an order names.
+func (s *Set) Suspend(address, request string) {
+	if e := s.find(address, request); e != nil {
 		e.suspended = true
 		s.settle()
 	}
 }
 
-// Resume continues the orders about a request at an engine, whose later attempt has
-// ended.
-func (s *Set) Resume(now time.Time, instance, request string) {
-	if e := s.find(instance, request); e != nil && e.suspended {
+// Resume continues the orders about a request at an address, where the later attempt
+// has ended.
+func (s *Set) Resume(now time.Time, address, request string) {
+	if e := s.find(address, request); e != nil && e.suspended {
 		e.suspended, e.due = false, now
 		s.settle()
 	}
@@ -180,27 +197,28 @@
 // none is due.
 func (s *Set) Next() (time.Time, bool) { return s.next, !s.next.IsZero() }
 
-// Due returns the orders to send now. An engine gets one order at a time, so that
-// one that does not answer costs little.
+// Due returns the orders to send now. An engine that does not answer gets one order
+// at a time.
 func (s *Set) Due(now time.Time) []Order {
 	if s.next.IsZero() || now.Before(s.next) {
 		return nil
 	}
 	s.expire(now)
 	var orders []Order
-	for _, id := range slices.Sorted(maps.Keys(s.engines)) {
-		g := s.engines[id]
-		e := g.first()
-		if e == nil || g.order != 0 || now.Before(e.due) {
-			continue
+	for _, address := range slices.Sorted(maps.Keys(s.engines)) {
+		g := s.engines[address]
+		for e := g.first(); e != nil && !now.Before(e.due); e = g.first() {
+			s.number++
+			e.order = s.number
+			g.orders[e.order] = e
+			orders = append(orders, Order{
+				number:    e.order,
+				run:       e.run,
+				cancelled: e.cancelled,
+				sent:      now,
+				other:     e.other(),
+			})
 		}
-		s.number++
-		g.order, g.ordered = s.number, e
-		orders = append(orders, Order{
-			number:    s.number,
-			run:       e.run,
-			cancelled: e.cancelled,
-		})
 	}
 	s.settle()
 	return orders
@@ -208,21 +226,28 @@
 
 // Answer applies the answer to an order.
 func (s *Set) Answer(now time.Time, o Order, outcome Outcome) {
-	g := s.engines[o.run.Instance]
-	if g == nil || g.order != o.number {
+	g := s.engines[o.run.Address]
+	if g == nil {
 		return
 	}
-	answered := g.ordered
-	g.order, g.ordered = 0, nil
+	answered, ok := g.orders[o.number]
+	if !ok {
+		return
+	}
+	delete(g.orders, o.number)
+	if answered != nil {
+		answered.order = 0
+	}
+	g.silent = outcome == Unanswered
 	switch outcome {
 	case Replaced:
-		s.remove(g, func(*entry) bool { return true })
+		s.remove(g, func(e *entry) bool { return e.run.Instance == o.run.Instance })
 	case Unanswered:
 		for _, e := range g.entries {
-			e.postpone(now.Add(retryDelay))
+			e.postpone(o.sent.Add(retryInterval))
 		}
 	case Refused:
-		answered.postpone(now.Add(retryDelay))
+		answered.refused(now)
 	case Stopped:
 		s.remove(g, func(e *entry) bool { return e == answered })
 	case Absent:
@@ -238,29 +263,54 @@
 	}
 }
 
+// refused records that the engine could not carry out an order. The run's memory is
+// offered to the next engine at once, and again after a pause once all have been
+// tried.
+func (e *entry) refused(now time.Time) {
+	if e == nil {
+		return
+	}
+	e.refusals++
+	if len(e.run.Others) == 0 || e.refusals%len(e.run.Others) == 0 {
+		e.postpone(now.Add(retryDelay))
+	}
+}
+
+// other returns the engine to offer the run's memory to. Another one is tried after
+// each refusal.
+func (e *entry) other() string {
+	if len(e.run.Others) == 0 {
+		return ""
+	}
+	return e.run.Others[e.refusals%len(e.run.Others)]
+}
+
 // absent records that the engine had no such run, and reports whether it need not
 // be looked for any more.
 func (e *entry) absent(now time.Time) bool {
 	e.checks--
-	e.due = now.Add(e.delay)
-	e.delay *= 2
+	e.due = now.Add(checkDelay)
 	return e.checks <= 0
 }
 
-// first returns the entry whose order is due first, or nil.
+// first returns the entry whose order is due first, or nil if there is none or the
+// engine has to answer first.
 func (g *engine) first() *entry {
+	if len(g.orders) >= maxOrders || g.silent && len(g.orders) > 0 {
+		return nil
+	}
 	var first *entry
 	for _, e := range g.entries {
-		if !e.suspended && (first == nil || e.due.Before(first.due)) {
+		if !e.suspended && e.order == 0 && (first == nil || e.due.Before(first.due)) {
 			first = e
 		}
 	}
 	return first
 }
 
-// find returns the entry of a request at an engine, or nil.
-func (s *Set) find(instance, request string) *entry {
-	g := s.engines[instance]
+// find returns the entry of a request at an address, or nil.
+func (s *Set) find(address, request string) *entry {
+	g := s.engines[address]
 	if g == nil {
 		return nil
 	}
@@ -285,8 +335,8 @@
 		if !match(e) {
 			return false
 		}
-		if g.ordered == e {
-			g.ordered = nil
+		if e.order != 0 {
+			g.orders[e.order] = nil
 		}
 		return true
 	})
@@ -296,15 +346,13 @@
 // settle drops the engines without runs and sets next after a change.
 func (s *Set) settle() {
 	s.next = time.Time{}
-	for id, g := range s.engines {
-		if len(g.entries) == 0 && g.order == 0 {
-			delete(s.engines, id)
+	for address, g := range s.engines {
+		if len(g.entries) == 0 && len(g.orders) == 0 {
+			delete(s.engines, address)
 			continue
 		}
-		if e := g.first(); e != nil && g.order == 0 {
-			if s.next.IsZero() || e.due.Before(s.next) {
-				s.next = e.due
-			}
+		if e := g.first(); e != nil && (s.next.IsZero() || e.due.Before(s.next)) {
+			s.next = e.due
 		}
 	}
 }
--- a/internal/reap/script_test.go
+++ b/internal/reap/script_test.go
@@ -48,17 +48,28 @@
 		Until: now.Add(lifetime),
 	}
 	if len(d.CmdArgs) > 0 {
-		r.Instance, r.Request, _ = strings.Cut(d.CmdArgs[0].Key, "/")
+		r.Address, r.Request, _ = strings.Cut(d.CmdArgs[0].Key, "/")
+		r.Instance = r.Address
+	}
+	for _, a := range d.CmdArgs {
+		if a.Key == "others" {
+			r.Others = a.Vals
+		}
+	}
+	if d.HasArg("instance") {
+		d.ScanArgs(s.t, "instance", &r.Instance)
 	}
 	switch d.Cmd {
 	case "add":
 		s.set.Add(now, r, d.HasArg("silent"))
 	case "suspend":
-		s.set.Suspend(r.Instance, r.Request)
+		s.set.Suspend(r.Address, r.Request)
 	case "resume":
-		s.set.Resume(now, r.Instance, r.Request)
+		s.set.Resume(now, r.Address, r.Request)
 	case "answer":
 		s.set.Answer(now, s.orders[d.CmdArgs[0].Key], s.outcome(d))
+	case "absent":
+		return s.absent(d, r)
 	case "due":
 	default:
 		s.t.Fatalf("%s: unknown command %q", d.Pos, d.Cmd)
@@ -66,13 +77,38 @@
 	return s.state(now)
 }
 
+// absent answers the orders between two times that there is no such run, and prints
+// their times.
+func (s *script) absent(d *datadriven.TestData, r Run) string {
+	var from, to int
+	d.ScanArgs(s.t, "from", &from)
+	d.ScanArgs(s.t, "to", &to)
+	var b strings.Builder
+	for at := from; at <= to; at++ {
+		now := s.base.Add(time.Duration(at) * time.Millisecond)
+		for _, o := range s.set.Due(now) {
+			if o.Run().Address != r.Address || o.Run().Request != r.Request {
+				s.t.Fatalf("%s: an order about %s", d.Pos, o.Run().Request)
+			}
+			fmt.Fprintf(&b, "stop %s/%s at %d\n", r.Address, r.Request, at)
+			s.set.Answer(now, o, Absent)
+		}
+	}
+	fmt.Fprintf(&b, "%d tracked\n", s.set.Len())
+	return b.String()
+}
+
 // state prints the orders that are due, and the time of the next one.
 func (s *script) state(now time.Time) string {
 	var b strings.Builder
 	for _, o := range s.set.Due(now) {
-		name := o.Run().Instance + "/" + o.Run().Request
+		name := o.Run().Address + "/" + o.Run().Request
 		s.orders[name] = o
-		fmt.Fprintf(&b, "stop %s, cancelled at %d\n", name, o.Cancelled().Sub(s.base).Milliseconds())
+		fmt.Fprintf(&b, "stop %s, cancelled at %d", name, o.Cancelled().Sub(s.base).Milliseconds())
+		if o.Other() != "" {
+			fmt.Fprintf(&b, ", memory to %s", o.Other())
+		}
+		b.WriteByte('\n')
 	}
 	if at, ok := s.set.Next(); ok {
 		fmt.Fprintf(&b, "next %d\n", at.Sub(s.base).Milliseconds())
@@ -100,6 +136,7 @@
 	for i := range 2 * maxRuns {
 		s.Add(now, Run{
 			Instance: "e1",
+			Address:  "e1",
 			Request:  fmt.Sprint(i),
 			Until:    now.Add(lifetime),
 		}, false)
