edge: Log the version of attempts and each judged attempt

An operator whose roll-out of a slow version had been kept could not tell from the logs which version an attempt had been sent to, nor what the move had counted for it. Three hypotheses looked the same: that slow answers count as good, that they are not counted at all, and that the version gets more attempts than the exposure allows.

The lines of listed upstreams, sent attempts and ended requests now have the version. "move: An attempt was judged." tells for each attempt the version, the upstream, the latency, the typical latency that it was compared with, and the metrics by which it is bad. Requests, hedges and resumes are counted by the first, the verdict by the second.

--- a/internal/edge/eventlog.go
+++ b/internal/edge/eventlog.go
@@ -56,7 +56,7 @@
 		listed, gone := e.Members()
 		for _, l := range listed {
 			j.log.Info().Str("upstream", l.ID()).Str("service", l.Service()).Str("address", l.Address()).
-				Str("domain", l.Domain()).Bool("leaving", l.Leaving()).Msg("pool: An upstream is listed.")
+				Str("version", l.Version()).Str("domain", l.Domain()).Bool("leaving", l.Leaving()).Msg("pool: An upstream is listed.")
 		}
 		for _, id := range gone {
 			j.log.Info().Str("upstream", id).Msg("pool: An upstream is listed no more.")
@@ -130,6 +130,7 @@
 	reason   string
 	instance string
 	address  string
+	version  string
 	domain   string
 	holder   string
 	work     int
@@ -154,6 +155,7 @@
 		reason:   a.Reason(),
 		instance: a.Instance(),
 		address:  u.Address(),
+		version:  u.Entry().Version(),
 		domain:   u.Entry().Domain(),
 		work:     u.Attempts(),
 		tokens:   u.Tokens(),
@@ -205,7 +207,7 @@
 // writeSend writes the log line of an attempt.
 func (j *eventLog) writeSend(r *request, l *sendRecord) {
 	e := j.log.Info().Str("request", r.id).Int("attempt", l.attempt).Str("reason", l.reason).
-		Str("upstream", l.instance).Str("address", l.address).Str("domain", l.domain).
+		Str("upstream", l.instance).Str("address", l.address).Str("version", l.version).Str("domain", l.domain).
 		Int64("after", l.at.Milliseconds()).Int("work", l.work).Int("tokens", l.tokens).Int("position", l.position)
 	if l.copied {
 		e = e.Bool("copied", true)
@@ -228,7 +230,7 @@
 	l := j.log.Info().Str("request", r.id).Str("route", a.Route()).Str("outcome", a.Kind().String()).Str("reason", a.Reason()).
 		Int64("ms", took.Milliseconds()).Int("sends", r.sends)
 	if r.deferredSend != nil {
-		l = l.Str("upstream", r.deferredSend.instance).Str("domain", r.deferredSend.domain)
+		l = l.Str("upstream", r.deferredSend.instance).Str("version", r.deferredSend.version).Str("domain", r.deferredSend.domain)
 	}
 	if r.pieces > 0 {
 		j.firstPiece.Observe(r.firstPiece)
--- a/internal/edge/mover.go
+++ b/internal/edge/mover.go
@@ -339,6 +339,9 @@
 	if t == nil {
 		return
 	}
+	m.log.Info().Str("service", v.Service()).Str("route", v.Route()).Bool("new", v.NewVersion()).Str("upstream", v.Upstream()).
+		Strs("bad", v.Outcome().BadMetrics()).Int64("ms", v.Latency().Milliseconds()).Int64("typical", v.Typical().Milliseconds()).
+		Msg("move: An attempt was judged.")
 	k := t.statsKey(m.name, v.NewVersion(), v.Route(), m.now())
 	t.set.Count(k, v.Outcome())
 	t.ownKeys[k] = true
--- a/internal/move/evidenceset.go
+++ b/internal/move/evidenceset.go
@@ -326,6 +326,17 @@
 	return o
 }
 
+// BadMetrics returns the names of the metrics by which the request is bad.
+func (o Outcome) BadMetrics() []string {
+	var names []string
+	for m, bad := range o.bad {
+		if bad {
+			names = append(names, Metric(m).String())
+		}
+	}
+	return names
+}
+
 // ByLoss returns a copy of o for a request that the loss of an engine
 // interrupted. Such a request is not counted; the loss has a row of its own.
 func (o Outcome) ByLoss() Outcome {
--- a/internal/proxy/move.go
+++ b/internal/proxy/move.go
@@ -27,6 +27,12 @@
 	route      string
 	newVersion bool
 	outcome    move.Outcome
+	// upstream is the id of the upstream that served the attempt.
+	upstream string
+	// latency is what the attempt is judged by, and typical the old version's
+	// typical latency, or 0 if that is unknown.
+	latency time.Duration
+	typical time.Duration
 }
 
 // Service returns the service's name.
@@ -41,6 +47,16 @@
 // Outcome returns the metrics that the attempt failed, if any.
 func (v VersionOutcome) Outcome() move.Outcome { return v.outcome }
 
+// Upstream returns the id of the upstream that served the attempt.
+func (v VersionOutcome) Upstream() string { return v.upstream }
+
+// Latency returns the attempt's time to the first piece of a stream or to the
+// whole answer of another request.
+func (v VersionOutcome) Latency() time.Duration { return v.latency }
+
+// Typical returns the old version's typical latency, or 0 if it is unknown.
+func (v VersionOutcome) Typical() time.Duration { return v.typical }
+
 // serviceMove is the gradual transfer of a service's traffic to another
 // version.
 type serviceMove struct {
@@ -146,10 +162,11 @@
 	}
 	newVersion := a.upstream.Entry().Version() == x.move.target
 	if !newVersion && len(bad) == 0 {
-		if typical == 0 {
-			typical = latency
+		base := typical
+		if base == 0 {
+			base = latency
 		}
-		x.move.typical[x.route.Name()] = typical + time.Duration(typicalWeight*float64(latency-typical))
+		x.move.typical[x.route.Name()] = base + time.Duration(typicalWeight*float64(latency-base))
 	}
 	c.emit(x, Action{
 		kind: ReportOutcome,
@@ -158,6 +175,9 @@
 			route:      x.route.Name(),
 			newVersion: newVersion,
 			outcome:    move.NewOutcome(bad...),
+			upstream:   a.upstream.ID(),
+			latency:    latency,
+			typical:    typical,
 		},
 	})
 }
