proxy: Let a request of the old version use the new one once the move is done

A stream that was assigned to the old version when a move ended failed if it lost its engine after that: the old version's engines stop once the move is completed, and the request was still kept from the new ones. It waited for an engine until its deadline.

The cause: only a request of the new version was released from its assignment when no upstream of that version was left. A request of the old version is now released too, and no longer counted as in flight there.

--- a/internal/proxy/move.go
+++ b/internal/proxy/move.go
@@ -131,14 +131,17 @@
 func (x *exchange) excludes(u *pool.Upstream) bool { return x.wrongVersion(u) || x.tried(u) }
 
 // fallBack reassigns a request to the old version if no upstream of the new
-// version can serve it, or to any version once the move is done. It reports
-// whether it changed the assignment.
+// version can serve it, or to any version once the move is done, since the old
+// version's upstreams stop then. It reports whether it changed the assignment.
 func (c *Core) fallBack(x *exchange) bool {
 	switch {
-	case x.move == nil || !x.newVersion:
+	case x.move == nil:
 		return false
 	case x.move.limits.Done():
+		x.leaveMove()
 		x.move = nil
+	case !x.newVersion:
+		return false
 	default:
 		x.newVersion = false
 		x.move.oldInFlight++
