proxy: Count attempts, not requests, against the exposure of a new version

The cause: the quota counted requests that were assigned to the version when they arrived. Each of them was hedged, retried and resumed there as well, and a slow version gets all of these. Requests that had arrived before the move had no assignment, and their next attempts went anywhere.

Now each attempt that is sent to an unproven version counts. Further attempts of a request go to the old version; a run at the new one goes on from its copy there only after a loss, while the quota has room and the version is not found to be bad. Requests in flight when a move begins are assigned to the old version, and so are those whose engine is being chosen at that moment.

--- a/internal/proxy/copy.go
+++ b/internal/proxy/copy.go
@@ -42,7 +42,7 @@
 	if o.holder == nil || !available(now, o.holder) {
 		c.releaseCopy(x, a)
 		o.handle = ""
-		if o.holder = c.pool.PickCopy(now, x.need, a.upstream, x.excludes); o.holder == nil {
+		if o.holder = c.pool.PickCopy(now, x.need, a.upstream, x.excludesHolder(a.upstream)); o.holder == nil {
 			o.next = now.Add(copyRetryPause)
 			return
 		}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -69,9 +69,8 @@
 	// succeeds.
 	reply *Answer
 	// move is the move of the request's service to another version, or nil.
-	// newVersion is true if the request is assigned to the new version.
-	move       *serviceMove
-	newVersion bool
+	move *serviceMove
+	versionState
 	// placement is the pending choice of an engine, or nil.
 	placement *placement
 	// copyFollowed is true once a resume was sent to another incarnation that
--- a/internal/proxy/move.go
+++ b/internal/proxy/move.go
@@ -65,8 +65,8 @@
 	limits move.Limits
 	// banned is true once the new version was found to be bad.
 	banned bool
-	// quota bounds the requests that were assigned to the new version before it
-	// was proven.
+	// quota bounds the attempts that are sent to the new version before it is
+	// proven.
 	quota *move.Quota
 	// oldInFlight counts the requests in flight that are assigned to the old
 	// version.
@@ -91,11 +91,23 @@
 			s.quota.Resume(e.taken)
 		}
 		c.moves[e.service] = s
+		c.joinMove(e.service, s)
 	}
 	s.limits, s.banned = e.limits, e.banned
 	s.gate.Set(e.limits)
 }
 
+// joinMove assigns the requests in flight that arrived before a move to the old
+// version. Their next attempts could reach the new version otherwise.
+func (c *Core) joinMove(service string, s *serviceMove) {
+	for _, x := range c.inFlight {
+		if x.need.Service() == service {
+			x.move, x.versionState = s, versionState{}
+			s.oldInFlight++
+		}
+	}
+}
+
 // assignVersion decides which version serves a request. Until the move is done,
 // the number of requests that the new version gets is limited by the exposure.
 func (c *Core) assignVersion(now time.Time, x *exchange) {
@@ -108,11 +120,58 @@
 	x.newVersion = s.gate.AdmitIf(now, s.limits.Done() || !s.banned && s.quota.Free(c.peers))
 	if x.newVersion {
 		s.quota.Take()
+		x.reserved = true
 	} else {
 		s.oldInFlight++
 	}
 }
 
+// versionState is how a request takes part in the move of its service.
+type versionState struct {
+	// newVersion is true if the request is assigned to the new version.
+	newVersion bool
+	// reserved is true if the quota has counted an attempt at the new version
+	// that was not sent yet.
+	reserved bool
+	// exposed is true once the request was sent to the new version before that
+	// was proven.
+	exposed bool
+}
+
+// wantsNew reports whether the next attempt belongs at the new version. Until it
+// is proven, only the first one does: a version that is slow or fails would
+// otherwise get several attempts for each request.
+func (x *exchange) wantsNew() bool {
+	return x.newVersion && (x.move.limits.Done() || !x.exposed && !x.move.banned)
+}
+
+// recordVersion counts an attempt that is sent to the upstream.
+func (x *exchange) recordVersion(u *pool.Upstream) {
+	s := x.move
+	switch {
+	case s == nil || s.limits.Done():
+	case u.Entry().Version() == s.target:
+		if !x.reserved {
+			s.quota.Take()
+		}
+		x.reserved, x.exposed = false, true
+	case x.newVersion:
+		x.newVersion = false
+		s.oldInFlight++
+	}
+}
+
+// unproven reports whether the upstream runs a version that was not proven yet.
+func (x *exchange) unproven(u *pool.Upstream) bool {
+	return x.move != nil && !x.move.limits.Done() && u.Entry().Version() == x.move.target
+}
+
+// versionFull reports whether the upstream runs an unproven version that must
+// get no further attempts.
+func (c *Core) versionFull(x *exchange, u *pool.Upstream) bool {
+	return x.unproven(u) && (x.move.banned || !x.move.quota.Free(c.peers))
+}
+
 // leaveMove removes a request that ends from the count of the old version.
 func (x *exchange) leaveMove() {
 	if x.move != nil && !x.newVersion {
@@ -123,13 +182,21 @@
 // wrongVersion reports whether the upstream runs a version that the request
 // must not be sent to.
 func (x *exchange) wrongVersion(u *pool.Upstream) bool {
-	return x.move != nil && (u.Entry().Version() == x.move.target) != x.newVersion
+	return x.move != nil && (u.Entry().Version() == x.move.target) != x.wantsNew()
 }
 
 // excludes reports whether a new attempt must not go to the upstream, because
 // of its version or because the request was sent there before.
 func (x *exchange) excludes(u *pool.Upstream) bool { return x.wrongVersion(u) || x.tried(u) }
 
+// excludesHolder reports which upstreams must not hold a copy of a run: those of
+// another version and those that the request was sent to before.
+func (x *exchange) excludesHolder(of *pool.Upstream) func(*pool.Upstream) bool {
+	return func(u *pool.Upstream) bool {
+		return x.move != nil && (u.Entry().Version() == x.move.target) != (of.Entry().Version() == x.move.target) || x.tried(u)
+	}
+}
+
 // fallBack reassigns a request to the old version if no upstream of the new
 // version can serve it, or to any version once the move is done, since the old
 // version's upstreams stop then. It reports whether it changed the assignment.
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"time"
 
 	"clementinelink.example/clementinelink/internal/errs"
@@ -223,7 +224,9 @@
 		return
 	}
 	x.placement = nil
-	upstream := c.pool.Best(now, x.need, s.candidates, func(u *pool.Upstream) float64 {
+	// A move may have begun or ended since the candidates were chosen.
+	candidates := slices.DeleteFunc(s.candidates, x.wrongVersion)
+	upstream := c.pool.Best(now, x.need, candidates, func(u *pool.Upstream) float64 {
 		return -float64(s.cachedTokens[u.ID()]) / prefillRate
 	})
 	switch {
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -83,9 +83,10 @@
 	c.cancelled.Suspend(a.instance, x.q.ID())
 	x.retryAt = time.Time{}
 	x.placement = nil
+	x.recordVersion(upstream)
 	upstream.AddAttempt(now, x.tokens, x.stream())
 	if c.keepsCopies(x) {
-		a.holder = c.pool.PickCopy(now, x.need, upstream, x.excludes)
+		a.holder = c.pool.PickCopy(now, x.need, upstream, x.excludesHolder(upstream))
 		if a.holder != nil {
 			a.holder.AddCopyTokens(x.tokens)
 		}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -159,7 +159,9 @@
 		return ""
 	}
 	x.stallHandled = true
-	if c.standbyUnusable(now, a) != "" || !c.standbyIntact(now, a) {
+	if x.unproven(a.upstream) || c.standbyUnusable(now, x, a) != "" || !c.standbyIntact(now, a) {
+		// A copy of a run at an unproven version goes on at that version, which
+		// may be just as slow.
 		return ""
 	}
 	return "stopped"
@@ -266,14 +268,14 @@
 	switch {
 	case from != nil:
 		c.sendFrom(now, x, from.upstream, *from)
-	case (e.cause == Broken || e.cause == Garbled) && a.upstream.Usable() && !a.upstream.BackingOff(now) && x.sendCount(a.upstream) <= maxSendsToSame:
+	case (e.cause == Broken || e.cause == Garbled) && a.upstream.Usable() && !a.upstream.BackingOff(now) && x.sendCount(a.upstream) <= maxSendsToSame && !x.wrongVersion(a.upstream):
 		// An engine that is alive still has the prompt, and one that is dead
 		// refuses the connection.
 		c.send(now, x, a.upstream, a.upstream.ID(), false, "same after "+e.cause.String())
 	default:
 		reason := "after " + e.cause.String()
-		if e.cause.mayHaveRun() {
-			reason += ", " + c.standbyUnusable(now, a)
+		if unusable := c.standbyUnusable(now, x, a); e.cause.mayHaveRun() && unusable != "" {
+			reason += ", " + unusable
 		}
 		c.startAttempt(now, x, reason)
 	}
@@ -284,6 +286,8 @@
 func (c *Core) resumeFrom(now time.Time, x *exchange, a *attempt, e Event) *Action {
 	o := &a.onDemandCopy
 	switch {
+	case a.copied && c.versionFull(x, a.upstream):
+		return nil
 	case a.copied && e.cause == Misdirected && e.instance != "" && !x.copyFollowed:
 		// The copy was placed by address, so the incarnation that now has the
 		// address may hold it. An engine without the copy refuses to run.
@@ -306,9 +310,9 @@
 			handle:   a.handle,
 			reason:   "copy again after " + e.cause.String(),
 		}
-	case !e.cause.mayHaveRun():
+	case !e.cause.mayHaveRun(), e.cause == Stalled && x.unproven(a.upstream):
 		return nil
-	case c.standbyUnusable(now, a) == "" && (o.handle == "" || c.standbyIntact(now, a)):
+	case c.standbyUnusable(now, x, a) == "" && (o.handle == "" || c.standbyIntact(now, a)):
 		x.copyFollowed, x.copyResends = false, 0
 		h := a.holder.Latest()
 		return &Action{
@@ -317,7 +321,7 @@
 			copied:   true,
 			reason:   "copy after " + e.cause.String(),
 		}
-	case o.handle != "" && available(now, o.holder):
+	case o.handle != "" && available(now, o.holder) && !c.versionFull(x, o.holder):
 		return &Action{
 			upstream: o.holder,
 			instance: o.holder.ID(),
@@ -333,7 +337,7 @@
 
 // standbyUnusable returns why an attempt's standby copy can't be used, or "" if
 // it can. A copy exists only once the run has produced output.
-func (c *Core) standbyUnusable(now time.Time, a *attempt) string {
+func (c *Core) standbyUnusable(now time.Time, x *exchange, a *attempt) string {
 	if !a.begun {
 		return "nothing copied"
 	}
@@ -347,6 +351,8 @@
 		return "holder leaving"
 	case h.BackingOff(now):
 		return "holder resting"
+	case c.versionFull(x, h):
+		return "holder unproven"
 	default:
 		return ""
 	}
