proxy: Don't judge the speed of a version by resumed streams

A good version may stay unproven because of that, and where everything counts as slow a slow version looks no worse than the old one.

The cause: the first piece of a resumed stream counted like that of a new one. It comes at once if the run has a copy or the engine has kept the prompt. One such piece as the first sample becomes the typical latency, and since slow answers don't change that, it stays.

A resumed stream is now judged only if it fails.

proxy/testdata/resumed guards against it. On the parent commit:

--- FAIL: TestScripts/resumed (0.00s) testdata/resumed:33: piece at=110 n=1 try=1 index=4 found: 1 report-outcome new-version=false good=true

and, run with -rewrite there, the two sound answers after it differ:

-3 report-outcome new-version=false good=true +3 report-outcome new-version=false good=false

--- a/internal/proxy/move.go
+++ b/internal/proxy/move.go
@@ -217,9 +217,11 @@
 }
 
 // reportOutcome reports how an attempt ended, which decides whether the move
-// goes on. bad lists the metrics that the attempt failed.
+// goes on. bad lists the metrics that the attempt failed. A resumed stream is
+// judged only if it failed.
 func (c *Core) reportOutcome(now time.Time, x *exchange, a *attempt, bad ...move.Metric) {
-	if x.move == nil {
+	if x.move == nil || x.position > 0 && len(bad) == 0 {
+		// The first piece of a resumed stream comes at once if its run has a copy.
 		return
 	}
 	latency := now.Sub(a.sent)
