proxy: Judge attempts that answer later than their hedge

The cause: an attempt was judged by its answer, and one that is cancelled has none. The hedge of a request at the slow version goes to the old one and answers first, so only the few fastest answers of the slow version counted. It is the fault of a sample that is censored by what it measures.

An attempt that a later one overtakes now counts as slow, for both versions. That needs no typical latency, which a VM with few requests does not know.

--- a/internal/proxy/move.go
+++ b/internal/proxy/move.go
@@ -254,6 +254,17 @@
 	})
 }
 
+// reportOvertaken reports the attempts that a, which was sent later, answers before.
+// They are cancelled, and a version whose hedges at the other one win would give no
+// answers to judge.
+func (c *Core) reportOvertaken(now time.Time, x *exchange, a *attempt) {
+	for _, other := range x.running() {
+		if other != a && x.position == 0 && other.sent.Before(a.sent) {
+			c.reportOutcome(now, x, other, move.SlowFirst)
+		}
+	}
+}
+
 // reportLost reports an attempt that ended without an answer. The loss of an
 // engine is not attributed to its version.
 func (c *Core) reportLost(now time.Time, x *exchange, a *attempt, cause Cause) {
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -76,6 +76,7 @@
 	x.possibleRuns++
 	if !answer.Failed() {
 		c.reportOutcome(now, x, a)
+		c.reportOvertaken(now, x, a)
 		a.upstream.RecordSuccess(now)
 		c.deliver(now, x, answer, "answered")
 		return
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -191,6 +191,7 @@
 		// A stream lasts for seconds, and the evidence about a version must not
 		// wait for its end.
 		c.reportOutcome(now, x, a)
+		c.reportOvertaken(now, x, a)
 	}
 	for _, other := range x.running() {
 		if other != a {
