move: Bound slow requests by engine, not by minute, in a short move

The cause: an engine that pauses makes many requests slow at once, so the evidence of slow requests is limited to 3 nats a minute, and 6.9 are needed. A move of 15 s lies in one or two minutes. The unit in which dependent requests were counted was time; what makes them depend on each other is the engine.

In moves of less than five minutes the limit is now by engine: at most 12 slow requests of one engine count in a minute, and those of the new version's slowest engine not at all, so that a version is slow only if it is so at two engines. Slow requests that come without their engine are limited by minute as before. VMs store the engine with the counts of slow requests, in short moves only.

--- a/internal/edge/evidence.go
+++ b/internal/edge/evidence.go
@@ -27,10 +27,12 @@
 }
 
 // evidenceRow counts the outcomes of one route in one minute, for the new or
-// the old version. Minute is in Unix minutes.
+// the old version. Minute is in Unix minutes. Upstream is set only in rows of slow
+// requests.
 type evidenceRow struct {
 	NewVersion bool   `json:"fresh"`
 	Route      string `json:"route"`
+	Upstream   string `json:"upstream,omitempty"`
 	Minute     int64  `json:"minute"`
 	Requests   uint64 `json:"requests"`
 	Errors     uint64 `json:"errors"`
@@ -60,7 +62,7 @@
 		t.others[vm] = ev
 	}
 	for _, r := range ev.Rows {
-		k := t.statsKey(vm, r.NewVersion, r.Route, time.Unix(r.Minute*60, 0))
+		k := t.statsKey(vm, r.NewVersion, r.Route, time.Unix(r.Minute*60, 0)).WithEngine(r.Upstream)
 		t.set.Merge(k, move.NewCounts(r.Requests, r.Errors, r.Truncated, r.SlowFirst, 0))
 		if vm == m.name {
 			// The VM was restarted during the move and goes on counting, since the
@@ -123,6 +125,7 @@
 		ev.Rows = append(ev.Rows, evidenceRow{
 			NewVersion: k.Version() == t.order.target,
 			Route:      k.Route(),
+			Upstream:   k.Engine(),
 			Minute:     k.Minute(),
 			Requests:   c.Requests(),
 			Errors:     c.Bad(move.Errors),
@@ -131,7 +134,7 @@
 		})
 	}
 	slices.SortFunc(ev.Rows, func(a, b evidenceRow) int {
-		return cmp.Or(cmp.Compare(a.Minute, b.Minute), cmp.Compare(a.Route, b.Route), compareBool(a.NewVersion, b.NewVersion))
+		return cmp.Or(cmp.Compare(a.Minute, b.Minute), cmp.Compare(a.Route, b.Route), cmp.Compare(a.Upstream, b.Upstream), compareBool(a.NewVersion, b.NewVersion))
 	})
 	value, err := json.Marshal(ev)
 	if err != nil {
--- a/internal/edge/mover.go
+++ b/internal/edge/mover.go
@@ -343,6 +343,9 @@
 		Strs("bad", v.Outcome().BadMetrics()).Int64("ms", v.Latency().Milliseconds()).Int64("typical", v.Typical().Milliseconds()).
 		Msg("move: An attempt was judged.")
 	k := t.statsKey(m.name, v.NewVersion(), v.Route(), m.now())
+	if v.Outcome().Slow() && t.controller.CountsByEngine() {
+		k = k.WithEngine(v.Upstream())
+	}
 	t.set.Count(k, v.Outcome())
 	t.ownKeys[k] = true
 	t.dirty = t.dirty || v.NewVersion() || m.reportsOld()
--- a/internal/edge/mover_test.go
+++ b/internal/edge/mover_test.go
@@ -181,9 +181,9 @@
 
 // TestMoves guards against a move whose final status is reported before the old
 // version may be stopped, or that still changes limits or reports anything after
-// its final status.
+// its final status, and against evidence of another VM that is not understood.
 func TestMoves(t *testing.T) {
-	datadriven.Walk(t, "testdata/move", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		s := newMoverScript()
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string { return s.run(t, d) })
 	})
--- a/internal/move/control.go
+++ b/internal/move/control.go
@@ -62,7 +62,8 @@
 
 // shortMove is the duration below which the stages of a move are shorter than
 // the minutes by which evidence is counted. The proof for each stage of such a
-// move uses all evidence since the start.
+// move uses all evidence since the start, and slow requests count by engine instead
+// of by minute.
 const shortMove = 5 * time.Minute
 
 // WatchTime is how long after its deadline a move is still evaluated. The old
@@ -102,12 +103,14 @@
 // NewController returns the controller of a move of the service. The set holds
 // the evidence of this VM and its peers.
 func NewController(service string, plan *world.Move, set *EvidenceSet) *Controller {
-	return &Controller{
+	c := &Controller{
 		service:    service,
 		plan:       plan,
 		evaluator:  NewEvaluator(set, service, plan.From(), plan.To()),
 		assessment: &Assessment{logRatio: math.Inf(-1)},
 	}
+	c.evaluator.byEngine = c.duration() < shortMove
+	return c
 }
 
 // WithExposure bounds the requests that reach the new version before it is
@@ -118,6 +121,10 @@
 	return c
 }
 
+// CountsByEngine reports whether the slow requests of the move must be counted by
+// engine; see Key.WithEngine.
+func (c *Controller) CountsByEngine() bool { return c.evaluator.byEngine }
+
 // Close stops the controller from following its evidence.
 func (c *Controller) Close() { c.evaluator.Close() }
 
--- a/internal/move/evaluator.go
+++ b/internal/move/evaluator.go
@@ -22,9 +22,14 @@
 // slowClip is the maximum evidence, in nats, that one minute of slow requests
 // contributes. A paused engine makes many requests of one version slow at the
 // same time; with the limit, at least four slow minutes are needed to call a
-// version bad.
+// version bad. A short move ends before that, so its evidence is bounded by
+// engine instead; see slowCounts.
 const slowClip = 3
 
+// maxSlowPerEngine is the number of slow requests of one engine that count in one
+// minute of a short move. They are not independent of each other.
+const maxSlowPerEngine = 12
+
 // margins are the increases of each metric's rate that a proof excludes, on top
 // of half of the old version's rate. Without that half, proving a version equal
 // to a bad old one would take more requests than the unproven share provides.
@@ -46,6 +51,9 @@
 // minuteSums holds the log likelihood ratios of one minute.
 type minuteSums struct {
 	segments map[segment][Metrics]ratios
+	// clipped is true if the evidence of slow requests is not bounded by engine,
+	// so that it must be clipped.
+	clipped bool
 }
 
 // recentMinutes is the number of newest minutes whose counts still change often.
@@ -84,6 +92,8 @@
 	// possible. It is divided among the live VMs.
 	exposure *Exposure
 	live     int
+	// byEngine is true if the evidence of slow requests is bounded by engine.
+	byEngine bool
 	// engineTime is the total time for which engines had the old and the new
 	// version loaded, as passed to Observe.
 	engineTime [2]time.Duration
@@ -142,6 +152,9 @@
 		if minute <= e.baseMinute {
 			e.baseSums, e.baseMinute = testSums{}, 0
 		}
+		if s := e.minutes[minute]; s != nil {
+			s.clipped = false
+		}
 		for g, versions := range e.set.totals[minute] {
 			if g.service == e.service {
 				e.compareMinute(minute, g.segment, versions)
@@ -176,7 +189,44 @@
 	if next == nil || old == nil {
 		return
 	}
-	s.segments[k] = compareAll(*next, *old)
+	c := compareAll(*next, *old)
+	g := group{
+		service: e.service,
+		segment: k,
+	}
+	for m := SlowFirst; m < Metrics; m++ {
+		n, x, newKnown := e.slowCounts(minute, g, e.to, m, *next, true)
+		o, y, oldKnown := e.slowCounts(minute, g, e.from, m, *old, false)
+		if !e.byEngine || !newKnown || !oldKnown {
+			s.clipped = true
+			continue
+		}
+		c[m] = compareCounts(n, x, o, y)
+	}
+	s.segments[k] = c
+}
+
+// slowCounts returns the numbers of requests and of slow ones of a version in one
+// minute, without those in excess of maxSlowPerEngine and, if leaveWorst is true,
+// without the slow ones of the slowest engine: a version is slow only if it is so
+// on another engine too. known is false if the engines of slow requests are not
+// known.
+func (e *Evaluator) slowCounts(minute int64, g group, version string, m Metric, total Counts, leaveWorst bool) (requests, slow uint64, known bool) {
+	attributed, worst := uint64(0), uint64(0)
+	for at, c := range e.set.slow[minute] {
+		if at.group != g || at.version != version {
+			continue
+		}
+		attributed += c.bad[m]
+		counted := min(c.bad[m], maxSlowPerEngine)
+		slow += counted
+		worst = max(worst, counted)
+	}
+	if leaveWorst {
+		slow -= worst
+	}
+	bad := min(total.bad[m], total.requests)
+	return total.requests - bad + slow, slow, attributed >= bad
 }
 
 // compareAll returns the log likelihood ratios of each metric.
@@ -196,7 +246,7 @@
 		total := s.segments[k]
 		for m := range c {
 			pooled[m].add(c[m])
-			if Metric(m) >= SlowFirst {
+			if Metric(m) >= SlowFirst && minute.clipped {
 				c[m].clip(slowClip)
 			}
 			total[m].add(c[m])
@@ -204,7 +254,7 @@
 		s.segments[k] = total
 	}
 	for m := range pooled {
-		if Metric(m) >= SlowFirst {
+		if Metric(m) >= SlowFirst && minute.clipped {
 			pooled[m].clip(slowClip)
 		}
 		s.pooled[m].add(pooled[m])
--- a/internal/move/evidenceset.go
+++ b/internal/move/evidenceset.go
@@ -91,6 +91,8 @@
 	version     string
 	route       string
 	class       string
+	// engine is set only in rows of slow requests, see WithEngine.
+	engine string
 	// minute counts from the Unix epoch.
 	minute int64
 }
@@ -110,6 +112,16 @@
 	}
 }
 
+// WithEngine returns a copy of k for the slow requests that an engine served. The
+// other requests of the VM are counted without their engine, to keep the rows few.
+func (k Key) WithEngine(id string) Key {
+	k.engine = id
+	return k
+}
+
+// Engine returns the engine of slow requests, or "".
+func (k Key) Engine() string { return k.engine }
+
 // VM returns the name of the VM that counted the requests or, for LossRoute, of
 // the lost engine.
 func (k Key) VM() string { return k.vm }
@@ -146,6 +158,24 @@
 	segment segment
 }
 
+// group returns the group of the row.
+func (k Key) group() group {
+	return group{
+		service: k.service,
+		segment: segment{
+			route: k.route,
+			class: k.class,
+		},
+	}
+}
+
+// engineGroup is the part of a group that one engine of a version served.
+type engineGroup struct {
+	group   group
+	version string
+	engine  string
+}
+
 // EvidenceSet holds the evidence of all VMs. Rows are merged by the maximum of
 // each counter, which is commutative, associative and idempotent, so VMs may
 // exchange them in any order and repeatedly. It is owned by one goroutine.
@@ -153,6 +183,8 @@
 	rows map[Key]Counts
 	// totals sums the rows of all VMs by minute, group and version.
 	totals map[int64]map[group]map[string]*Counts
+	// slow sums the rows of slow requests by minute, group, version and engine.
+	slow map[int64]map[engineGroup]*Counts
 	// losses holds the minutes in which an engine was lost, by service and
 	// version. Losses in one minute count once, because the engines of a
 	// failure domain are lost together.
@@ -171,6 +203,7 @@
 	return &EvidenceSet{
 		rows:      make(map[Key]Counts),
 		totals:    make(map[int64]map[group]map[string]*Counts),
+		slow:      make(map[int64]map[engineGroup]*Counts),
 		losses:    make(map[string]map[string]map[int64]bool),
 		successes: make(map[[2]string]int64),
 		changed:   make(map[Key]struct{}),
@@ -192,6 +225,9 @@
 		return true
 	}
 	s.totalOf(k).add(old, next)
+	if k.engine != "" {
+		s.slowOf(k).add(old, next)
+	}
 	s.successes[[2]string{k.service, k.version}] += next.good() - old.good()
 	for _, e := range s.evaluators {
 		e.markChanged(k.service, k.minute)
@@ -199,6 +235,23 @@
 	return true
 }
 
+// slowOf returns the counters that sum the rows of all VMs with the key's minute,
+// group, version and engine.
+func (s *EvidenceSet) slowOf(k Key) *Counts {
+	if s.slow[k.minute] == nil {
+		s.slow[k.minute] = make(map[engineGroup]*Counts)
+	}
+	at := engineGroup{
+		group:   k.group(),
+		version: k.version,
+		engine:  k.engine,
+	}
+	if s.slow[k.minute][at] == nil {
+		s.slow[k.minute][at] = &Counts{}
+	}
+	return s.slow[k.minute][at]
+}
+
 // totalOf returns the counters that sum the rows of all VMs with the key's
 // minute, group and version.
 func (s *EvidenceSet) totalOf(k Key) *Counts {
@@ -207,13 +260,7 @@
 		groups = make(map[group]map[string]*Counts)
 		s.totals[k.minute] = groups
 	}
-	at := group{
-		service: k.service,
-		segment: segment{
-			route: k.route,
-			class: k.class,
-		},
-	}
+	at := k.group()
 	versions := groups[at]
 	if versions == nil {
 		versions = make(map[string]*Counts, 2)
@@ -281,6 +328,7 @@
 		cmp.Compare(a.version, b.version),
 		cmp.Compare(a.route, b.route),
 		cmp.Compare(a.class, b.class),
+		cmp.Compare(a.engine, b.engine),
 		cmp.Compare(a.vm, b.vm),
 		cmp.Compare(a.incarnation, b.incarnation),
 	)
@@ -298,6 +346,7 @@
 	for minute := range s.totals {
 		if minute < limit {
 			delete(s.totals, minute)
+			delete(s.slow, minute)
 		}
 	}
 	for _, versions := range s.losses {
@@ -337,6 +386,9 @@
 	return names
 }
 
+// Slow reports whether the request was slow.
+func (o Outcome) Slow() bool { return o.bad[SlowFirst] || o.bad[SlowGaps] }
+
 // ByLoss returns a copy of o for a request that the loss of an engine
 // interrupted. Such a request is not counted; the loss has a row of its own.
 func (o Outcome) ByLoss() Outcome {
--- a/internal/move/script_test.go
+++ b/internal/move/script_test.go
@@ -14,9 +14,10 @@
 // TestScripts guards against wrong decisions of the gate, the evaluator and the
 // controller, and against evidence that is merged wrongly. Commands:
 //
-//	plan trial=SHARE                starts a move of 20 minutes with an empty store
+//	plan trial=SHARE [for=T]        starts a move of 20 minutes with an empty store
 //	     [share=S slack=N]          and bounds the exposure, divided among 9 VMs
-//	rows                            merges "VM INC VERSION ROUTE MINUTE N ERR TRUNC FIRST GAPS"
+//	rows                            merges "VM INC VERSION ROUTE MINUTE N ERR TRUNC FIRST GAPS
+//	                                [ENGINE]"
 //	step at=T [lease=FENCE]         steps the controller and stores what it writes,
 //	     [engines=(FROM,TO)]        with TO of 20 engines that have the new version,
 //	     [store=down] [failed]      unless the store is down; failed is a peer's verdict
@@ -59,7 +60,15 @@
 	case "plan":
 		unprovenShare := 0.0
 		d.ScanArgs(t, "trial", &unprovenShare)
-		plan := world.NewMove("m", "v1", "v2", planStart, planStart.Add(20*time.Minute), unprovenShare)
+		length := "20m"
+		if d.HasArg("for") {
+			d.ScanArgs(t, "for", &length)
+		}
+		duration, err := time.ParseDuration(length)
+		if err != nil {
+			t.Fatal(err)
+		}
+		plan := world.NewMove("m", "v1", "v2", planStart, planStart.Add(duration), unprovenShare)
 		*s = script{set: NewEvidenceSet()}
 		s.controller = NewController("draft", plan, s.set)
 		if d.HasArg("slack") {
@@ -97,6 +106,9 @@
 			t.Fatalf("%s: %v", line, err)
 		}
 		k := NewKey(vm, inc, "draft", version, route, "batch", planStart.Add(time.Duration(minute)*time.Minute))
+		if f := strings.Fields(line); len(f) > 10 {
+			k = k.WithEngine(f[10])
+		}
 		if s.set.Merge(k, NewCounts(n, errors, truncated, first, gaps)) {
 			changed++
 		}
