proxy: Send each next attempt to the new version once the move is done

The cause: a status of completed is due before the deadline, even if streams still run at the old version. Its engines stop then, but stay listed for seconds, and a stream that had begun there was kept from the new version while one of them was left. Each stream tried up to ten engines that refused the connection. That used up the VM's budget of retries, and with it the attempts that the new version could have had.

Once a move is done, the next attempt of any request now goes to the new version, unless it resumes from a copy. The request counts as in flight at the old version until then.

--- a/internal/proxy/move.go
+++ b/internal/proxy/move.go
@@ -140,16 +140,22 @@
 
 // wantsNew reports whether the next attempt belongs at the new version. Until it
 // is proven, only the first one does: a version that is slow or fails would
-// otherwise get several attempts for each request.
+// otherwise get several attempts for each request. Once the move is done, every
+// one does, since the engines of the old version stop.
 func (x *exchange) wantsNew() bool {
-	return x.newVersion && (x.move.limits.Done() || !x.exposed && !x.move.banned)
+	return x.move.limits.Done() || x.newVersion && !x.exposed && !x.move.banned
 }
 
 // recordVersion counts an attempt that is sent to the upstream.
 func (x *exchange) recordVersion(u *pool.Upstream) {
 	s := x.move
 	switch {
-	case s == nil || s.limits.Done():
+	case s == nil:
+	case s.limits.Done():
+		if !x.newVersion && u.Entry().Version() == s.target && len(x.running()) == 1 {
+			x.leaveMove()
+			x.newVersion = true
+		}
 	case u.Entry().Version() == s.target:
 		if !x.reserved {
 			s.quota.Take()
