--- a/internal/proxy/move.go
+++ b/internal/proxy/move.go
@@ -27,6 +27,12 @@
 	route      string
 	newVersion bool
 	outcome    move.Outcome
+	// upstream is the id of the upstream that served the attempt.
+	upstream string
+	// latency is what the attempt is judged by, and typical the old version's
+	// typical latency, or 0 if that is unknown.
+	latency time.Duration
+	typical time.Duration
 }
 
 // Service returns the service's name.
@@ -41,6 +47,16 @@
 // Outcome returns the metrics that the attempt failed, if any.
 func (v VersionOutcome) Outcome() move.Outcome { return v.outcome }
 
+// Upstream returns the id of the upstream that served the attempt.
+func (v VersionOutcome) Upstream() string { return v.upstream }
+
+// Latency returns the attempt's time to the first piece of a stream or to the
+// whole answer of another request.
+func (v VersionOutcome) Latency() time.Duration { return v.latency }
+
+// Typical returns the old version's typical latency, or 0 if it is unknown.
+func (v VersionOutcome) Typical() time.Duration { return v.typical }
+
 // serviceMove is the gradual transfer of a service's traffic to another
 // version.
 type serviceMove struct {
@@ -49,8 +65,8 @@
 	limits move.Limits
 	// banned is true once the new version was found to be bad.
 	banned bool
-	// quota bounds the requests that were assigned to the new version before it
-	// was proven.
+	// quota bounds the attempts that are sent to the new version before it is
+	// proven.
 	quota *move.Quota
 	// oldInFlight counts the requests in flight that are assigned to the old
 	// version.
@@ -75,11 +91,23 @@
 			s.quota.Resume(e.taken)
 		}
 		c.moves[e.service] = s
+		c.joinMove(e.service, s)
 	}
 	s.limits, s.banned = e.limits, e.banned
 	s.gate.Set(e.limits)
 }
 
+// joinMove assigns the requests in flight that arrived before a move to the old
+// version. Their next attempts could reach the new version otherwise.
+func (c *Core) joinMove(service string, s *serviceMove) {
+	for _, x := range c.inFlight {
+		if x.need.Service() == service {
+			x.move, x.versionState = s, versionState{}
+			s.oldInFlight++
+		}
+	}
+}
+
 // assignVersion decides which version serves a request. Until the move is done,
 // the number of requests that the new version gets is limited by the exposure.
 func (c *Core) assignVersion(now time.Time, x *exchange) {
@@ -92,11 +120,64 @@
 	x.newVersion = s.gate.AdmitIf(now, s.limits.Done() || !s.banned && s.quota.Free(c.peers))
 	if x.newVersion {
 		s.quota.Take()
+		x.reserved = true
 	} else {
 		s.oldInFlight++
 	}
 }
 
+// versionState is how a request takes part in the move of its service.
+type versionState struct {
+	// newVersion is true if the request is assigned to the new version.
+	newVersion bool
+	// reserved is true if the quota has counted an attempt at the new version
+	// that was not sent yet.
+	reserved bool
+	// exposed is true once the request was sent to the new version before that
+	// was proven.
+	exposed bool
+}
+
+// wantsNew reports whether the next attempt belongs at the new version. Until it
+// is proven, only the first one does: a version that is slow or fails would
+// otherwise get several attempts for each request. Once the move is done, every
+// one does, since the engines of the old version stop.
+func (x *exchange) wantsNew() bool {
+	return x.move.limits.Done() || x.newVersion && !x.exposed && !x.move.banned
+}
+
+// recordVersion counts an attempt that is sent to the upstream.
+func (x *exchange) recordVersion(u *pool.Upstream) {
+	s := x.move
+	switch {
+	case s == nil:
+	case s.limits.Done():
+		if !x.newVersion && u.Entry().Version() == s.target && len(x.running()) == 1 {
+			x.leaveMove()
+			x.newVersion = true
+		}
+	case u.Entry().Version() == s.target:
+		if !x.reserved {
+			s.quota.Take()
+		}
+		x.reserved, x.exposed = false, true
+	case x.newVersion:
+		x.newVersion = false
+		s.oldInFlight++
+	}
+}
+
+// unproven reports whether the upstream runs a version that was not proven yet.
+func (x *exchange) unproven(u *pool.Upstream) bool {
+	return x.move != nil && !x.move.limits.Done() && u.Entry().Version() == x.move.target
+}
+
+// versionFull reports whether the upstream runs an unproven version that must
+// get no further attempts.
+func (c *Core) versionFull(x *exchange, u *pool.Upstream) bool {
+	return x.unproven(u) && (x.move.banned || !x.move.quota.Free(c.peers))
+}
+
 // leaveMove removes a request that ends from the count of the old version.
 func (x *exchange) leaveMove() {
 	if x.move != nil && !x.newVersion {
@@ -107,22 +188,37 @@
 // wrongVersion reports whether the upstream runs a version that the request
 // must not be sent to, because of a move or because its prompt is charged.
 func (x *exchange) wrongVersion(u *pool.Upstream) bool {
-	return x.fence.excludes(u) || x.move != nil && (u.Entry().Version() == x.move.target) != x.newVersion
+	return x.fence.excludes(u) || x.move != nil && (u.Entry().Version() == x.move.target) != x.wantsNew()
 }
 
 // excludes reports whether a new attempt must not go to the upstream, because
 // of its version or because the request was sent there before.
 func (x *exchange) excludes(u *pool.Upstream) bool { return x.wrongVersion(u) || x.tried(u) }
 
+// excludesHolder reports which upstreams must not hold a copy of a run: those of
+// another version, those that may not be sent the prompt, and those that the request
+// was sent to before.
+func (x *exchange) excludesHolder(of *pool.Upstream) func(*pool.Upstream) bool {
+	return func(u *pool.Upstream) bool {
+		if x.fence.excludes(u) || x.tried(u) {
+			return true
+		}
+		return x.move != nil && (u.Entry().Version() == x.move.target) != (of.Entry().Version() == x.move.target)
+	}
+}
+
 // fallBack reassigns a request to the old version if no upstream of the new
-// version can serve it, or to any version once the move is done. It reports
-// whether it changed the assignment.
+// version can serve it, or to any version once the move is done, since the old
+// version's upstreams stop then. It reports whether it changed the assignment.
 func (c *Core) fallBack(x *exchange) bool {
 	switch {
-	case x.move == nil || !x.newVersion:
+	case x.move == nil:
 		return false
 	case x.move.limits.Done():
+		x.leaveMove()
 		x.move = nil
+	case !x.newVersion:
+		return false
 	default:
 		x.newVersion = false
 		x.move.oldInFlight++
@@ -131,9 +227,11 @@
 }
 
 // reportOutcome reports how an attempt ended, which decides whether the move
-// goes on. bad lists the metrics that the attempt failed.
+// goes on. bad lists the metrics that the attempt failed. A resumed stream is
+// judged only if it failed.
 func (c *Core) reportOutcome(now time.Time, x *exchange, a *attempt, bad ...move.Metric) {
-	if x.move == nil {
+	if x.move == nil || x.position > 0 && len(bad) == 0 {
+		// The first piece of a resumed stream comes at once if its run has a copy.
 		return
 	}
 	latency := now.Sub(a.sent)
@@ -146,10 +244,11 @@
 	}
 	newVersion := a.upstream.Entry().Version() == x.move.target
 	if !newVersion && len(bad) == 0 {
-		if typical == 0 {
-			typical = latency
+		base := typical
+		if base == 0 {
+			base = latency
 		}
-		x.move.typical[x.route.Name()] = typical + time.Duration(typicalWeight*float64(latency-typical))
+		x.move.typical[x.route.Name()] = base + time.Duration(typicalWeight*float64(latency-base))
 	}
 	c.emit(x, Action{
 		kind: ReportOutcome,
@@ -158,10 +257,24 @@
 			route:      x.route.Name(),
 			newVersion: newVersion,
 			outcome:    move.NewOutcome(bad...),
+			upstream:   a.upstream.ID(),
+			latency:    latency,
+			typical:    typical,
 		},
 	})
 }
 
+// reportOvertaken reports the attempts that a, which was sent later, answers before.
+// They are cancelled, and a version whose hedges at the other one win would give no
+// answers to judge.
+func (c *Core) reportOvertaken(now time.Time, x *exchange, a *attempt) {
+	for _, other := range x.running() {
+		if other != a && x.position == 0 && other.sent.Before(a.sent) {
+			c.reportOutcome(now, x, other, move.SlowFirst)
+		}
+	}
+}
+
 // reportLost reports an attempt that ended without an answer. The loss of an
 // engine is not attributed to its version.
 func (c *Core) reportLost(now time.Time, x *exchange, a *attempt, cause Cause) {
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -78,6 +78,7 @@
 	x.possibleRuns++
 	if !answer.Failed() && !x.headSent {
 		c.reportOutcome(now, x, a)
+		c.reportOvertaken(now, x, a)
 		a.upstream.RecordSuccess(now)
 		c.finish(now, x, Action{
 			kind:   Deliver,
