pool, proxy, edge, platform: Act on an upstream's statement that it is leaving in any answer

A worker that leaves states Server-Leaving in every answer, and nothing read it: until the registry said so, and for as long as the store was down, the VM sent it requests that it no longer wanted (DRAIN).

Cause: only the registry and the body of a state query were sources of leaving. A second fault beside it: an upstream that the registry removed and listed again was a new one to the pool and lost the mark.

Change: the head of each answer, informational ones included, is decoded at one place (platform/statement.go) for all six kinds of message, and reaches the dispatcher as an event of its own before the answer's body is read, also if the attempt was cancelled meanwhile. The pool marks the incarnation that made the statement for good, and remembers it beyond its removal. First sends, repeats, hedges, resumes, copies and placements under way already skip upstreams that are leaving; a resume that follows a copy to another incarnation now does so too. An attempt that waits for a connection is not sent if its upstream has made the statement meanwhile, and is repeated elsewhere. Streams under way go on. The flag on Lost events, which nothing set, is gone. A spoiled field is ignored with one log line.

Evidence: pool/testdata/leaving, proxy/testdata/leaving and platform/testdata/wire/ leaving fail while Pool.Hear ignores the statement; each also fails without its own part (the record of removed incarnations, the incarnation of a health check, the check of a followed copy); platform/testdata/statements fails without the hook of the dialer and without the gate. pool/testdata/plain has one more line, the report of an upstream that the registry lists as leaving.

--- a/internal/edge/dispatcher.go
+++ b/internal/edge/dispatcher.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/blame"
+	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/proxy"
 	"clementinelink.example/clementinelink/internal/ring"
 	"clementinelink.example/clementinelink/internal/table"
@@ -243,7 +244,7 @@
 		r.sends++
 		attempt, stop := context.WithDeadline(ctx, a.Deadline())
 		r.cancels[a.Attempt()] = stop
-		go d.upstreams.Send(attempt, d.attemptSpec(a, r), func(e proxy.Event) { d.notify(attempt, e) })
+		go d.upstreams.Send(attempt, d.attemptSpec(ctx, a, r), func(e proxy.Event) { d.notify(attempt, e) })
 		return true
 	case proxy.Cancel:
 		d.cancelAttempt(r, a.Attempt())
@@ -263,7 +264,7 @@
 }
 
 // attemptSpec returns the description of an attempt and counts the copies used.
-func (d *Dispatcher) attemptSpec(a proxy.Action, r *request) AttemptSpec {
+func (d *Dispatcher) attemptSpec(ctx context.Context, a proxy.Action, r *request) AttemptSpec {
 	o := AttemptSpec{
 		Number:    a.Number(),
 		Attempt:   a.Attempt(),
@@ -277,7 +278,9 @@
 		Deadline:  a.Deadline(),
 		Rank:      a.Rank(),
 		Workspace: a.Workspace(),
+		Contact:   d.contact(ctx, a, a.Instance()),
 	}
+	o.Contact.Gate = a.Gate()
 	if a.Copied() {
 		r.copies++
 		o.Source, o.Handle = a.Source()
@@ -288,6 +291,20 @@
 	return o
 }
 
+// contact returns the contact for the message of an action that the given
+// incarnation is expected to answer. What it states counts also after the message
+// was cancelled.
+func (d *Dispatcher) contact(ctx context.Context, a proxy.Action, instance string) Contact {
+	u, cause := a.Upstream(), "answer to "+a.Kind().String()
+	if a.Kind() == proxy.QueryID {
+		// The query is for the incarnation that has replaced the upstream.
+		u = nil
+	}
+	return Contact{
+		Heard: func(s pool.Statement) { d.notify(ctx, proxy.NewHeard(u, instance, s, cause)) },
+	}
+}
+
 func (d *Dispatcher) cancelAttempt(r *request, attempt int) {
 	if stop := r.cancels[attempt]; stop != nil {
 		stop()
--- a/internal/edge/eventlog.go
+++ b/internal/edge/eventlog.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/meter"
+	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/proxy"
 	"clementinelink.example/clementinelink/internal/reap"
 	"github.com/rs/zerolog"
@@ -71,6 +72,18 @@
 	}
 }
 
+// logChange logs a change of an upstream's state. age is the time in the earlier
+// state, in milliseconds.
+func (j *eventLog) logChange(c pool.Change) {
+	j.log.Info().Str("upstream", c.Upstream()).Str("state", c.State()).Str("cause", c.Cause()).
+		Int64("age", c.Age().Milliseconds()).Msg("pool: An upstream changed its state.")
+}
+
+// logInvalid logs a header field of an upstream that was ignored.
+func (j *eventLog) logInvalid(upstream string, f pool.InvalidField) {
+	j.log.Warn().Str("upstream", upstream).Str("field", f.Name()).Str("value", f.Value()).Msg("pool: A header field is ignored.")
+}
+
 // logCopyFailure logs that a run could not be copied.
 func (j *eventLog) logCopyFailure(id, holder string, err error) {
 	j.log.Info().Str("request", id).Str("address", holder).Err(err).Msg("proxy: Copying the run failed.")
--- a/internal/edge/message.go
+++ b/internal/edge/message.go
@@ -82,6 +82,18 @@
 	Rank int
 	// Workspace is the name of the caller's workspace, or "".
 	Workspace string
+	Contact   Contact
+}
+
+// Contact connects a message that a goroutine sends to the state of its upstream,
+// which the dispatcher owns. Its fields are exported for construction only.
+type Contact struct {
+	// Gate tells whether the message may still be sent once there is a connection.
+	// It may be nil.
+	Gate *pool.Gate
+	// Heard receives what the head of each answer states about the upstream,
+	// whatever the answer's status. It may block for a short time.
+	Heard func(pool.Statement)
 }
 
 // ErrMalformedAnswer means that an upstream's answer could not be decoded. The
@@ -93,20 +105,21 @@
 type Upstreams struct {
 	// Send performs an attempt and reports its progress through emit: Head and
 	// Piece events for a stream, and finally one Finish, Reply or Lost event.
-	// It emits nothing further once ctx has ended.
+	// It emits nothing further once ctx has ended. The other functions, too, pass
+	// what any answer states about the upstream to Contact.Heard.
 	Send func(ctx context.Context, o AttemptSpec, emit func(proxy.Event))
 	// Copy requests that the engine at address copy the run of the request id
 	// to the engine at holder. It returns the handle of the copy.
-	Copy func(ctx context.Context, address, id, holder string) (string, error)
+	Copy func(ctx context.Context, address, id, holder string, c Contact) (string, error)
 	// State queries the state of the engine at address. The error is
 	// ErrMalformedAnswer if the answer can't be decoded.
-	State func(ctx context.Context, address string) (pool.State, error)
+	State func(ctx context.Context, address string, c Contact) (pool.State, error)
 	// StopRun orders an engine to stop a run, over a connection of its own.
-	StopRun func(ctx context.Context, r reap.Run) (reap.Outcome, error)
+	StopRun func(ctx context.Context, r reap.Run, c Contact) (reap.Outcome, error)
 	// InstanceID returns the id of the incarnation that answers at address, taken
 	// from a request to the health check path.
-	InstanceID func(ctx context.Context, address, path string) (string, error)
+	InstanceID func(ctx context.Context, address, path string, c Contact) (string, error)
 	// CachedTokens returns the number of tokens of a prompt that the engine at
 	// address has in its cache.
-	CachedTokens func(ctx context.Context, address, prompt string) (int, error)
+	CachedTokens func(ctx context.Context, address, prompt string, c Contact) (int, error)
 }
--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -125,7 +125,9 @@
 func New(s Settings, c *store.Client, sources Sources, u Upstreams, log zerolog.Logger) *VM {
 	m := meter.New("clementinelink")
 	m.WatchProcess()
-	core := proxy.New(pool.New(s.Region, s.Domain, s.Seed), s.Budget, s.Seed).WithExposure(s.Exposure)
+	j := newEventLog(log, m)
+	upstreams := pool.New(s.Region, s.Domain, s.Seed).WithObserver(j.logChange, j.logInvalid)
+	core := proxy.New(upstreams, s.Budget, s.Seed).WithExposure(s.Exposure)
 	v := &VM{
 		settings:   s,
 		store:      c,
@@ -134,7 +136,7 @@
 		metrics:    m,
 		peers:      make(map[string]enrolment),
 		feed:       feed.NewLog(),
-		dispatcher: newDispatcher(core, u, newEventLog(log, m)),
+		dispatcher: newDispatcher(core, u, j),
 	}
 	c.WithObserver(func(verb, result string) {
 		m.Counter("store_calls_total", "Calls of the store.", "verb", verb, "result", result).Inc()
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -25,6 +25,10 @@
 	keepAliveProbes   = 2
 )
 
+// ErrBarred means that Hooks.Connected ended the request before any byte of it was
+// written.
+var ErrBarred = errors.New("once: request barred")
+
 // ErrNotSent marks a failure before any byte of the request was written, so that
 // the upstream can't have run it.
 var ErrNotSent = errors.New("once: request not sent")
@@ -64,6 +68,16 @@
 	return d
 }
 
+// Hooks observes the course of a request and may end it. Fields may be nil.
+type Hooks struct {
+	// Connected is called before the first byte is written. If it returns false,
+	// the request is not sent, and the error is ErrBarred.
+	Connected func() bool
+	// Head is called with the status and header of each response as it arrives,
+	// which includes informational ones.
+	Head func(status int, header http.Header)
+}
+
 // Answer is a response and the connection from which its body is read. It must
 // be closed.
 type Answer struct {
@@ -86,6 +100,11 @@
 // response body is read. If the error is ErrNotSent, no byte of the request was
 // written. If it is bound.ErrTooLarge, the response has too long a head.
 func (d *Dialer) Do(ctx context.Context, address string, req *http.Request, body []byte) (*Answer, error) {
+	return d.DoHooked(ctx, address, req, body, Hooks{})
+}
+
+// DoHooked is like Do and calls the functions in h.
+func (d *Dialer) DoHooked(ctx context.Context, address string, req *http.Request, body []byte, h Hooks) (*Answer, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, d.dialTimeout)
 	conn, err := d.dial(dialCtx, "tcp", address)
 	cancel()
@@ -96,8 +115,12 @@
 		_ = conn.Close()
 		return nil, errors.Mark(errors.Wrap(err, "once"), ErrNotSent)
 	}
+	if h.Connected != nil && !h.Connected() {
+		_ = conn.Close()
+		return nil, ErrBarred
+	}
 	unwatch := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	resp, err := exchange(conn, req, body, d.maxHead)
+	resp, err := exchange(conn, req, body, d.maxHead, h)
 	if err != nil {
 		unwatch()
 		_ = conn.Close()
@@ -111,7 +134,7 @@
 }
 
 // exchange writes the request to conn and reads the header of the response.
-func exchange(conn net.Conn, req *http.Request, body []byte, maxHead int64) (*http.Response, error) {
+func exchange(conn net.Conn, req *http.Request, body []byte, maxHead int64, h Hooks) (*http.Response, error) {
 	setBody(req, body)
 	if len(body) > maxBlockingWrite {
 		go func() {
@@ -131,6 +154,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "once: read")
 		}
+		if h.Head != nil {
+			h.Head(resp.StatusCode, resp.Header)
+		}
 		if !informational(resp.StatusCode) {
 			limited.Unlimit()
 			return resp, nil
--- a/internal/pool/bench_test.go
+++ b/internal/pool/bench_test.go
@@ -10,15 +10,15 @@
 // the dispatcher runs once per second.
 func BenchmarkCountByState(b *testing.B) {
 	p := New("r", "a", 1)
+	now := time.Unix(1_700_000_000, 0)
 	for i := range 3000 {
-		p.Upsert(NewEntry(EntrySpec{
+		p.Upsert(now, NewEntry(EntrySpec{
 			ID:      fmt.Sprintf("u%d", i),
 			Service: "llm",
 			Domain:  "a",
 			Address: fmt.Sprintf("h%d", i),
 		}))
 	}
-	now := time.Unix(1_700_000_000, 0)
 	for b.Loop() {
 		p.CountByState(now)
 	}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -34,8 +34,15 @@
 	byAddress map[string]*Upstream
 	// failures holds the recent failures of each failure domain.
 	failures map[string]*domainFailures
+	// departures holds the incarnations that are leaving by id, also after their
+	// removal, so that they stay so if they are listed again.
+	departures map[string]departure
 	// random returns a number in [0, 1).
 	random func() float64
+	// changed and ignored are called with each change of an upstream's state and
+	// each invalid field of an upstream.
+	changed func(Change)
+	ignored func(id string, f InvalidField)
 }
 
 // domainFailures holds the recent failures in one failure domain.
@@ -55,8 +62,11 @@
 		byService: make(map[string][]*Upstream),
 		failures:  make(map[string]*domainFailures),
 
-		byAddress: make(map[string]*Upstream),
-		random:    rand.New(rand.NewPCG(seed, 0)).Float64,
+		byAddress:  make(map[string]*Upstream),
+		departures: make(map[string]departure),
+		random:     rand.New(rand.NewPCG(seed, 0)).Float64,
+		changed:    func(Change) {},
+		ignored:    func(string, InvalidField) {},
 	}
 }
 
@@ -72,16 +82,17 @@
 
 // Upsert adds or updates the upstream of a registry entry. An incarnation that
 // is leaving stays so whatever the entry says.
-func (p *Pool) Upsert(e Entry) *Upstream {
+func (p *Pool) Upsert(now time.Time, e Entry) *Upstream {
 	u := p.byID[e.ID()]
-	restarted := u != nil && u.entry.spec.StartedAt != 0 && e.spec.StartedAt != 0 && u.entry.spec.StartedAt != e.spec.StartedAt
-	if u != nil && (restarted || u.entry.spec.Service != e.spec.Service || u.entry.spec.Address != e.spec.Address) {
+	if u != nil && (p.restarted(u, e) || u.entry.spec.Service != e.spec.Service || u.entry.spec.Address != e.spec.Address) {
 		p.Remove(e.ID())
 		u = nil
 	}
 	if u == nil {
 		u = &Upstream{
 			entry: e,
+			since: now,
+			gate:  new(Gate),
 		}
 		p.byID[e.ID()] = u
 		if old := p.byAddress[e.Address()]; old != nil && old.entry.Service() == e.Service() {
@@ -94,10 +105,25 @@
 	}
 	u.entry = e
 	u.provisionalUntil = time.Time{}
-	u.leaving = u.leaving || e.Leaving()
+	switch {
+	case e.Leaving():
+		p.MarkLeaving(now, u, causeRegistry)
+	case p.departed(e):
+		p.MarkLeaving(now, u, causeListedAgain)
+	}
 	return u
 }
 
+// restarted reports whether the entry is that of another incarnation than u, which
+// has the same id.
+func (p *Pool) restarted(u *Upstream, e Entry) bool {
+	if u.entry.StartedAt() == 0 || e.StartedAt() == 0 {
+		d, ok := p.departures[e.ID()]
+		return u.leaving && ok && !d.matches(e)
+	}
+	return u.entry.StartedAt() != e.StartedAt()
+}
+
 // AddProvisional adds an incarnation that reported the state s at the address
 // of old and that the registry does not list yet. It gets no work after
 // provisionalTimeout unless the registry lists it.
@@ -106,9 +132,9 @@
 	if p.byID[id] != nil && id != old.ID() {
 		return
 	}
-	u := p.Upsert(old.entry.withIncarnation(id, s.spec.StartedAt))
+	u := p.Upsert(now, old.entry.withIncarnation(id, s.spec.StartedAt))
 	u.provisionalUntil = now.Add(provisionalTimeout)
-	u.UpdateState(now, s)
+	p.UpdateState(now, u, s)
 }
 
 // Remove removes an upstream that the registry no longer lists. Attempts in
@@ -125,20 +151,23 @@
 	return u
 }
 
+// stateLeaving is the state of an upstream that accepts no new work.
+const stateLeaving = "leaving"
+
 // CountByState returns the number of listed upstreams by state: "usable",
 // "resting" while backing off after a failure, "suspect" because its failure
 // domain has failed, or "leaving".
 func (p *Pool) CountByState(now time.Time) map[string]int {
 	count := map[string]int{
-		"usable":  0,
-		"resting": 0,
-		"suspect": 0,
-		"leaving": 0,
+		"usable":     0,
+		"resting":    0,
+		"suspect":    0,
+		stateLeaving: 0,
 	}
 	for _, u := range p.byID {
 		switch {
 		case !u.Usable():
-			count["leaving"]++
+			count[stateLeaving]++
 		case u.BackingOff(now):
 			count["resting"]++
 		case p.Suspect(now, u):
--- a/internal/pool/script_test.go
+++ b/internal/pool/script_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -15,7 +17,12 @@
 // Times are in milliseconds.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		p := New("r1", "a", 1)
+		var reports strings.Builder
+		p := New("r1", "a", 1).WithObserver(func(c Change) {
+			fmt.Fprintf(&reports, "%s is %s: %s, after %d ms\n", c.Upstream(), c.State(), c.Cause(), c.Age().Milliseconds())
+		}, func(id string, f InvalidField) {
+			fmt.Fprintf(&reports, "%s: %s=%q is ignored\n", id, f.Name(), f.Value())
+		})
 		p.random = func() float64 { return 0 }
 		base := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 		now := base
@@ -23,7 +30,9 @@
 			if d.HasArg("at") {
 				now = base.Add(time.Duration(number(t, d, "at")) * time.Millisecond)
 			}
-			return runCommand(t, p, now, d)
+			reports.Reset()
+			result := runCommand(t, p, now, d)
+			return reports.String() + result
 		})
 	})
 }
@@ -42,14 +51,16 @@
 			if f[2] == "c" {
 				region = "r2"
 			}
-			p.Upsert(NewEntry(EntrySpec{
+			p.Upsert(now, NewEntry(EntrySpec{
 				ID:      f[0],
 				Service: "s",
 				Address: f[1],
 				Domain:  f[2],
 				Region:  region,
 				Slots:   6,
-				Leaving: len(f) > 3,
+				Leaving: slices.Contains(f, "leaving"),
+
+				StartedAt: startedAt(now, f),
 			}))
 		}
 	case "remove":
@@ -65,7 +76,7 @@
 	case "fault":
 		u.RecordFault(now)
 	case "state":
-		u.UpdateState(now, NewState(StateSpec{
+		p.UpdateState(now, u, NewState(StateSpec{
 			Running:    number(t, d, "running"),
 			Prefilling: number(t, d, "prefilling"),
 			Used:       number(t, d, "used"),
@@ -75,6 +86,10 @@
 		as := ""
 		d.ScanArgs(t, "as", &as)
 		p.AddProvisional(now, u, as, NewState(StateSpec{}))
+	case "hear":
+		hear(t, p, now, u, d)
+	case "departed":
+		return fmt.Sprintln(p.Departed(id))
 	case "latest":
 		return u.Latest().ID() + "\n"
 	case "pick":
@@ -85,6 +100,40 @@
 	return ""
 }
 
+// startedAt returns now minus N milliseconds for the field "age=N", or 0 if there
+// is none.
+func startedAt(now time.Time, f []string) int64 {
+	for _, word := range f {
+		if text, ok := strings.CutPrefix(word, "age="); ok {
+			n, _ := strconv.ParseInt(text, 10, 64)
+			return now.UnixMilli() - n
+		}
+	}
+	return 0
+}
+
+// hear applies a statement. The upstream is not known with the argument unsent.
+func hear(t *testing.T, p *Pool, now time.Time, u *Upstream, d *datadriven.TestData) {
+	text := func(key string) string {
+		value := ""
+		if d.HasArg(key) {
+			d.ScanArgs(t, key, &value)
+		}
+		return value
+	}
+	s := NewStatement(text("by"))
+	if d.HasArg("leaving") {
+		s = s.WithLeaving()
+	}
+	if d.HasArg("invalid") {
+		s = s.WithInvalid("field", text("invalid"))
+	}
+	if d.HasArg("unsent") {
+		u = nil
+	}
+	p.Hear(now, u, text("id"), s, "answer")
+}
+
 func pick(t *testing.T, p *Pool, now time.Time, d *datadriven.TestData) string {
 	n := NewNeed("s")
 	if d.HasArg("tokens") {
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -58,11 +58,13 @@
 	return s.spec.StartedAt != 0 && u.entry.spec.StartedAt != 0 && s.spec.StartedAt != u.entry.spec.StartedAt
 }
 
-// UpdateState applies the state that the engine reported.
-func (u *Upstream) UpdateState(now time.Time, s State) {
+// UpdateState applies the state that an engine reported.
+func (p *Pool) UpdateState(now time.Time, u *Upstream, s State) {
 	u.lastActivity = now
 	u.state, u.stateAt = s, now
-	u.leaving = u.leaving || s.spec.Leaving
+	if s.spec.Leaving {
+		p.MarkLeaving(now, u, causeState)
+	}
 }
 
 // HasFreshState reports whether the engine's latest state is recent enough to
--- a/internal/pool/upstream.go
+++ b/internal/pool/upstream.go
@@ -41,6 +41,12 @@
 	// leaving is true once the upstream or the registry reported so. It is
 	// never reset.
 	leaving bool
+	// since is when the upstream was added to the pool.
+	since time.Time
+	// gate tells other goroutines what leaving says. It is never nil.
+	gate *Gate
+	// lastInvalid is the latest invalid field of an answer that was reported.
+	lastInvalid InvalidField
 
 	// attempts counts this VM's attempts in flight.
 	attempts int
@@ -166,8 +172,8 @@
 // BackingOff reports whether the upstream is only a last resort at present.
 func (u *Upstream) BackingOff(now time.Time) bool { return now.Before(u.backoffUntil) }
 
-// MarkLeaving records that the upstream accepts no new work.
-func (u *Upstream) MarkLeaving() { u.leaving = true }
+// Gate returns the gate for messages to the upstream that wait for a connection.
+func (u *Upstream) Gate() *Gate { return u.gate }
 
 // MarkReplaced records that another incarnation answers at the upstream's
 // address.
--- a/internal/proxy/action.go
+++ b/internal/proxy/action.go
@@ -123,6 +123,15 @@
 // or the id that QueryState inquires about.
 func (a Action) Instance() string { return a.instance }
 
+// Gate returns the gate for the message of Send, which may be nil.
+func (a Action) Gate() *pool.Gate {
+	if a.instance != a.upstream.ID() {
+		// The gate is that of another incarnation at the same address.
+		return nil
+	}
+	return a.upstream.Gate()
+}
+
 // Holder returns the upstream that must receive a copy of the run of Send or
 // Copy, or nil.
 func (a Action) Holder() *pool.Upstream { return a.holder }
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -172,6 +172,8 @@
 		c.promptReported(now, e)
 	case StopReported:
 		c.cancelled.Answer(now, e.stop, e.stopOutcome)
+	case Heard:
+		c.pool.Hear(now, e.recipient, e.instance, e.statement, e.detail)
 	case Configure:
 		if c.table == nil || e.table.Version() > c.table.Version() {
 			c.table = e.table
@@ -182,7 +184,7 @@
 			c.pool.Remove(id)
 		}
 		for _, l := range e.listed {
-			c.pool.Upsert(l)
+			c.pool.Upsert(now, l)
 		}
 		c.admitPending(now)
 	case MoveLimits:
@@ -385,9 +387,6 @@
 	case Reply:
 		c.handleReply(now, x, a, e.answer)
 	case Lost:
-		if e.leaving {
-			a.upstream.MarkLeaving()
-		}
 		c.attemptLost(now, x, a, e)
 	}
 	c.resetAlarm(x)
--- a/internal/proxy/event.go
+++ b/internal/proxy/event.go
@@ -22,6 +22,9 @@
 	// Misdirected means that another incarnation received the request and did
 	// not run it.
 	Misdirected
+	// Withheld means that no byte of the request was sent, because the upstream
+	// had stated meanwhile that it accepts no new work.
+	Withheld
 	// Broken means that the connection ended before the answer was complete.
 	Broken
 	// Garbled means that the answer violates the protocol.
@@ -38,7 +41,7 @@
 
 // String returns the cause's name for logs and reasons.
 func (c Cause) String() string {
-	return [...]string{"unsent", "not-run", "moved", "broken", "garbled", "oversized", "silent", "stalled"}[c]
+	return [...]string{"unsent", "not-run", "moved", "withheld", "broken", "garbled", "oversized", "silent", "stalled"}[c]
 }
 
 // mayHaveRun reports whether the upstream may have run the request.
@@ -78,6 +81,8 @@
 	PromptReported
 	// StopReported is the result of a StopRun action.
 	StopReported
+	// Heard is what an upstream stated about itself in the head of any answer.
+	Heard
 	// Configure is a new routing table.
 	Configure
 	// Members is a change of the upstreams in the registry.
@@ -95,7 +100,7 @@
 // String returns the kind's name for traces.
 func (k EventKind) String() string {
 	return [...]string{
-		"tick", "arrive", "caller-left", "head", "piece", "copied", "finish", "reply", "lost", "state-reported", "id-reported", "prompt-reported", "stop-reported", "configure", "members", "move", "peers", "charges", "drain",
+		"tick", "arrive", "caller-left", "head", "piece", "copied", "finish", "reply", "lost", "state-reported", "id-reported", "prompt-reported", "stop-reported", "heard", "configure", "members", "move", "peers", "charges", "drain",
 	}[k]
 }
 
@@ -140,9 +145,11 @@
 	// stop and stopOutcome are set for StopReported.
 	stop        reap.Order
 	stopOutcome reap.Outcome
-	// leaving is true if the upstream states that it accepts no new work.
-	leaving bool
-	charges []blame.Charge
+	// recipient and statement are set for Heard, with the expected incarnation in
+	// instance.
+	recipient *pool.Upstream
+	statement pool.Statement
+	charges   []blame.Charge
 }
 
 // Load is the number of requests that an upstream reports. The zero value means
@@ -179,7 +186,7 @@
 func (e Event) Cause() Cause { return e.cause }
 
 // Detail returns the error text of Lost and of a StateReported without an
-// answer, for logs.
+// answer, and the cause of Heard, for logs.
 func (e Event) Detail() string { return e.detail }
 
 // Responded reports whether the engine of StateReported answered the query.
@@ -297,13 +304,6 @@
 	return e
 }
 
-// Leaving returns a copy of e, a Lost event, that also states that the upstream
-// accepts no new work.
-func (e Event) Leaving() Event {
-	e.leaving = true
-	return e
-}
-
 // NewStateReported returns the event of the state that an engine reported.
 // upstream and instance are those of the QueryState action.
 func NewStateReported(upstream, instance string, s pool.State) Event {
@@ -357,6 +357,20 @@
 	}
 }
 
+// NewHeard returns the event of a statement that arrived in the head of an answer.
+// recipient is the upstream that was sent the message, or nil if it is not known,
+// instance is the id of the incarnation that was expected to answer, and cause
+// describes the message.
+func NewHeard(recipient *pool.Upstream, instance string, s pool.Statement, cause string) Event {
+	return Event{
+		kind:      Heard,
+		recipient: recipient,
+		instance:  instance,
+		statement: s,
+		detail:    cause,
+	}
+}
+
 // NewConfigure returns the event of a new routing table. The core ignores a
 // table that is not newer than its own.
 func NewConfigure(t *table.Table) Event {
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -75,7 +75,7 @@
 	case e.responded && u != nil && u.FromOtherIncarnation(e.state):
 		c.queryID(u, e.state)
 	case e.responded && u != nil:
-		u.UpdateState(now, e.state)
+		c.pool.UpdateState(now, u, e.state)
 	case !e.responded:
 		if u != nil {
 			c.upstreamUnreachable(now, u)
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -117,6 +117,8 @@
 			Models:     []string{s.text(d, "model", "m")},
 			StartedAt:  int64(s.number(d, "started", 0)),
 		})))
+	case "heard":
+		return s.step(s.heard(d))
 	case "drain":
 		return s.step(NewDrain(s.base.Add(time.Duration(s.number(d, "until", 0)) * time.Millisecond)))
 	case "tick":
@@ -184,6 +186,16 @@
 	return b.String()
 }
 
+// heard returns the event of a statement of an upstream.
+func (s *script) heard(d *datadriven.TestData) Event {
+	id := s.text(d, "id", "")
+	st := pool.NewStatement(s.text(d, "by", ""))
+	if d.HasArg("leaving") {
+		st = st.WithLeaving()
+	}
+	return NewHeard(s.core.Pool().Get(id), id, st, "answer")
+}
+
 // table builds a routing table from lines "route NAME KIND SERVICE [OPTION]",
 // "engine SERVICE MEMORY" and "workspace NAME KEY".
 func (s *script) table(d *datadriven.TestData) *table.Table {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -293,7 +293,7 @@
 func (c *Core) resumeFrom(now time.Time, x *exchange, a *attempt, e Event) *Action {
 	o := &a.onDemandCopy
 	switch {
-	case a.copied && e.cause == Misdirected && e.instance != "" && !x.copyFollowed:
+	case a.copied && e.cause == Misdirected && e.instance != "" && !x.copyFollowed && !c.pool.Departed(e.instance):
 		// The copy was placed by address, so the incarnation that now has the
 		// address may hold it. An engine without the copy refuses to run.
 		x.copyFollowed = true
