pool, proxy, edge, platform: Let an upstream rest that answers 503 with Retry-After

A worker that turns a request away with 503 and Retry-After wants nothing from this VM for that time; the VM ignored the field, backed off for its own time and used the worker as a last resort at once (BUDGET).

Cause: Retry-After of upstreams was not read, and backoff only ranks upstreams.

Change: a rest is part of the statement in the head of an answer, of any kind of message. An upstream that rests gets no attempt until the end of the rest, prolonged at random so that VMs do not return together, and is no candidate, holder or source of a copy. Two messages about runs under way are left for a rest: queries of silent engines and orders to stop runs, which are put off beyond that. An attempt that waits for a connection is not sent 400 ms after the answer. If all upstreams of a service rest, a request waits for the first that returns if the route's goal then still fits before its deadline, and is sent some random time after that; otherwise it is answered 503 at once with the time to the first return, which differs between callers. What waits is reconsidered with each statement and change of the registry. What a 503 without X-Not-Run means for bookings is unchanged. The metric upstreams{state="resting"} now counts rests; upstreams that back off after a failure have the state backing-off.

Evidence: pool/testdata/resting, proxy/testdata/resting and platform/testdata/wire/ resting fail while the pool ignores rests, and the first two also without each of 12 parts of the change, taken out one at a time. The simulated worker counts what reaches it in a rest. platform/testdata/retryafter and statements/resting are new with the decoder. platform/testdata/wire/metrics has one more line, the state backing-off; pool/testdata/leaving reports a statement of an unknown incarnation when it arrives in place of when the incarnation is listed.

--- a/cmd/clementinedge/main.go
+++ b/cmd/clementinedge/main.go
@@ -24,6 +24,9 @@
 // minBound is the smallest limit in bytes on what a worker sends.
 const minBound = 4 << 10
 
+// minMaxRest is the smallest limit on the rest that a worker asks for.
+const minMaxRest = time.Second
+
 // The exit codes.
 const (
 	exitOK     = 0
@@ -32,15 +35,16 @@
 )
 
 type options struct {
-	Config    string `long:"config" env:"CLEMENTINELINK_CONFIG" required:"true" description:"path of the platform's settings file"`
-	Metrics   int    `long:"metrics" env:"CLEMENTINE_METRICS" default:"9464" description:"port for metrics; 0 serves them only beside the readiness check"`
-	Level     string `long:"level" env:"CLEMENTINE_LEVEL" default:"info" description:"least severe log level: debug, info, warn or error"`
-	Collect   int    `long:"collect" env:"CLEMENTINE_COLLECT" default:"25" description:"growth of the heap in percent after which garbage is collected"`
-	MaxHead   int64  `long:"max-head" env:"CLEMENTINE_MAX_HEAD" default:"65536" description:"largest head of a worker's answer in bytes"`
-	MaxAnswer int64  `long:"max-answer" env:"CLEMENTINE_MAX_ANSWER" default:"8388608" description:"largest worker's answer in bytes that is not a stream"`
-	MaxEvent  int64  `long:"max-event" env:"CLEMENTINE_MAX_EVENT" default:"262144" description:"largest event of a worker's stream in bytes"`
-	MaxHeld   int64  `long:"max-held" env:"CLEMENTINE_MAX_HELD" default:"33554432" description:"bytes that all incomplete answers of workers may take together"`
-	Version   bool   `long:"version" description:"print the version and exit"`
+	Config    string        `long:"config" env:"CLEMENTINELINK_CONFIG" required:"true" description:"path of the platform's settings file"`
+	Metrics   int           `long:"metrics" env:"CLEMENTINE_METRICS" default:"9464" description:"port for metrics; 0 serves them only beside the readiness check"`
+	Level     string        `long:"level" env:"CLEMENTINE_LEVEL" default:"info" description:"least severe log level: debug, info, warn or error"`
+	Collect   int           `long:"collect" env:"CLEMENTINE_COLLECT" default:"25" description:"growth of the heap in percent after which garbage is collected"`
+	MaxHead   int64         `long:"max-head" env:"CLEMENTINE_MAX_HEAD" default:"65536" description:"largest head of a worker's answer in bytes"`
+	MaxAnswer int64         `long:"max-answer" env:"CLEMENTINE_MAX_ANSWER" default:"8388608" description:"largest worker's answer in bytes that is not a stream"`
+	MaxEvent  int64         `long:"max-event" env:"CLEMENTINE_MAX_EVENT" default:"262144" description:"largest event of a worker's stream in bytes"`
+	MaxHeld   int64         `long:"max-held" env:"CLEMENTINE_MAX_HELD" default:"33554432" description:"bytes that all incomplete answers of workers may take together"`
+	MaxRest   time.Duration `long:"max-rest" env:"CLEMENTINE_MAX_REST" default:"10m" description:"longest rest that a worker may ask for with Retry-After"`
+	Version   bool          `long:"version" description:"print the version and exit"`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -79,6 +83,9 @@
 			return usageError(fmt.Errorf("--%s: %d is less than %d bytes", name, n, minBound))
 		}
 	}
+	if o.MaxRest < minMaxRest {
+		return usageError(fmt.Errorf("--max-rest: %s is less than %s", o.MaxRest, minMaxRest))
+	}
 	// The platform charges twenty times as much for the peak of memory as for
 	// the processor time that the collection takes.
 	debug.SetGCPercent(o.Collect)
@@ -106,6 +113,7 @@
 		Answer: o.MaxAnswer,
 		Event:  o.MaxEvent,
 		Held:   o.MaxHeld,
+		Rest:   o.MaxRest,
 	}
 	vm := platform.NewVM(s, metrics, bounds, log.Logger)
 	log.RegisterMetrics(vm.Metrics())
--- a/internal/edge/eventlog.go
+++ b/internal/edge/eventlog.go
@@ -73,10 +73,10 @@
 }
 
 // logChange logs a change of an upstream's state. age is the time in the earlier
-// state, in milliseconds.
+// state and rest that to the end of a rest, both in milliseconds.
 func (j *eventLog) logChange(c pool.Change) {
 	j.log.Info().Str("upstream", c.Upstream()).Str("state", c.State()).Str("cause", c.Cause()).
-		Int64("age", c.Age().Milliseconds()).Msg("pool: An upstream changed its state.")
+		Int64("age", c.Age().Milliseconds()).Int64("rest", c.Rest().Milliseconds()).Msg("pool: An upstream changed its state.")
 }
 
 // logInvalid logs a header field of an upstream that was ignored.
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -124,10 +124,10 @@
 	return best
 }
 
-// eligible reports whether the upstream may be sent new work: it is usable, and
-// its provisional listing has not expired.
+// eligible reports whether the upstream may be sent new work: it is usable and not
+// resting, and its provisional listing has not expired.
 func (p *Pool) eligible(now time.Time, u *Upstream) bool {
-	return u.Usable() && (u.provisionalUntil.IsZero() || now.Before(u.provisionalUntil))
+	return u.Usable() && !u.Resting(now) && (u.provisionalUntil.IsZero() || now.Before(u.provisionalUntil))
 }
 
 // Candidates returns up to count healthy engines in the order of a hash of the
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -34,9 +34,12 @@
 	byAddress map[string]*Upstream
 	// failures holds the recent failures of each failure domain.
 	failures map[string]*domainFailures
-	// departures holds the incarnations that are leaving by id, also after their
-	// removal, so that they stay so if they are listed again.
-	departures map[string]departure
+	// standings holds what incarnations have stated, by id, also after their
+	// removal.
+	standings map[string]*standing
+	// resting holds the incarnations whose rest has not been reported to have
+	// ended.
+	resting []*standing
 	// random returns a number in [0, 1).
 	random func() float64
 	// changed and ignored are called with each change of an upstream's state and
@@ -62,11 +65,11 @@
 		byService: make(map[string][]*Upstream),
 		failures:  make(map[string]*domainFailures),
 
-		byAddress:  make(map[string]*Upstream),
-		departures: make(map[string]departure),
-		random:     rand.New(rand.NewPCG(seed, 0)).Float64,
-		changed:    func(Change) {},
-		ignored:    func(string, InvalidField) {},
+		byAddress: make(map[string]*Upstream),
+		standings: make(map[string]*standing),
+		random:    rand.New(rand.NewPCG(seed, 0)).Float64,
+		changed:   func(Change) {},
+		ignored:   func(string, InvalidField) {},
 	}
 }
 
@@ -90,9 +93,8 @@
 	}
 	if u == nil {
 		u = &Upstream{
-			entry: e,
-			since: now,
-			gate:  new(Gate),
+			entry:    e,
+			standing: p.standingOf(now, e),
 		}
 		p.byID[e.ID()] = u
 		if old := p.byAddress[e.Address()]; old != nil && old.entry.Service() == e.Service() {
@@ -105,11 +107,8 @@
 	}
 	u.entry = e
 	u.provisionalUntil = time.Time{}
-	switch {
-	case e.Leaving():
+	if e.Leaving() {
 		p.MarkLeaving(now, u, causeRegistry)
-	case p.departed(e):
-		p.MarkLeaving(now, u, causeListedAgain)
 	}
 	return u
 }
@@ -118,8 +117,7 @@
 // has the same id.
 func (p *Pool) restarted(u *Upstream, e Entry) bool {
 	if u.entry.StartedAt() == 0 || e.StartedAt() == 0 {
-		d, ok := p.departures[e.ID()]
-		return u.leaving && ok && !d.matches(e)
+		return u.Leaving() && !u.standing.matches(e)
 	}
 	return u.entry.StartedAt() != e.StartedAt()
 }
@@ -151,29 +149,29 @@
 	return u
 }
 
-// stateLeaving is the state of an upstream that accepts no new work.
-const stateLeaving = "leaving"
-
 // CountByState returns the number of listed upstreams by state: "usable",
-// "resting" while backing off after a failure, "suspect" because its failure
-// domain has failed, or "leaving".
+// "resting" at the upstream's own request, "backing-off" after a failure, "suspect"
+// because its failure domain has failed, or "leaving".
 func (p *Pool) CountByState(now time.Time) map[string]int {
 	count := map[string]int{
-		"usable":     0,
-		"resting":    0,
-		"suspect":    0,
-		stateLeaving: 0,
+		stateUsable:   0,
+		stateResting:  0,
+		"backing-off": 0,
+		"suspect":     0,
+		stateLeaving:  0,
 	}
 	for _, u := range p.byID {
 		switch {
 		case !u.Usable():
 			count[stateLeaving]++
+		case u.Resting(now):
+			count[stateResting]++
 		case u.BackingOff(now):
-			count["resting"]++
+			count["backing-off"]++
 		case p.Suspect(now, u):
 			count["suspect"]++
 		default:
-			count["usable"]++
+			count[stateUsable]++
 		}
 	}
 	return count
--- a/internal/pool/script_test.go
+++ b/internal/pool/script_test.go
@@ -19,7 +19,11 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var reports strings.Builder
 		p := New("r1", "a", 1).WithObserver(func(c Change) {
-			fmt.Fprintf(&reports, "%s is %s: %s, after %d ms\n", c.Upstream(), c.State(), c.Cause(), c.Age().Milliseconds())
+			fmt.Fprintf(&reports, "%s is %s: %s, after %d ms", c.Upstream(), c.State(), c.Cause(), c.Age().Milliseconds())
+			if c.Rest() > 0 {
+				fmt.Fprintf(&reports, ", for %d ms", c.Rest().Milliseconds())
+			}
+			reports.WriteByte('\n')
 		}, func(id string, f InvalidField) {
 			fmt.Fprintf(&reports, "%s: %s=%q is ignored\n", id, f.Name(), f.Value())
 		})
@@ -88,8 +92,25 @@
 		p.AddProvisional(now, u, as, NewState(StateSpec{}))
 	case "hear":
 		hear(t, p, now, u, d)
-	case "departed":
-		return fmt.Sprintln(p.Departed(id))
+	case "end-rests":
+		p.EndRests(now)
+	case "message":
+		return fmt.Sprintln(p.PermitMessage(now, u))
+	case "gate":
+		return fmt.Sprintln(u.Gate().Open(now))
+	case "count":
+		return fmt.Sprintln(p.CountByState(now))
+	case "first-return":
+		first, ok := p.FirstReturn(now, "s", func(*Upstream) bool { return false })
+		if !ok {
+			return "none\n"
+		}
+		return fmt.Sprintf("in %d ms\n", first.Sub(now).Milliseconds())
+	case "random":
+		fixed := float64(number(t, d, "percent")) / 100
+		p.random = func() float64 { return fixed }
+	case "refuses":
+		return fmt.Sprintln(p.Refuses(now, id))
 	case "latest":
 		return u.Latest().ID() + "\n"
 	case "pick":
@@ -125,6 +146,7 @@
 	if d.HasArg("leaving") {
 		s = s.WithLeaving()
 	}
+	s = s.WithRest(time.Duration(number(t, d, "rest")) * time.Millisecond)
 	if d.HasArg("invalid") {
 		s = s.WithInvalid("field", text("invalid"))
 	}
--- a/internal/pool/upstream.go
+++ b/internal/pool/upstream.go
@@ -38,13 +38,8 @@
 	// provisionalUntil is the time until which an incarnation that the registry
 	// does not list yet may be used; it is zero for a listed one.
 	provisionalUntil time.Time
-	// leaving is true once the upstream or the registry reported so. It is
-	// never reset.
-	leaving bool
-	// since is when the upstream was added to the pool.
-	since time.Time
-	// gate tells other goroutines what leaving says. It is never nil.
-	gate *Gate
+	// standing is what the upstream stated about itself. It is never nil.
+	standing *standing
 	// lastInvalid is the latest invalid field of an answer that was reported.
 	lastInvalid InvalidField
 
@@ -95,7 +90,7 @@
 func (u *Upstream) Tokens() int { return u.tokens + u.copyTokens }
 
 // Usable reports whether the upstream may be sent new work.
-func (u *Upstream) Usable() bool { return !u.gone && !u.leaving }
+func (u *Upstream) Usable() bool { return !u.gone && !u.standing.leaving }
 
 // Gone reports whether the registry no longer lists the incarnation or another
 // one has replaced it.
@@ -172,9 +167,6 @@
 // BackingOff reports whether the upstream is only a last resort at present.
 func (u *Upstream) BackingOff(now time.Time) bool { return now.Before(u.backoffUntil) }
 
-// Gate returns the gate for messages to the upstream that wait for a connection.
-func (u *Upstream) Gate() *Gate { return u.gate }
-
 // MarkReplaced records that another incarnation answers at the upstream's
 // address.
 func (u *Upstream) MarkReplaced() { u.gone = true }
--- a/internal/proxy/cancel.go
+++ b/internal/proxy/cancel.go
@@ -51,9 +51,14 @@
 	return other.Address()
 }
 
-// stopCancelled orders engines to stop the cancelled runs that are due.
+// stopCancelled orders engines to stop the cancelled runs that are due. An order to
+// an engine that rests is put off.
 func (c *Core) stopCancelled(now time.Time) {
 	for _, o := range c.cancelled.Due(now) {
+		if u := c.pool.Get(o.Run().Instance); u != nil && !c.pool.PermitMessage(now, u) {
+			c.cancelled.Answer(now, o, reap.Refused)
+			continue
+		}
 		c.actions = append(c.actions, Action{
 			kind:    StopRun,
 			stop:    o,
--- a/internal/proxy/copy.go
+++ b/internal/proxy/copy.go
@@ -48,6 +48,10 @@
 		}
 		o.holder.AddCopyTokens(x.tokens)
 	}
+	if a.upstream.Resting(now) {
+		o.next = a.upstream.RestUntil()
+		return
+	}
 	o.pending = true
 	o.next = now.Add(time.Duration(copyRefreshShare * float64(retention)))
 	c.emit(x, Action{
@@ -77,7 +81,7 @@
 // available reports whether the upstream may be sent work and is the latest
 // known incarnation at its address.
 func available(now time.Time, u *pool.Upstream) bool {
-	return u.Usable() && !u.BackingOff(now) && u.Latest() == u
+	return u.Usable() && !u.Resting(now) && !u.BackingOff(now) && u.Latest() == u
 }
 
 // handleCopied applies the result of a copy request; an empty handle means that
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -159,6 +159,7 @@
 // until the next call.
 func (c *Core) Step(now time.Time, e Event) []Action {
 	c.actions = c.actions[:0]
+	c.pool.EndRests(now)
 	switch e.kind {
 	case Arrive:
 		c.arrive(now, e.request)
@@ -174,6 +175,7 @@
 		c.cancelled.Answer(now, e.stop, e.stopOutcome)
 	case Heard:
 		c.pool.Hear(now, e.recipient, e.instance, e.statement, e.detail)
+		c.reviewWaiting(now, false)
 	case Configure:
 		if c.table == nil || e.table.Version() > c.table.Version() {
 			c.table = e.table
@@ -186,6 +188,7 @@
 		for _, l := range e.listed {
 			c.pool.Upsert(now, l)
 		}
+		c.reviewWaiting(now, len(e.listed) > 0)
 		c.admitPending(now)
 	case MoveLimits:
 		c.applyMove(e)
@@ -454,7 +457,7 @@
 		c.finish(now, x, Action{
 			kind:    Refuse,
 			reason:  reason,
-			problem: errs.New(errs.Unavailable, errs.NotRun, "%s", reason).WithRetry(retryAfter(x.q)),
+			problem: errs.New(errs.Unavailable, errs.NotRun, "%s", reason).WithRetry(c.retryAfter(now, x)),
 		})
 	default:
 		c.finish(now, x, Action{
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -70,6 +70,10 @@
 	// none is scheduled.
 	hedgeAt time.Time
 	retryAt time.Time
+	// returnAt is when the request is sent after a wait for an upstream that rests,
+	// or zero if it does not wait. waited is true once it has waited.
+	returnAt time.Time
+	waited   bool
 	// reply is a failed response that is delivered if no other attempt
 	// succeeds.
 	reply *Answer
@@ -138,7 +142,7 @@
 	if x.placement != nil && x.placement.deadline.Before(at) {
 		at = x.placement.deadline
 	}
-	for _, t := range []time.Time{x.hedgeAt, x.retryAt} {
+	for _, t := range []time.Time{x.hedgeAt, x.retryAt, x.returnAt} {
 		if !t.IsZero() && t.Before(at) {
 			at = t
 		}
--- a/internal/proxy/move.go
+++ b/internal/proxy/move.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/pool"
 )
@@ -182,13 +181,3 @@
 	}
 	return -1
 }
-
-// noUpstream schedules a retry of a stream that has started, and fails any
-// other request, since no upstream can take it.
-func (c *Core) noUpstream(now time.Time, x *exchange) {
-	if x.stream() && x.headSent {
-		x.retryAt = now.Add(retryPause)
-		return
-	}
-	c.fail(now, x, "no upstream", errs.Upstream)
-}
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -46,12 +46,16 @@
 	cachedTokens map[string]int
 }
 
-// queryState queries the state of an engine unless such a query is in flight.
+// queryState queries the state of an engine unless such a query is in flight or the
+// engine rests.
 func (c *Core) queryState(now time.Time, u *pool.Upstream, instance, reason string) {
 	key := u.ID() + " " + instance
 	if _, ok := c.stateQueries[key]; ok {
 		return
 	}
+	if instance == "" && !c.pool.PermitMessage(now, u) {
+		return
+	}
 	c.stateQueries[key] = now
 	c.actions = append(c.actions, Action{
 		kind:     QueryState,
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -25,6 +25,8 @@
 	base time.Time
 	// stops holds the latest order to stop each run, by its text.
 	stops map[string]reap.Order
+	// showsRetry is true if the time to come back of refusals is printed.
+	showsRetry bool
 }
 
 // TestScripts guards the decisions about forwarded requests. The head of each
@@ -117,6 +119,9 @@
 			Models:     []string{s.text(d, "model", "m")},
 			StartedAt:  int64(s.number(d, "started", 0)),
 		})))
+	case "show-retry":
+		s.showsRetry = true
+		return ""
 	case "heard":
 		return s.step(s.heard(d))
 	case "drain":
@@ -168,6 +173,9 @@
 			fmt.Fprintf(&b, " %s at %s other=%s", r.Request, r.Instance, r.Other)
 		case Refuse:
 			fmt.Fprintf(&b, " %d %s", a.Problem().Status(), a.Problem().Outcome())
+			if s.showsRetry {
+				fmt.Fprintf(&b, " retry=%d", a.Problem().Retry().Milliseconds())
+			}
 		case ReportOutcome:
 			fmt.Fprintf(&b, " new-version=%v good=%v", a.VersionOutcome().NewVersion(), a.VersionOutcome().Outcome() == move.NewOutcome())
 		case ReportCrash, ReportSurvival:
@@ -193,6 +201,7 @@
 	if d.HasArg("leaving") {
 		st = st.WithLeaving()
 	}
+	st = st.WithRest(time.Duration(s.number(d, "rest", 0)) * time.Millisecond)
 	return NewHeard(s.core.Pool().Get(id), id, st, "answer")
 }
 
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -45,9 +45,10 @@
 		return
 	}
 	upstream := c.pool.Pick(now, x.need, x.excludes)
-	if upstream == nil && (x.stream() || x.reply != nil) {
-		// A stream may be sent again to an upstream that refused it, and a lookup
-		// to its only upstream after a failed response.
+	if upstream == nil && (x.stream() || x.reply != nil || x.waited) {
+		// A stream may be sent again to an upstream that refused it, a lookup to its
+		// only upstream after a failed response, and any request to an upstream that
+		// it has waited for.
 		upstream = c.pool.Pick(now, x.need, x.wrongVersion)
 	}
 	if upstream == nil && c.fallBack(x) {
@@ -85,7 +86,7 @@
 	}
 	x.attempts = append(x.attempts, a)
 	c.cancelled.Suspend(a.instance, x.q.ID())
-	x.retryAt = time.Time{}
+	x.retryAt, x.returnAt = time.Time{}, time.Time{}
 	x.placement = nil
 	upstream.AddAttempt(now, x.tokens, x.stream())
 	if c.keepsCopies(x) {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -101,6 +101,10 @@
 	if !x.hedgeAt.IsZero() && !now.Before(x.hedgeAt) {
 		c.hedge(now, x)
 	}
+	if !x.returnAt.IsZero() && !now.Before(x.returnAt) {
+		x.returnAt = time.Time{}
+		c.startAttempt(now, x, afterRest)
+	}
 	if !x.retryAt.IsZero() && !now.Before(x.retryAt) {
 		x.retryAt = time.Time{}
 		if now.Sub(x.lastDelivered) > maxSilence {
@@ -275,7 +279,7 @@
 	switch {
 	case from != nil:
 		c.sendFrom(now, x, from.upstream, *from)
-	case (e.cause == Broken || e.cause == Garbled) && a.upstream.Usable() && !a.upstream.BackingOff(now) && x.sendCount(a.upstream) <= maxSendsToSame && !x.fence.excludes(a.upstream):
+	case (e.cause == Broken || e.cause == Garbled) && a.upstream.Usable() && !a.upstream.Resting(now) && !a.upstream.BackingOff(now) && x.sendCount(a.upstream) <= maxSendsToSame && !x.fence.excludes(a.upstream):
 		// An engine that is alive still has the prompt, and one that is dead
 		// refuses the connection.
 		c.send(now, x, a.upstream, a.upstream.ID(), false, "same after "+e.cause.String())
@@ -293,7 +297,7 @@
 func (c *Core) resumeFrom(now time.Time, x *exchange, a *attempt, e Event) *Action {
 	o := &a.onDemandCopy
 	switch {
-	case a.copied && e.cause == Misdirected && e.instance != "" && !x.copyFollowed && !c.pool.Departed(e.instance):
+	case a.copied && e.cause == Misdirected && e.instance != "" && !x.copyFollowed && !c.pool.Refuses(now, e.instance):
 		// The copy was placed by address, so the incarnation that now has the
 		// address may hold it. An engine without the copy refuses to run.
 		x.copyFollowed = true
@@ -354,8 +358,10 @@
 		return "holder gone"
 	case !h.Usable():
 		return "holder leaving"
-	case h.BackingOff(now):
+	case h.Resting(now):
 		return "holder resting"
+	case h.BackingOff(now):
+		return "holder backing off"
 	default:
 		return ""
 	}
