--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -34,8 +34,18 @@
 	byAddress map[string]*Upstream
 	// failures holds the recent failures of each failure domain.
 	failures map[string]*domainFailures
+	// standings holds what incarnations have stated, by id, also after their
+	// removal.
+	standings map[string]*standing
+	// resting holds the incarnations whose rest has not been reported to have
+	// ended.
+	resting []*standing
 	// random returns a number in [0, 1).
 	random func() float64
+	// changed and ignored are called with each change of an upstream's state and
+	// each invalid field of an upstream.
+	changed func(Change)
+	ignored func(id string, f InvalidField)
 }
 
 // domainFailures holds the recent failures in one failure domain.
@@ -56,7 +66,10 @@
 		failures:  make(map[string]*domainFailures),
 
 		byAddress: make(map[string]*Upstream),
+		standings: make(map[string]*standing),
 		random:    rand.New(rand.NewPCG(seed, 0)).Float64,
+		changed:   func(Change) {},
+		ignored:   func(string, InvalidField) {},
 	}
 }
 
@@ -72,16 +85,16 @@
 
 // Upsert adds or updates the upstream of a registry entry. An incarnation that
 // is leaving stays so whatever the entry says.
-func (p *Pool) Upsert(e Entry) *Upstream {
+func (p *Pool) Upsert(now time.Time, e Entry) *Upstream {
 	u := p.byID[e.ID()]
-	restarted := u != nil && u.entry.spec.StartedAt != 0 && e.spec.StartedAt != 0 && u.entry.spec.StartedAt != e.spec.StartedAt
-	if u != nil && (restarted || u.entry.spec.Service != e.spec.Service || u.entry.spec.Address != e.spec.Address) {
+	if u != nil && (p.restarted(u, e) || u.entry.spec.Service != e.spec.Service || u.entry.spec.Address != e.spec.Address) {
 		p.Remove(e.ID())
 		u = nil
 	}
 	if u == nil {
 		u = &Upstream{
-			entry: e,
+			entry:    e,
+			standing: p.standingOf(now, e),
 		}
 		p.byID[e.ID()] = u
 		if old := p.byAddress[e.Address()]; old != nil && old.entry.Service() == e.Service() {
@@ -94,10 +107,21 @@
 	}
 	u.entry = e
 	u.provisionalUntil = time.Time{}
-	u.leaving = u.leaving || e.Leaving()
+	if e.Leaving() {
+		p.MarkLeaving(now, u, causeRegistry)
+	}
 	return u
 }
 
+// restarted reports whether the entry is that of another incarnation than u, which
+// has the same id.
+func (p *Pool) restarted(u *Upstream, e Entry) bool {
+	if u.entry.StartedAt() == 0 || e.StartedAt() == 0 {
+		return u.Leaving() && !u.standing.matches(e)
+	}
+	return u.entry.StartedAt() != e.StartedAt()
+}
+
 // AddProvisional adds an incarnation that reported the state s at the address
 // of old and that the registry does not list yet. It gets no work after
 // provisionalTimeout unless the registry lists it.
@@ -106,9 +130,9 @@
 	if p.byID[id] != nil && id != old.ID() {
 		return
 	}
-	u := p.Upsert(old.entry.withIncarnation(id, s.spec.StartedAt))
+	u := p.Upsert(now, old.entry.withIncarnation(id, s.spec.StartedAt))
 	u.provisionalUntil = now.Add(provisionalTimeout)
-	u.UpdateState(now, s)
+	p.UpdateState(now, u, s)
 }
 
 // Remove removes an upstream that the registry no longer lists. Attempts in
@@ -126,25 +150,28 @@
 }
 
 // CountByState returns the number of listed upstreams by state: "usable",
-// "resting" while backing off after a failure, "suspect" because its failure
-// domain has failed, or "leaving".
+// "resting" at the upstream's own request, "backing-off" after a failure, "suspect"
+// because its failure domain has failed, or "leaving".
 func (p *Pool) CountByState(now time.Time) map[string]int {
 	count := map[string]int{
-		"usable":  0,
-		"resting": 0,
-		"suspect": 0,
-		"leaving": 0,
+		stateUsable:   0,
+		stateResting:  0,
+		"backing-off": 0,
+		"suspect":     0,
+		stateLeaving:  0,
 	}
 	for _, u := range p.byID {
 		switch {
 		case !u.Usable():
-			count["leaving"]++
+			count[stateLeaving]++
+		case u.Resting(now):
+			count[stateResting]++
 		case u.BackingOff(now):
-			count["resting"]++
+			count["backing-off"]++
 		case p.Suspect(now, u):
 			count["suspect"]++
 		default:
-			count["usable"]++
+			count[stateUsable]++
 		}
 	}
 	return count
--- a/internal/proxy/cancel.go
+++ b/internal/proxy/cancel.go
@@ -75,9 +75,14 @@
 	return addresses
 }
 
-// stopCancelled orders engines to stop the cancelled runs that are due.
+// stopCancelled orders engines to stop the cancelled runs that are due. An order to
+// an engine that rests is put off.
 func (c *Core) stopCancelled(now time.Time) {
 	for _, o := range c.cancelled.Due(now) {
+		if u := c.pool.Get(o.Run().Instance); u != nil && !c.pool.PermitMessage(now, u) {
+			c.cancelled.Answer(now, o, reap.Unanswered)
+			continue
+		}
 		c.actions = append(c.actions, Action{
 			kind:    StopRun,
 			stop:    o,
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -159,6 +159,7 @@
 // until the next call.
 func (c *Core) Step(now time.Time, e Event) []Action {
 	c.actions = c.actions[:0]
+	c.pool.EndRests(now)
 	switch e.kind {
 	case Arrive:
 		c.arrive(now, e.request)
@@ -172,6 +173,9 @@
 		c.promptReported(now, e)
 	case StopReported:
 		c.cancelled.Answer(now, e.stop, e.stopOutcome)
+	case Heard:
+		c.pool.Hear(now, e.recipient, e.instance, e.statement, e.detail)
+		c.reviewWaiting(now, false)
 	case Configure:
 		if c.table == nil || e.table.Version() > c.table.Version() {
 			c.table = e.table
@@ -182,8 +186,9 @@
 			c.pool.Remove(id)
 		}
 		for _, l := range e.listed {
-			c.pool.Upsert(l)
+			c.pool.Upsert(now, l)
 		}
+		c.reviewWaiting(now, len(e.listed) > 0)
 		c.admitPending(now)
 	case MoveLimits:
 		c.applyMove(e)
@@ -385,9 +390,6 @@
 	case Reply:
 		c.handleReply(now, x, a, e.answer)
 	case Lost:
-		if e.leaving {
-			a.upstream.MarkLeaving()
-		}
 		c.attemptLost(now, x, a, e)
 	}
 	c.resetAlarm(x)
@@ -457,7 +459,7 @@
 		c.finish(now, x, Action{
 			kind:    Refuse,
 			reason:  reason,
-			problem: errs.New(errs.Unavailable, errs.NotRun, "%s", reason).WithRetry(retryAfter(x.q)),
+			problem: errs.New(errs.Unavailable, errs.NotRun, "%s", reason).WithRetry(c.retryAfter(now, x)),
 		})
 	default:
 		c.finish(now, x, Action{
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -25,6 +25,8 @@
 	base time.Time
 	// stops holds the latest order to stop each run, by its text.
 	stops map[string]reap.Order
+	// showsRetry is true if the time to come back of refusals is printed.
+	showsRetry bool
 }
 
 // TestScripts guards the decisions about forwarded requests. The head of each
@@ -117,6 +119,11 @@
 			Models:     []string{s.text(d, "model", "m")},
 			StartedAt:  int64(s.number(d, "started", 0)),
 		})))
+	case "show-retry":
+		s.showsRetry = true
+		return ""
+	case "heard":
+		return s.step(s.heard(d))
 	case "drain":
 		return s.step(NewDrain(s.base.Add(time.Duration(s.number(d, "until", 0)) * time.Millisecond)))
 	case "tick":
@@ -166,6 +173,9 @@
 			fmt.Fprintf(&b, " %s at %s other=%s", r.Request, r.Instance, a.Stop().Other())
 		case Refuse:
 			fmt.Fprintf(&b, " %d %s", a.Problem().Status(), a.Problem().Outcome())
+			if s.showsRetry {
+				fmt.Fprintf(&b, " retry=%d", a.Problem().Retry().Milliseconds())
+			}
 		case ReportOutcome:
 			fmt.Fprintf(&b, " new-version=%v good=%v", a.VersionOutcome().NewVersion(), a.VersionOutcome().Outcome() == move.NewOutcome())
 		case ReportCrash, ReportSurvival:
@@ -184,6 +194,17 @@
 	return b.String()
 }
 
+// heard returns the event of a statement of an upstream.
+func (s *script) heard(d *datadriven.TestData) Event {
+	id := s.text(d, "id", "")
+	st := pool.NewStatement(s.text(d, "by", ""))
+	if d.HasArg("leaving") {
+		st = st.WithLeaving()
+	}
+	st = st.WithRest(time.Duration(s.number(d, "rest", 0)) * time.Millisecond)
+	return NewHeard(s.core.Pool().Get(id), id, st, "answer")
+}
+
 // table builds a routing table from lines "route NAME KIND SERVICE [OPTION]",
 // "engine SERVICE MEMORY" and "workspace NAME KEY".
 func (s *script) table(d *datadriven.TestData) *table.Table {
