proxy: Send a started stream soon to an upstream that is listed while others rest

What callers saw: a stream that had started and lost its engine while all engines rested stood still until the first of them returned, and was aborted if that took over ten seconds, though the registry had listed another engine in the meantime.

Cause: a started stream waits with retryAt, which a rest puts off to its end, and reviewWaiting looked only at requests that wait with returnAt.

Change: the review covers streams that wait for a retry, and puts the retry forward to the usual pause if an upstream that was listed can take it.

--- a/internal/proxy/rest.go
+++ b/internal/proxy/rest.go
@@ -49,13 +49,17 @@
 	x.returnAt, x.waited = at, true
 }
 
-// reviewWaiting reconsiders the requests that wait for the end of a rest after a
-// change of the upstreams. A request ends if no upstream returns in time any more,
-// and is sent soon if there is one that does not rest.
+// reviewWaiting reconsiders the requests that wait for an upstream after a change of
+// the upstreams. A request ends if no upstream returns in time any more, and is sent
+// soon if there is one that does not rest.
 func (c *Core) reviewWaiting(now time.Time, listed bool) {
-	for _, x := range c.waitingForReturn() {
+	for _, x := range c.waiting() {
 		first, resting := c.pool.FirstReturn(now, x.need.Service(), x.wrongVersion)
 		switch {
+		case x.returnAt.IsZero():
+			if soon := now.Add(retryPause); listed && soon.Before(x.retryAt) && c.pool.Pick(now, x.need, x.wrongVersion) != nil {
+				x.retryAt = soon
+			}
 		case resting && !x.returnAt.Before(first):
 		case !resting && c.pool.Pick(now, x.need, x.wrongVersion) != nil:
 			if soon := now.Add(c.spread(returnSpread)); listed && soon.Before(x.returnAt) {
@@ -69,12 +73,12 @@
 	}
 }
 
-// waitingForReturn returns the requests that wait for the end of a rest, in order of
-// arrival.
-func (c *Core) waitingForReturn() []*exchange {
+// waiting returns the requests that wait for the end of a rest and the streams that
+// wait for a retry, in order of arrival.
+func (c *Core) waiting() []*exchange {
 	var list []*exchange
 	for _, x := range c.inFlight {
-		if !x.returnAt.IsZero() {
+		if !x.returnAt.IsZero() || !x.retryAt.IsZero() {
 			list = append(list, x)
 		}
 	}
