proxy: Abort a stream at its longest silence, not only after it

What callers saw: when a started stream had been silent for exactly ten seconds while all engines rested, this VM's retry budget for the service was spent at once, and other requests were refused with "budget of repeats used up".

Cause: noUpstream puts a retry off to the end of the silence at most, and the timer aborts only after it. At that time the retry found no engine, was put off to the same time, and the timer loop took one retry from the budget in each turn until none was left.

Evidence: proxy/testdata/rest-silence fails before with

tick at=11000 expected: 1 break (no upstream) found: next 11150

and the request after it with

expected: next 11560 found: 2 refuse 503 not-run (budget of repeats used up)

Change: the silence ends with its last moment included, so the timer aborts the stream.

Result: go test of proxy: ok.

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -107,7 +107,7 @@
 	}
 	if !x.retryAt.IsZero() && !now.Before(x.retryAt) {
 		x.retryAt = time.Time{}
-		if now.Sub(x.lastDelivered) > maxSilence {
+		if now.Sub(x.lastDelivered) >= maxSilence {
 			c.fail(now, x, "no upstream", errs.Upstream)
 			return
 		}
