proxy: Don't let a request wait for a rest that a draining VM can't outlast

What callers saw: a stream that waited for the end of a rest as the VM began to drain stayed there, though new streams were refused for other VMs to take. It was sent late, when the VM could stop before it ended, or was still waiting then (LOST).

Cause: the wait for the end of a rest considered neither the drain nor the time by which the VM stops.

Evidence: proxy/testdata/rest-drain fails before with

drain at=100 until=7000 expected: 1 refuse 503 not-run retry=145 (all upstreams rest) found: next 584

Change: a draining VM lets a request wait only if it would take the request at the end of the wait: a request that ends by its deadline before the VM stops, or the rest of a lost stream in the first seconds. Others are refused at once, also those that wait as the drain begins, with a short time to return, since another VM can take them.

Result: go test of proxy: ok.

--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -199,6 +199,7 @@
 	case Drain:
 		c.drainSince, c.stopBy = now, e.until
 		c.draining = true
+		c.reviewWaiting(now, false)
 	case Head, Piece, Copied, Finish, Reply, Lost:
 		c.handleAttemptEvent(now, e)
 	}
@@ -256,7 +257,7 @@
 			return
 		}
 	}
-	if c.draining && !c.fitsBeforeStop(now, rt, q) {
+	if c.draining && !c.fitsBeforeStop(now, rt, q, deadline(now, rt, q)) {
 		c.reject(q, errs.Unavailable, "stopping", retrySoon)
 		return
 	}
@@ -288,15 +289,15 @@
 	c.resetAlarm(x)
 }
 
-// fitsBeforeStop reports whether a draining VM should take a request: it ends
-// before the VM stops, or it is the rest of a stream that the caller lost with
-// another VM, which callers ask for only once. A new stream is better served by
-// another VM.
-func (c *Core) fitsBeforeStop(now time.Time, rt *table.Route, q *Request) bool {
+// fitsBeforeStop reports whether a draining VM should take a request that is sent at
+// the time now: it ends by its deadline before the VM stops, or it is the rest of a
+// stream that the caller lost with another VM, which callers ask for only once. A new
+// stream is better served by another VM.
+func (c *Core) fitsBeforeStop(now time.Time, rt *table.Route, q *Request, deadline time.Time) bool {
 	if rt.Kind() == table.Stream {
 		return q.spec.Position > 0 && rt.Repeatable() && now.Sub(c.drainSince) <= maxDrainResume
 	}
-	return !deadline(now, rt, q).After(c.stopBy)
+	return !deadline.After(c.stopBy)
 }
 
 // newNeed draws a service of the request's route and returns what the request
--- a/internal/proxy/rest.go
+++ b/internal/proxy/rest.go
@@ -42,13 +42,22 @@
 		return
 	}
 	at := first.Add(c.spread(returnSpread))
-	if x.deadline.Sub(at) < max(x.route.Goal(), minTimeLeft) {
+	if !c.mayWait(x, at) {
 		c.fail(now, x, "all upstreams rest", errs.Upstream)
 		return
 	}
 	x.returnAt, x.waited = at, true
 }
 
+// mayWait reports whether a request that is sent at the time at can be served, by
+// its deadline and before a draining VM stops.
+func (c *Core) mayWait(x *exchange, at time.Time) bool {
+	if c.draining && !c.fitsBeforeStop(at, x.route, x.q, x.deadline) {
+		return false
+	}
+	return x.deadline.Sub(at) >= max(x.route.Goal(), minTimeLeft)
+}
+
 // reviewWaiting reconsiders the requests that wait for an upstream after a change of
 // the upstreams. A request ends if no upstream returns in time any more, and is sent
 // soon if there is one that does not rest.
@@ -60,7 +69,7 @@
 			if soon := now.Add(retryPause); listed && soon.Before(x.retryAt) && c.pool.Pick(now, x.need, x.wrongVersion) != nil {
 				x.retryAt = soon
 			}
-		case resting && !x.returnAt.Before(first):
+		case resting && !x.returnAt.Before(first) && c.mayWait(x, x.returnAt):
 		case !resting && c.pool.Pick(now, x.need, x.wrongVersion) != nil:
 			if soon := now.Add(c.spread(returnSpread)); listed && soon.Before(x.returnAt) {
 				x.returnAt = soon
@@ -87,13 +96,17 @@
 }
 
 // retryAfter returns the Retry-After time for a request that did not run: the first
-// end of a rest if all upstreams rest.
+// end of a rest if all upstreams rest. Another VM may take the requests of a draining
+// one before that.
 func (c *Core) retryAfter(now time.Time, x *exchange) time.Duration {
 	first, resting := c.pool.FirstReturn(now, x.need.Service(), x.wrongVersion)
 	if !resting {
 		return retryAfter(x.q)
 	}
 	left := max(first.Sub(now), retrySoon)
+	if c.draining {
+		left = retrySoon
+	}
 	return left + c.spread(min(max(time.Duration(retrySpread*float64(left)), minRetrySpread), maxRetrySpread))
 }
 
