proxy: Don't let a stream wait for the end of a rest past its goal

Other VMs, whose engines had not turned them away, could have served it.

Cause: a request waits if the goal still fits between the end of the rest and the deadline. The deadline of a stream is that of its last piece.

Evidence: proxy/testdata/rest-goal fails before with

heard at=1000 id=u1 rest=5000 expected: 1 refuse 503 not-run retry=6073 (all upstreams rest) found: next 3392

Change: a stream waits only if it is sent by the time at which its first piece is due. Otherwise it is refused at once with the time of the first return.

Result: go test of proxy: ok.

--- a/internal/proxy/rest.go
+++ b/internal/proxy/rest.go
@@ -49,13 +49,18 @@
 	x.returnAt, x.waited = at, true
 }
 
-// mayWait reports whether a request that is sent at the time at can be served, by
-// its deadline and before a draining VM stops.
+// mayWait reports whether waiting until the time at serves the caller: the request can
+// still be served by its deadline, or a stream on time, before a draining VM stops.
 func (c *Core) mayWait(x *exchange, at time.Time) bool {
 	if c.draining && !c.fitsBeforeStop(at, x.route, x.q, x.deadline) {
 		return false
 	}
-	return x.deadline.Sub(at) >= max(x.route.Goal(), minTimeLeft)
+	goal := x.route.Goal()
+	if x.stream() && goal > 0 && at.After(x.arrived.Add(goal)) {
+		// The stream would be late, and may be on time at another VM.
+		return false
+	}
+	return x.deadline.Sub(at) >= max(goal, minTimeLeft)
 }
 
 // reviewWaiting reconsiders the requests that wait for an upstream after a change of
