proxy: Review the requests that wait for a rest when a move is done

What callers saw: requests that were assigned to the old version of a service, all of whose upstreams rested, went on waiting for these after the move was done, though those of the new version were free.

Cause: the requests that wait are reviewed with each statement and each change of the registry, and not with a change of a move.

Change: the end of a move counts as upstreams that were added.

--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -192,6 +192,7 @@
 		c.admitPending(now)
 	case MoveLimits:
 		c.applyMove(e)
+		c.reviewWaiting(now, e.limits.Done())
 	case Peers:
 		c.setPeers(e.index)
 	case Charges:
--- a/internal/proxy/rest.go
+++ b/internal/proxy/rest.go
@@ -64,19 +64,19 @@
 }
 
 // reviewWaiting reconsiders the requests that wait for an upstream after a change of
-// the upstreams. A request ends if no upstream returns in time any more, and is sent
-// soon if there is one that does not rest.
-func (c *Core) reviewWaiting(now time.Time, listed bool) {
+// the upstreams that may serve them. A request ends if no upstream returns in time any
+// more. If some were added, it is sent soon if there is one that does not rest.
+func (c *Core) reviewWaiting(now time.Time, added bool) {
 	for _, x := range c.waiting() {
 		first, resting := c.pool.FirstReturn(now, x.need.Service(), x.wrongVersion)
 		switch {
 		case x.returnAt.IsZero():
-			if soon := now.Add(retryPause); listed && soon.Before(x.retryAt) && c.pool.Pick(now, x.need, x.wrongVersion) != nil {
+			if soon := now.Add(retryPause); added && soon.Before(x.retryAt) && c.pool.Pick(now, x.need, x.wrongVersion) != nil {
 				x.retryAt = soon
 			}
 		case resting && !x.returnAt.Before(first) && c.mayWait(x, x.returnAt):
 		case !resting && c.pool.Pick(now, x.need, x.wrongVersion) != nil:
-			if soon := now.Add(c.spread(returnSpread)); listed && soon.Before(x.returnAt) {
+			if soon := now.Add(c.spread(returnSpread)); added && soon.Before(x.returnAt) {
 				x.returnAt = soon
 			}
 		default:
