proxy: Review the requests that wait for a rest when charges change

What callers saw: a stream that waited for the end of a rest was refused only then if a part of its prompt was meanwhile charged at the only version that would return.

Cause: new charges end what waits only if they close the service to the prompt. A charge that is restricted to a version left the wait for that version's engines.

Evidence: proxy/testdata/rest-charged fails before with

charges at=100 expected: 1 refuse 503 not-run (no upstream) found: next 2392

Change: the requests that wait are reviewed after new charges.

Result: go test of proxy: ok.

--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -197,6 +197,7 @@
 		c.setPeers(e.index)
 	case Charges:
 		c.applyCharges(now, e.charges)
+		c.reviewWaiting(now, false)
 	case Drain:
 		c.drainSince, c.stopBy = now, e.until
 		c.draining = true
