proxy: Wait for the new version's upstreams once a move is done

What callers saw: when all upstreams of the new version rested just after a move, requests were sent to the old version. They don't count as in flight there, so nothing keeps the old upstreams from being stopped under them, which can't be mended for a booking.

Cause: a request whose version has no upstream falls back to any version once the move is done. That is meant for a version that has none left, and a rest looked like that.

Evidence: proxy/testdata/rest-done fails before with

arrive at=20 n=1 wait=800 expected: next 600 found: 1 send try=1 to=u1 left=800 (first)

where u1 is of the old version, and old-in-flight prints 0 after it.

Change: the request does not fall back if an upstream of the new version returns from a rest. It waits for that one, or is refused with the time of its return.

Result: go test of proxy: ok.

--- a/internal/proxy/move.go
+++ b/internal/proxy/move.go
@@ -208,12 +208,16 @@
 
 // fallBack reassigns a request to the old version if no upstream of the new
 // version can serve it, or to any version once the move is done, since the old
-// version's upstreams stop then. It reports whether it changed the assignment.
-func (c *Core) fallBack(x *exchange) bool {
+// version's upstreams stop then, unless one of the new version returns from a rest.
+// It reports whether it changed the assignment.
+func (c *Core) fallBack(now time.Time, x *exchange) bool {
 	switch {
 	case x.move == nil:
 		return false
 	case x.move.limits.Done():
+		if _, resting := c.pool.FirstReturn(now, x.need.Service(), x.wrongVersion); resting {
+			return false
+		}
 		x.leaveMove()
 		x.move = nil
 	case !x.newVersion:
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -51,7 +51,7 @@
 		// it has waited for.
 		upstream = c.pool.Pick(now, x.need, x.wrongVersion)
 	}
-	if upstream == nil && c.fallBack(x) {
+	if upstream == nil && c.fallBack(now, x) {
 		upstream = c.pool.Pick(now, x.need, x.excludes)
 	}
 	if upstream == nil {
