pool, proxy: Leave a message for the order to stop a run at an engine that rests

What callers saw: nothing yet.

Cause: queries and orders share the two messages that a rest permits, and a silent engine is queried every quarter of a second.

Evidence: proxy/testdata/rest-stop fails before: a second query is sent at 1800, and then

tick at=2410 expected: 1 cancel try=1 (hung) 0 query-state u3 (survey) 0 stop-run q1 at u1 other=10.0.0.3:80 (cancelled) found: 1 cancel try=1 (hung) 0 query-state u3 (survey)

Change: one of the two messages may be a query. Further orders are put off as before. In proxy/testdata/resting an engine that rests is queried once and not twice; the limit of two messages is checked in pool/testdata/resting and at the end of rest-stop.

--- a/internal/pool/script_test.go
+++ b/internal/pool/script_test.go
@@ -96,6 +96,8 @@
 		p.EndRests(now)
 	case "message":
 		return fmt.Sprintln(p.PermitMessage(now, u))
+	case "query":
+		return fmt.Sprintln(p.PermitQuery(now, u))
 	case "gate":
 		return fmt.Sprintln(u.Gate().Open(now))
 	case "count":
--- a/internal/pool/standing.go
+++ b/internal/pool/standing.go
@@ -15,9 +15,11 @@
 	// decided on before may still be sent, and the state of an engine with runs may
 	// still be queried. An upstream expects none later than 500 ms after its answer.
 	restGrace = 400 * time.Millisecond
-	// maxRestMessages is the number of messages about runs under way, such as state
-	// queries, that an upstream is sent after restGrace in a rest.
+	// maxRestMessages is the number of messages about runs under way that an upstream
+	// is sent after restGrace in a rest, and maxRestQueries that of queries among them.
+	// The others are left for orders to stop runs.
 	maxRestMessages = 2
+	maxRestQueries  = 1
 	// restSpread is the fraction of a rest by which it is prolonged at most, up to
 	// maxRestSpread. The addition is random, so that VMs do not return at the same
 	// time.
@@ -252,11 +254,20 @@
 // PermitMessage reports whether the upstream may be sent a message about a run under
 // way, and counts it against the few that a rest permits.
 func (p *Pool) PermitMessage(now time.Time, u *Upstream) bool {
-	s := u.standing
+	return u.standing.permit(now, maxRestMessages)
+}
+
+// PermitQuery is PermitMessage for a query.
+func (p *Pool) PermitQuery(now time.Time, u *Upstream) bool {
+	return u.standing.permit(now, maxRestQueries)
+}
+
+// permit counts a message in a rest unless there were limit messages already.
+func (s *standing) permit(now time.Time, limit int) bool {
 	if !s.resting(now) || now.Sub(s.restSince) < restGrace {
 		return true
 	}
-	if s.messages >= maxRestMessages {
+	if s.messages >= limit {
 		return false
 	}
 	s.messages++
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -54,7 +54,7 @@
 	if _, ok := c.stateQueries[key]; ok {
 		return
 	}
-	if instance == "" && !c.pool.PermitMessage(now, u) {
+	if instance == "" && !c.pool.PermitQuery(now, u) {
 		return
 	}
 	c.stateQueries[key] = now
