platform, proxy, edge, pool: Free no copy at an engine that rests

An order to stop a run counts as one of the two messages that a rest permits, and was followed by a second one, which frees the run's memory: three messages or more could reach an engine that wanted none (BUDGET). Orders from before the rest, up to eight at once, had that effect too, since their answers come late.

Cause: only the order passes the check of the rest. The message that frees the copy is sent by the same goroutine once the order is answered, without a gate.

All scripts of proxy now fail if an order does not name its listed engine.

Change: orders carry the gate of their engine, which is read after the answer. The copy is not freed if the engine rests by then, and lapses by itself.

--- a/internal/edge/message.go
+++ b/internal/edge/message.go
@@ -89,7 +89,8 @@
 // which the dispatcher owns. Its fields are exported for construction only.
 type Contact struct {
 	// Gate tells whether the message may still be sent once there is a connection.
-	// It may be nil.
+	// It may be nil. For an order to stop a run, it tells whether messages may follow
+	// the order.
 	Gate *pool.Gate
 	// Heard receives what the head of each answer states about the upstream,
 	// whatever the answer's status. It may block for a short time.
--- a/internal/edge/query.go
+++ b/internal/edge/query.go
@@ -15,7 +15,11 @@
 // blocking the dispatcher. The result, or the failure, arrives as an event.
 func (d *Dispatcher) startQuery(ctx context.Context, a proxy.Action, r *request) {
 	if a.Kind() == proxy.StopRun {
-		go d.stopRun(ctx, a.Stop(), a.Timeout(), d.contact(ctx, a, a.Stop().Run().Instance))
+		contact := d.contact(ctx, a, a.Stop().Run().Instance)
+		if a.Upstream() != nil {
+			contact.Gate = a.Upstream().Gate()
+		}
+		go d.stopRun(ctx, a.Stop(), a.Timeout(), contact)
 		return
 	}
 	id, address, wait := a.Upstream().ID(), a.Upstream().Address(), a.Timeout()
--- a/internal/pool/standing.go
+++ b/internal/pool/standing.go
@@ -92,8 +92,18 @@
 	if g == nil {
 		return true
 	}
+	return !g.leaving.Load() && !g.Resting(now)
+}
+
+// Resting reports whether the upstream rests, and is past the start of the rest in
+// which messages that were decided on before may be sent. A nil gate is of an upstream
+// that does not rest.
+func (g *Gate) Resting(now time.Time) bool {
+	if g == nil {
+		return false
+	}
 	rest := g.rest.Load()
-	return !g.leaving.Load() && (rest == nil || now.Before(rest.from) || !now.Before(rest.until))
+	return rest != nil && !now.Before(rest.from) && now.Before(rest.until)
 }
 
 // Change is a change of an upstream's state.
--- a/internal/proxy/action.go
+++ b/internal/proxy/action.go
@@ -115,8 +115,8 @@
 func (a Action) Reason() string { return a.reason }
 
 // Upstream returns the target of Send, Copy, QueryState, QueryID and
-// QueryPrompt, and the upstream whose attempt Cancel ends. Only the goroutine
-// that owns the core may use it.
+// QueryPrompt, the upstream whose attempt Cancel ends, and that of StopRun, or nil if
+// it is no longer listed. Only the goroutine that owns the core may use it.
 func (a Action) Upstream() *pool.Upstream { return a.upstream }
 
 // Instance returns the id of the incarnation that must run the request of Send,
--- a/internal/proxy/cancel.go
+++ b/internal/proxy/cancel.go
@@ -79,15 +79,17 @@
 // an engine that rests is put off.
 func (c *Core) stopCancelled(now time.Time) {
 	for _, o := range c.cancelled.Due(now) {
-		if u := c.pool.Get(o.Run().Instance); u != nil && !c.pool.PermitMessage(now, u) {
+		u := c.pool.Get(o.Run().Instance)
+		if u != nil && !c.pool.PermitMessage(now, u) {
 			c.cancelled.Answer(now, o, reap.Unanswered)
 			continue
 		}
 		c.actions = append(c.actions, Action{
-			kind:    StopRun,
-			stop:    o,
-			timeout: stopTimeout,
-			reason:  "cancelled",
+			kind:     StopRun,
+			upstream: u,
+			stop:     o,
+			timeout:  stopTimeout,
+			reason:   "cancelled",
 		})
 	}
 }
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -170,6 +170,9 @@
 		case StopRun:
 			r := a.Stop().Run()
 			s.stops[r.Request+" at "+r.Instance] = a.Stop()
+			if u := s.core.Pool().Get(r.Instance); a.Upstream() != u {
+				s.t.Errorf("stop-run of %s: upstream is %v, want the listed %s", r.Request, a.Upstream(), r.Instance)
+			}
 			fmt.Fprintf(&b, " %s at %s other=%s", r.Request, r.Instance, a.Stop().Other())
 		case Refuse:
 			fmt.Fprintf(&b, " %d %s", a.Problem().Status(), a.Problem().Outcome())
