proxy, move: Return the quota of a request that did not reach the new version

What callers saw: nothing; a move went on more slowly than the exposure allows. While the upstreams of the new version rested, the requests meant for it went to the old version, and each counted as one that had reached the new version. After the rest that version got none until enough further requests had come.

Cause: the quota is taken as a request is assigned to the new version, and was not returned if the request was sent to the old one or ended without being sent. That held without a rest too, but hardly occurred.

Evidence: proxy/testdata/rest-quota fails before with

arrive at=2000 n=3 wait=800 expected: 3 send try=1 to=u2 left=800 (first) found: 3 send try=1 to=u1 left=800 (first)

Change: what a request has reserved and not used is returned when it is assigned to the old version or ends. The quota then counts what was sent, which is what the exposure limits.

--- a/internal/move/exposure.go
+++ b/internal/move/exposure.go
@@ -119,3 +119,6 @@
 
 // Take counts a request that is sent to the version.
 func (q *Quota) Take() { q.taken++ }
+
+// Return reverts Take for a request that was not sent.
+func (q *Quota) Return() { q.taken-- }
--- a/internal/proxy/move.go
+++ b/internal/proxy/move.go
@@ -161,8 +161,22 @@
 		}
 		x.reserved, x.exposed = false, true
 	case x.newVersion:
-		x.newVersion = false
-		s.oldInFlight++
+		x.assignOld()
+	}
+}
+
+// assignOld assigns a request of the new version to the old one.
+func (x *exchange) assignOld() {
+	x.returnQuota()
+	x.newVersion = false
+	x.move.oldInFlight++
+}
+
+// returnQuota releases what the quota has counted for an attempt that was not sent.
+func (x *exchange) returnQuota() {
+	if x.reserved {
+		x.move.quota.Return()
+		x.reserved = false
 	}
 }
 
@@ -177,9 +191,13 @@
 	return x.unproven(u) && (x.move.banned || !x.move.quota.Free(c.peers))
 }
 
-// leaveMove removes a request that ends from the count of the old version.
+// leaveMove removes a request that ends from the counts of the move.
 func (x *exchange) leaveMove() {
-	if x.move != nil && !x.newVersion {
+	if x.move == nil {
+		return
+	}
+	x.returnQuota()
+	if !x.newVersion {
 		x.move.oldInFlight--
 	}
 }
@@ -223,8 +241,7 @@
 	case !x.newVersion:
 		return false
 	default:
-		x.newVersion = false
-		x.move.oldInFlight++
+		x.assignOld()
 	}
 	return true
 }
