stand: Keep what upstreams state of themselves in a package of its own

The statement in the head of an answer, the standing of an incarnation, its gate for messages that wait for a connection, and the book that remembers standings beyond a removal move to internal/stand; the pool keeps the attribution of a statement to an incarnation. The states have the present time as an argument, one log line for each change, and the gauges upstreams{state}.

No decision changes: no expected output of a script changed. pool/testdata/memory is new and shows that the book forgets the incarnation first that was heard from least recently.

--- a/internal/edge/dispatcher.go
+++ b/internal/edge/dispatcher.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/blame"
-	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/proxy"
 	"clementinelink.example/clementinelink/internal/ring"
+	"clementinelink.example/clementinelink/internal/stand"
 	"clementinelink.example/clementinelink/internal/table"
 )
 
@@ -301,7 +301,7 @@
 		u = nil
 	}
 	return Contact{
-		Heard: func(s pool.Statement) { d.notify(ctx, proxy.NewHeard(u, instance, s, cause)) },
+		Heard: func(s stand.Statement) { d.notify(ctx, proxy.NewHeard(u, instance, s, cause)) },
 	}
 }
 
--- a/internal/edge/eventlog.go
+++ b/internal/edge/eventlog.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/meter"
-	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/proxy"
 	"clementinelink.example/clementinelink/internal/reap"
+	"clementinelink.example/clementinelink/internal/stand"
 	"github.com/rs/zerolog"
 )
 
@@ -74,13 +74,13 @@
 
 // logChange logs a change of an upstream's state. age is the time in the earlier
 // state and rest that to the end of a rest, both in milliseconds.
-func (j *eventLog) logChange(c pool.Change) {
+func (j *eventLog) logChange(c stand.Change) {
 	j.log.Info().Str("upstream", c.Upstream()).Str("state", c.State()).Str("cause", c.Cause()).
 		Int64("age", c.Age().Milliseconds()).Int64("rest", c.Rest().Milliseconds()).Msg("pool: An upstream changed its state.")
 }
 
 // logInvalid logs a header field of an upstream that was ignored.
-func (j *eventLog) logInvalid(upstream string, f pool.InvalidField) {
+func (j *eventLog) logInvalid(upstream string, f stand.InvalidField) {
 	j.log.Warn().Str("upstream", upstream).Str("field", f.Name()).Str("value", f.Value()).Msg("pool: A header field is ignored.")
 }
 
--- a/internal/edge/message.go
+++ b/internal/edge/message.go
@@ -8,6 +8,7 @@
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/proxy"
 	"clementinelink.example/clementinelink/internal/reap"
+	"clementinelink.example/clementinelink/internal/stand"
 	"github.com/cockroachdb/errors"
 )
 
@@ -90,10 +91,10 @@
 type Contact struct {
 	// Gate tells whether the message may still be sent once there is a connection.
 	// It may be nil.
-	Gate *pool.Gate
+	Gate *stand.Gate
 	// Heard receives what the head of each answer states about the upstream,
 	// whatever the answer's status. It may block for a short time.
-	Heard func(pool.Statement)
+	Heard func(stand.Statement)
 }
 
 // ErrMalformedAnswer means that an upstream's answer could not be decoded. The
--- /dev/null
+++ b/internal/pool/hear.go
@@ -0,0 +1,96 @@
+package pool
+
+import (
+	"time"
+
+	"clementinelink.example/clementinelink/internal/stand"
+)
+
+// Causes of changes of an upstream's state other than its answers.
+const (
+	causeRegistry = "registry"
+	causeState    = "state"
+)
+
+// Leaving reports whether the upstream accepts no new work.
+func (u *Upstream) Leaving() bool { return u.standing.Leaving() }
+
+// Resting reports whether the upstream wants no messages at present.
+func (u *Upstream) Resting(now time.Time) bool { return u.standing.Resting(now) }
+
+// RestUntil returns the end of the latest rest, or the zero time.
+func (u *Upstream) RestUntil() time.Time { return u.standing.RestUntil() }
+
+// PermitMessage reports whether the upstream may be sent a message about a run under
+// way, and counts it against the few that a rest permits.
+func (u *Upstream) PermitMessage(now time.Time) bool { return u.standing.PermitMessage(now) }
+
+// Gate returns the gate for messages to the upstream that wait for a connection.
+func (u *Upstream) Gate() *stand.Gate { return u.standing.Gate() }
+
+// WithObserver sets the functions that are called with each change of an
+// upstream's state and with each invalid field of an upstream. It must be called
+// before any other method.
+func (p *Pool) WithObserver(changed func(stand.Change), ignored func(id string, f stand.InvalidField)) *Pool {
+	p.book.SetObserver(changed, ignored)
+	return p
+}
+
+// Hear applies a statement that arrived in an answer. u is the incarnation that was
+// sent the message, or nil if the message was for the one that is present at the
+// address, and expected is the id of the one that was to answer. cause describes
+// the message.
+func (p *Pool) Hear(now time.Time, u *Upstream, expected string, st stand.Statement, cause string) {
+	id := st.Instance()
+	if id == "" {
+		id = expected
+	}
+	if u == nil || u.ID() != id {
+		u = p.byID[id]
+		if u != nil && u.gone {
+			// Another incarnation with the same id has replaced the listed one.
+			u = nil
+		}
+	}
+	s := p.book.OfUnknown(now, id)
+	if u != nil {
+		s = u.standing
+	}
+	p.book.Hear(now, s, st, cause)
+}
+
+// MarkLeaving records that the upstream accepts no new work. It is permanent for
+// the incarnation, also if the registry removes it and lists it again.
+func (p *Pool) MarkLeaving(now time.Time, u *Upstream, cause string) {
+	p.book.MarkLeaving(now, u.standing, cause)
+}
+
+// EndRests reports the rests that have ended.
+func (p *Pool) EndRests(now time.Time) { p.book.EndRests(now) }
+
+// FirstReturn returns the earliest end of a rest among the upstreams of a service
+// that are resting and would be usable otherwise, or false if there are none or
+// another one may be sent work. It excludes upstreams for which skip returns true.
+func (p *Pool) FirstReturn(now time.Time, service string, skip func(*Upstream) bool) (time.Time, bool) {
+	var first time.Time
+	for _, u := range p.byService[service] {
+		switch {
+		case skip(u):
+		case p.eligible(now, u):
+			return time.Time{}, false
+		case u.Usable() && u.Resting(now) && (first.IsZero() || u.RestUntil().Before(first)):
+			first = u.RestUntil()
+		}
+	}
+	return first, !first.IsZero()
+}
+
+// Refuses reports whether the listed incarnation with the id, or else the latest
+// known one, is leaving or resting.
+func (p *Pool) Refuses(now time.Time, id string) bool {
+	s := p.book.Latest(id)
+	if u := p.byID[id]; u != nil && !u.gone {
+		s = u.standing
+	}
+	return s != nil && (s.Leaving() || s.Resting(now))
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"clementinelink.example/clementinelink/internal/stand"
 )
 
 const (
@@ -34,18 +36,10 @@
 	byAddress map[string]*Upstream
 	// failures holds the recent failures of each failure domain.
 	failures map[string]*domainFailures
-	// standings holds what incarnations have stated, by id, also after their
-	// removal.
-	standings map[string]*standing
-	// resting holds the incarnations whose rest has not been reported to have
-	// ended.
-	resting []*standing
+	// book holds what incarnations have stated, also after their removal.
+	book *stand.Book
 	// random returns a number in [0, 1).
 	random func() float64
-	// changed and ignored are called with each change of an upstream's state and
-	// each invalid field of an upstream.
-	changed func(Change)
-	ignored func(id string, f InvalidField)
 }
 
 // domainFailures holds the recent failures in one failure domain.
@@ -58,19 +52,17 @@
 // New returns an empty pool of a VM in the given region and failure domain. The
 // seed determines how ties between upstreams are broken.
 func New(region, domain string, seed uint64) *Pool {
-	return &Pool{
+	p := &Pool{
 		region:    region,
 		domain:    domain,
 		byID:      make(map[string]*Upstream),
 		byService: make(map[string][]*Upstream),
-		failures:  make(map[string]*domainFailures),
-
 		byAddress: make(map[string]*Upstream),
-		standings: make(map[string]*standing),
+		failures:  make(map[string]*domainFailures),
 		random:    rand.New(rand.NewPCG(seed, 0)).Float64,
-		changed:   func(Change) {},
-		ignored:   func(string, InvalidField) {},
 	}
+	p.book = stand.NewBook(func() float64 { return p.random() })
+	return p
 }
 
 // Get returns the listed upstream with the id, or nil.
@@ -94,7 +86,7 @@
 	if u == nil {
 		u = &Upstream{
 			entry:    e,
-			standing: p.standingOf(now, e),
+			standing: p.book.Of(now, e.ID(), e.StartedAt()),
 		}
 		p.byID[e.ID()] = u
 		if old := p.byAddress[e.Address()]; old != nil && old.entry.Service() == e.Service() {
@@ -117,7 +109,7 @@
 // has the same id.
 func (p *Pool) restarted(u *Upstream, e Entry) bool {
 	if u.entry.StartedAt() == 0 || e.StartedAt() == 0 {
-		return u.Leaving() && !u.standing.matches(e)
+		return u.Leaving() && !u.standing.Matches(e.StartedAt())
 	}
 	return u.entry.StartedAt() != e.StartedAt()
 }
@@ -154,24 +146,24 @@
 // because its failure domain has failed, or "leaving".
 func (p *Pool) CountByState(now time.Time) map[string]int {
 	count := map[string]int{
-		stateUsable:   0,
-		stateResting:  0,
+		stand.Usable:  0,
+		stand.Resting: 0,
 		"backing-off": 0,
 		"suspect":     0,
-		stateLeaving:  0,
+		stand.Leaving: 0,
 	}
 	for _, u := range p.byID {
 		switch {
 		case !u.Usable():
-			count[stateLeaving]++
+			count[stand.Leaving]++
 		case u.Resting(now):
-			count[stateResting]++
+			count[stand.Resting]++
 		case u.BackingOff(now):
 			count["backing-off"]++
 		case p.Suspect(now, u):
 			count["suspect"]++
 		default:
-			count[stateUsable]++
+			count[stand.Usable]++
 		}
 	}
 	return count
--- a/internal/pool/script_test.go
+++ b/internal/pool/script_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/stand"
 	"github.com/cockroachdb/datadriven"
 )
 
@@ -18,13 +19,14 @@
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var reports strings.Builder
-		p := New("r1", "a", 1).WithObserver(func(c Change) {
+		quiet := false
+		p := New("r1", "a", 1).WithObserver(func(c stand.Change) {
 			fmt.Fprintf(&reports, "%s is %s: %s, after %d ms", c.Upstream(), c.State(), c.Cause(), c.Age().Milliseconds())
 			if c.Rest() > 0 {
 				fmt.Fprintf(&reports, ", for %d ms", c.Rest().Milliseconds())
 			}
 			reports.WriteByte('\n')
-		}, func(id string, f InvalidField) {
+		}, func(id string, f stand.InvalidField) {
 			fmt.Fprintf(&reports, "%s: %s=%q is ignored\n", id, f.Name(), f.Value())
 		})
 		p.random = func() float64 { return 0 }
@@ -36,6 +38,9 @@
 			}
 			reports.Reset()
 			result := runCommand(t, p, now, d)
+			if quiet = quiet || d.Cmd == "quiet"; quiet {
+				return result
+			}
 			return reports.String() + result
 		})
 	})
@@ -92,10 +97,20 @@
 		p.AddProvisional(now, u, as, NewState(StateSpec{}))
 	case "hear":
 		hear(t, p, now, u, d)
+	case "quiet":
+	case "hear-unknown":
+		for i := range number(t, d, "count") {
+			p.Hear(now.Add(time.Duration(i)*time.Millisecond), nil, fmt.Sprintf("x%d", i), stand.NewStatement("").WithLeaving(), "answer")
+		}
+		reports := ""
+		for _, id := range []string{"x0", "x1", fmt.Sprintf("x%d", number(t, d, "count")-1)} {
+			reports += fmt.Sprintln(id, p.Refuses(now, id))
+		}
+		return reports
 	case "end-rests":
 		p.EndRests(now)
 	case "message":
-		return fmt.Sprintln(p.PermitMessage(now, u))
+		return fmt.Sprintln(u.PermitMessage(now))
 	case "gate":
 		return fmt.Sprintln(u.Gate().Open(now))
 	case "count":
@@ -142,7 +157,7 @@
 		}
 		return value
 	}
-	s := NewStatement(text("by"))
+	s := stand.NewStatement(text("by"))
 	if d.HasArg("leaving") {
 		s = s.WithLeaving()
 	}
--- a/internal/pool/upstream.go
+++ b/internal/pool/upstream.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"clementinelink.example/clementinelink/internal/stand"
 )
 
 const (
@@ -39,9 +41,7 @@
 	// does not list yet may be used; it is zero for a listed one.
 	provisionalUntil time.Time
 	// standing is what the upstream stated about itself. It is never nil.
-	standing *standing
-	// lastInvalid is the latest invalid field of an answer that was reported.
-	lastInvalid InvalidField
+	standing *stand.Standing
 
 	// attempts counts this VM's attempts in flight.
 	attempts int
@@ -90,7 +90,7 @@
 func (u *Upstream) Tokens() int { return u.tokens + u.copyTokens }
 
 // Usable reports whether the upstream may be sent new work.
-func (u *Upstream) Usable() bool { return !u.gone && !u.standing.leaving }
+func (u *Upstream) Usable() bool { return !u.gone && !u.standing.Leaving() }
 
 // Gone reports whether the registry no longer lists the incarnation or another
 // one has replaced it.
--- a/internal/proxy/action.go
+++ b/internal/proxy/action.go
@@ -7,6 +7,7 @@
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/reap"
+	"clementinelink.example/clementinelink/internal/stand"
 )
 
 // ActionKind is the kind of work that an Action asks its driver to do.
@@ -124,7 +125,7 @@
 func (a Action) Instance() string { return a.instance }
 
 // Gate returns the gate for the message of Send, which may be nil.
-func (a Action) Gate() *pool.Gate {
+func (a Action) Gate() *stand.Gate {
 	if a.instance != a.upstream.ID() {
 		// The gate is that of another incarnation at the same address.
 		return nil
--- a/internal/proxy/cancel.go
+++ b/internal/proxy/cancel.go
@@ -55,7 +55,7 @@
 // an engine that rests is put off.
 func (c *Core) stopCancelled(now time.Time) {
 	for _, o := range c.cancelled.Due(now) {
-		if u := c.pool.Get(o.Run().Instance); u != nil && !c.pool.PermitMessage(now, u) {
+		if u := c.pool.Get(o.Run().Instance); u != nil && !u.PermitMessage(now) {
 			c.cancelled.Answer(now, o, reap.Refused)
 			continue
 		}
--- a/internal/proxy/event.go
+++ b/internal/proxy/event.go
@@ -7,6 +7,7 @@
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/reap"
+	"clementinelink.example/clementinelink/internal/stand"
 	"clementinelink.example/clementinelink/internal/table"
 )
 
@@ -148,7 +149,7 @@
 	// recipient and statement are set for Heard, with the expected incarnation in
 	// instance.
 	recipient *pool.Upstream
-	statement pool.Statement
+	statement stand.Statement
 	charges   []blame.Charge
 }
 
@@ -361,7 +362,7 @@
 // recipient is the upstream that was sent the message, or nil if it is not known,
 // instance is the id of the incarnation that was expected to answer, and cause
 // describes the message.
-func NewHeard(recipient *pool.Upstream, instance string, s pool.Statement, cause string) Event {
+func NewHeard(recipient *pool.Upstream, instance string, s stand.Statement, cause string) Event {
 	return Event{
 		kind:      Heard,
 		recipient: recipient,
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -53,7 +53,7 @@
 	if _, ok := c.stateQueries[key]; ok {
 		return
 	}
-	if instance == "" && !c.pool.PermitMessage(now, u) {
+	if instance == "" && !u.PermitMessage(now) {
 		return
 	}
 	c.stateQueries[key] = now
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -13,6 +13,7 @@
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/reap"
+	"clementinelink.example/clementinelink/internal/stand"
 	"clementinelink.example/clementinelink/internal/table"
 	"github.com/cockroachdb/datadriven"
 )
@@ -197,7 +198,7 @@
 // heard returns the event of a statement of an upstream.
 func (s *script) heard(d *datadriven.TestData) Event {
 	id := s.text(d, "id", "")
-	st := pool.NewStatement(s.text(d, "by", ""))
+	st := stand.NewStatement(s.text(d, "by", ""))
 	if d.HasArg("leaving") {
 		st = st.WithLeaving()
 	}
--- /dev/null
+++ b/internal/stand/standing.go
@@ -0,0 +1,100 @@
+package stand
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// restGrace is the time from the start of a rest in which messages that were
+	// decided on before may still be sent, and the state of an engine with runs may
+	// still be queried. An upstream expects none later than 500 ms after its answer.
+	restGrace = 400 * time.Millisecond
+	// maxRestMessages is the number of messages about runs under way, such as state
+	// queries, that an upstream is sent after restGrace in a rest.
+	maxRestMessages = 2
+)
+
+// Standing is what one incarnation of an upstream has stated. Apart from its Gate, it
+// is owned by the goroutine that owns the Book.
+type Standing struct {
+	id string
+	// startedAt is the start time of the incarnation in Unix milliseconds, or 0 if
+	// it is unknown.
+	startedAt int64
+	// heard is the time of the latest statement that had an effect.
+	heard time.Time
+	// leaving is true once the upstream or the registry reported so. It is never
+	// reset.
+	leaving bool
+	// restSince and restUntil are the times of the latest rest. A statement during
+	// a rest can only prolong it.
+	restSince time.Time
+	restUntil time.Time
+	// messages counts the messages after restGrace in the present rest.
+	messages int
+	// changed is the time of the latest change of the state.
+	changed time.Time
+	// lastInvalid is the latest invalid field that was reported.
+	lastInvalid InvalidField
+	gate        Gate
+}
+
+// Matches reports whether the standing is that of the incarnation with the given
+// start time in Unix milliseconds, or 0 if it is unknown. Where a start time is
+// unknown, an incarnation that started after the latest statement is another one.
+func (s *Standing) Matches(startedAt int64) bool {
+	if s.startedAt == 0 || startedAt == 0 {
+		return startedAt <= s.heard.UnixMilli()
+	}
+	return s.startedAt == startedAt
+}
+
+// Leaving reports whether the incarnation accepts no new work.
+func (s *Standing) Leaving() bool { return s.leaving }
+
+// Resting reports whether the incarnation wants no messages at present.
+func (s *Standing) Resting(now time.Time) bool { return now.Before(s.restUntil) }
+
+// RestUntil returns the end of the latest rest, or the zero time.
+func (s *Standing) RestUntil() time.Time { return s.restUntil }
+
+// Gate returns the gate for messages that wait for a connection.
+func (s *Standing) Gate() *Gate { return &s.gate }
+
+// PermitMessage reports whether the incarnation may be sent a message about a run
+// under way, and counts it against the few that a rest permits.
+func (s *Standing) PermitMessage(now time.Time) bool {
+	if !s.Resting(now) || now.Sub(s.restSince) < restGrace {
+		return true
+	}
+	if s.messages >= maxRestMessages {
+		return false
+	}
+	s.messages++
+	return true
+}
+
+// Gate tells goroutines that wait for a connection to an upstream whether its
+// state still permits the message. It is safe for concurrent use.
+type Gate struct {
+	leaving atomic.Bool
+	// rest is the part of the latest rest in which no message may be sent.
+	rest atomic.Pointer[interval]
+}
+
+// interval is a span of time, without its end.
+type interval struct {
+	from  time.Time
+	until time.Time
+}
+
+// Open reports whether a message that was decided on before may still be sent.
+// A nil gate is open.
+func (g *Gate) Open(now time.Time) bool {
+	if g == nil {
+		return true
+	}
+	rest := g.rest.Load()
+	return !g.leaving.Load() && (rest == nil || now.Before(rest.from) || !now.Before(rest.until))
+}
--- a/internal/pool/statement.go
+++ b/internal/stand/statement.go
@@ -1,14 +1,7 @@
-package pool
+package stand
 
 import "time"
 
-// Causes of changes of an upstream's state other than its answers.
-const (
-	causeRegistry = "registry"
-	causeState    = "state"
-	causeRested   = "end of the rest"
-)
-
 // Statement is what an upstream states about itself in the head of an answer,
 // whatever the answer is about. It is immutable.
 type Statement struct {
