proxy: Let a booking wait for an upstream that rests if the others refused it

What callers saw: 503 "no upstream" at once, although an upstream of the service would have returned in time. A booking is not sent twice to an upstream that refused it, but such an upstream counted as one that could still be used, so that the request did not wait for the one that rested.

Change: upstreams that refused the request and don't rest do not count when the first return is looked for.

Evidence: the new last case of proxy/testdata/resting is refused without the change and delivered with it. go test -race of proxy: ok.

--- a/internal/proxy/rest.go
+++ b/internal/proxy/rest.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/errs"
+	"clementinelink.example/clementinelink/internal/pool"
 )
 
 const (
@@ -26,7 +27,7 @@
 // has started is retried. If all upstreams rest, the request waits for the first one
 // that returns in time. Any other request fails.
 func (c *Core) noUpstream(now time.Time, x *exchange) {
-	first, resting := c.pool.FirstReturn(now, x.need.Service(), x.wrongVersion)
+	first, resting := c.firstReturn(now, x)
 	if x.stream() && x.headSent {
 		x.retryAt = now.Add(retryPause)
 		if silent := x.lastDelivered.Add(maxSilence); resting && first.After(x.retryAt) {
@@ -54,7 +55,7 @@
 // and is sent soon if there is one that does not rest.
 func (c *Core) reviewWaiting(now time.Time, listed bool) {
 	for _, x := range c.waitingForReturn() {
-		first, resting := c.pool.FirstReturn(now, x.need.Service(), x.wrongVersion)
+		first, resting := c.firstReturn(now, x)
 		switch {
 		case resting && !x.returnAt.Before(first):
 		case !resting && c.pool.Pick(now, x.need, x.wrongVersion) != nil:
@@ -82,10 +83,19 @@
 	return list
 }
 
+// firstReturn returns the earliest end of a rest if all upstreams rest that the
+// request may be sent to. Those that have refused it and do not rest do not count.
+func (c *Core) firstReturn(now time.Time, x *exchange) (time.Time, bool) {
+	mayResend := x.stream() || x.reply != nil || x.waited
+	return c.pool.FirstReturn(now, x.need.Service(), func(u *pool.Upstream) bool {
+		return x.wrongVersion(u) || !mayResend && x.tried(u) && !u.Resting(now)
+	})
+}
+
 // retryAfter returns the Retry-After time for a request that did not run: the first
 // end of a rest if all upstreams rest.
 func (c *Core) retryAfter(now time.Time, x *exchange) time.Duration {
-	first, resting := c.pool.FirstReturn(now, x.need.Service(), x.wrongVersion)
+	first, resting := c.firstReturn(now, x)
 	if !resting {
 		return retryAfter(x.q)
 	}
