--- a/internal/proxy/cancel.go
+++ b/internal/proxy/cancel.go
@@ -80,7 +80,7 @@
 func (c *Core) stopCancelled(now time.Time) {
 	for _, o := range c.cancelled.Due(now) {
 		u := c.pool.Get(o.Run().Instance)
-		if u != nil && !c.pool.PermitMessage(now, u) {
+		if u != nil && !u.PermitMessage(now) {
 			c.cancelled.Answer(now, o, reap.Unanswered)
 			continue
 		}
--- a/internal/proxy/move.go
+++ b/internal/proxy/move.go
@@ -233,7 +233,7 @@
 	case x.move == nil:
 		return false
 	case x.move.limits.Done():
-		if _, resting := c.pool.FirstReturn(now, x.need.Service(), x.wrongVersion); resting {
+		if _, resting := c.firstReturn(now, x); resting {
 			return false
 		}
 		x.leaveMove()
