--- a/internal/pool/hear.go
+++ b/internal/pool/hear.go
@@ -25,6 +25,9 @@
 // way, and counts it against the few that a rest permits.
 func (u *Upstream) PermitMessage(now time.Time) bool { return u.standing.PermitMessage(now) }
 
+// PermitQuery is PermitMessage for a query.
+func (u *Upstream) PermitQuery(now time.Time) bool { return u.standing.PermitQuery(now) }
+
 // Gate returns the gate for messages to the upstream that wait for a connection.
 func (u *Upstream) Gate() *stand.Gate { return u.standing.Gate() }
 
--- a/internal/pool/script_test.go
+++ b/internal/pool/script_test.go
@@ -111,6 +111,8 @@
 		p.EndRests(now)
 	case "message":
 		return fmt.Sprintln(u.PermitMessage(now))
+	case "query":
+		return fmt.Sprintln(u.PermitQuery(now))
 	case "gate":
 		return fmt.Sprintln(u.Gate().Open(now))
 	case "count":
--- a/internal/proxy/rest.go
+++ b/internal/proxy/rest.go
@@ -43,23 +43,41 @@
 		return
 	}
 	at := first.Add(c.spread(returnSpread))
-	if x.deadline.Sub(at) < max(x.route.Goal(), minTimeLeft) {
+	if !c.mayWait(x, at) {
 		c.fail(now, x, "all upstreams rest", errs.Upstream)
 		return
 	}
 	x.returnAt, x.waited = at, true
 }
 
-// reviewWaiting reconsiders the requests that wait for the end of a rest after a
-// change of the upstreams. A request ends if no upstream returns in time any more,
-// and is sent soon if there is one that does not rest.
-func (c *Core) reviewWaiting(now time.Time, listed bool) {
-	for _, x := range c.waitingForReturn() {
+// mayWait reports whether waiting until the time at serves the caller: the request can
+// still be served by its deadline, or a stream on time, before a draining VM stops.
+func (c *Core) mayWait(x *exchange, at time.Time) bool {
+	if c.draining && !c.fitsBeforeStop(at, x.route, x.q, x.deadline) {
+		return false
+	}
+	goal := x.route.Goal()
+	if x.stream() && goal > 0 && at.After(x.arrived.Add(goal)) {
+		// The stream would be late, and may be on time at another VM.
+		return false
+	}
+	return x.deadline.Sub(at) >= max(goal, minTimeLeft)
+}
+
+// reviewWaiting reconsiders the requests that wait for an upstream after a change of
+// the upstreams that may serve them. A request ends if no upstream returns in time any
+// more. If some were added, it is sent soon if there is one that does not rest.
+func (c *Core) reviewWaiting(now time.Time, added bool) {
+	for _, x := range c.waiting() {
 		first, resting := c.firstReturn(now, x)
 		switch {
-		case resting && !x.returnAt.Before(first):
+		case x.returnAt.IsZero():
+			if soon := now.Add(retryPause); added && soon.Before(x.retryAt) && c.pool.Pick(now, x.need, x.wrongVersion) != nil {
+				x.retryAt = soon
+			}
+		case resting && !x.returnAt.Before(first) && c.mayWait(x, x.returnAt):
 		case !resting && c.pool.Pick(now, x.need, x.wrongVersion) != nil:
-			if soon := now.Add(c.spread(returnSpread)); listed && soon.Before(x.returnAt) {
+			if soon := now.Add(c.spread(returnSpread)); added && soon.Before(x.returnAt) {
 				x.returnAt = soon
 			}
 		default:
@@ -70,12 +88,12 @@
 	}
 }
 
-// waitingForReturn returns the requests that wait for the end of a rest, in order of
-// arrival.
-func (c *Core) waitingForReturn() []*exchange {
+// waiting returns the requests that wait for the end of a rest and the streams that
+// wait for a retry, in order of arrival.
+func (c *Core) waiting() []*exchange {
 	var list []*exchange
 	for _, x := range c.inFlight {
-		if !x.returnAt.IsZero() {
+		if !x.returnAt.IsZero() || !x.retryAt.IsZero() {
 			list = append(list, x)
 		}
 	}
@@ -93,13 +111,17 @@
 }
 
 // retryAfter returns the Retry-After time for a request that did not run: the first
-// end of a rest if all upstreams rest.
+// end of a rest if all upstreams rest. Another VM may take the requests of a draining
+// one before that.
 func (c *Core) retryAfter(now time.Time, x *exchange) time.Duration {
 	first, resting := c.firstReturn(now, x)
 	if !resting {
 		return retryAfter(x.q)
 	}
 	left := max(first.Sub(now), retrySoon)
+	if c.draining {
+		left = retrySoon
+	}
 	return left + c.spread(min(max(time.Duration(retrySpread*float64(left)), minRetrySpread), maxRetrySpread))
 }
 
--- a/internal/stand/standing.go
+++ b/internal/stand/standing.go
@@ -10,9 +10,11 @@
 	// decided on before may still be sent, and the state of an engine with runs may
 	// still be queried. An upstream expects none later than 500 ms after its answer.
 	restGrace = 400 * time.Millisecond
-	// maxRestMessages is the number of messages about runs under way, such as state
-	// queries, that an upstream is sent after restGrace in a rest.
+	// maxRestMessages is the number of messages about runs under way that an upstream
+	// is sent after restGrace in a rest, and maxRestQueries that of queries among them.
+	// The others are left for orders to stop runs.
 	maxRestMessages = 2
+	maxRestQueries  = 1
 )
 
 // Standing is what one incarnation of an upstream has stated. Apart from its Gate, it
@@ -64,11 +66,17 @@
 
 // PermitMessage reports whether the incarnation may be sent a message about a run
 // under way, and counts it against the few that a rest permits.
-func (s *Standing) PermitMessage(now time.Time) bool {
+func (s *Standing) PermitMessage(now time.Time) bool { return s.permit(now, maxRestMessages) }
+
+// PermitQuery is PermitMessage for a query.
+func (s *Standing) PermitQuery(now time.Time) bool { return s.permit(now, maxRestQueries) }
+
+// permit counts a message in a rest unless there were limit messages already.
+func (s *Standing) permit(now time.Time, limit int) bool {
 	if !s.Resting(now) || now.Sub(s.restSince) < restGrace {
 		return true
 	}
-	if s.messages >= maxRestMessages {
+	if s.messages >= limit {
 		return false
 	}
 	s.messages++
@@ -95,6 +103,16 @@
 	if g == nil {
 		return true
 	}
+	return !g.leaving.Load() && !g.Resting(now)
+}
+
+// Resting reports whether the upstream rests, and is past the start of the rest in
+// which messages that were decided on before may be sent. A nil gate is of an upstream
+// that does not rest.
+func (g *Gate) Resting(now time.Time) bool {
+	if g == nil {
+		return false
+	}
 	rest := g.rest.Load()
-	return !g.leaving.Load() && (rest == nil || now.Before(rest.from) || !now.Before(rest.until))
+	return rest != nil && !now.Before(rest.from) && now.Before(rest.until)
 }
