stand: Keep a rest that the registry attributes to the next incarnation

What callers saw: nothing yet. An engine that had restarted under its id and asked for a rest got messages in it (BUDGET) once the registry showed the restart.

Cause: until then the VM takes the answer for one of the incarnation before, and its rest was dropped with that one.

Change: a rest that was heard since the start of the listed incarnation is its own. A rest from before the start ends with the incarnation before, as the script shows.

go test of pool and proxy: ok.

--- a/internal/stand/book.go
+++ b/internal/stand/book.go
@@ -86,16 +86,31 @@
 
 // Of returns the standing of an incarnation, which is new unless the incarnation is
 // known to have made a statement. startedAt is its start time in Unix milliseconds,
-// or 0 if it is unknown.
+// or 0 if it is unknown. A rest that was heard under the id since that time is the
+// incarnation's own, whichever one the answer was taken to be from.
 func (b *Book) Of(now time.Time, id string, startedAt int64) *Standing {
-	if s := b.byID[id]; s != nil && s.Matches(startedAt) {
-		return s
+	latest := b.byID[id]
+	if latest != nil && latest.Matches(startedAt) {
+		return latest
 	}
-	return &Standing{
+	s := &Standing{
 		id:        id,
 		startedAt: startedAt,
 		changed:   now,
 	}
+	if latest != nil && latest.Resting(now) && latest.restSince.UnixMilli() >= startedAt {
+		b.passRest(now, latest, s)
+	}
+	return s
+}
+
+// passRest makes the present rest of one incarnation that of another under the same
+// id.
+func (b *Book) passRest(now time.Time, from, to *Standing) {
+	to.restSince, to.restUntil, to.messages, to.changed = from.restSince, from.restUntil, from.messages, from.changed
+	to.gate.rest.Store(from.gate.rest.Load())
+	b.resting = append(slices.DeleteFunc(b.resting, func(s *Standing) bool { return s == from }), to)
+	b.remember(now, to)
 }
 
 // OfUnknown returns the standing of an incarnation of which only the id is known.
