--- a/internal/proxy/fence.go
+++ b/internal/proxy/fence.go
@@ -52,7 +52,7 @@
 }
 
 // applyCharges replaces the charges in force. Attempts without a piece are
-// cancelled if their prompt is now charged; those with pieces have survived it.
+// cancelled if their prompt is now charged; those with pieces may survive it.
 func (c *Core) applyCharges(now time.Time, charges []blame.Charge) {
 	c.charges = charges
 	for _, x := range c.sortedExchanges() {
