follow, edge: Tell kept entries, and how old the state is that requests are served by

A VM that sends requests to a worker which has left long ago has kept the entry, has an old copy of the store's keys, or has not applied a change yet. Logs and metrics could not tell these apart: store_age_seconds is the age of the last answer, whatever came of it.

go test of follow, edge and feed: ok.

--- a/internal/edge/dispatcher.go
+++ b/internal/edge/dispatcher.go
@@ -35,10 +35,12 @@
 }
 
 // queuedEvent is an event that is queued for the dispatcher. arrival is set
-// only for a caller's request.
+// only for a caller's request, and applied only for a change of the store.
 type queuedEvent struct {
 	event   proxy.Event
 	arrival *arrival
+	// applied is called once the event has taken effect.
+	applied func(now time.Time)
 }
 
 // request is the dispatcher's state of a caller's request in flight.
@@ -139,6 +141,9 @@
 				}
 			}
 			d.step(ctx, s.event)
+			if s.applied != nil {
+				s.applied(d.now())
+			}
 		case <-timer.C:
 			d.step(ctx, proxy.Event{})
 		}
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -57,9 +57,10 @@
 	v.mover.updates.Put(ctx, storeUpdate{
 		change: &c,
 	})
-	if len(listed)+len(gone) > 0 {
-		v.dispatcher.notify(ctx, proxy.NewMembers(listed, gone))
-	}
+	v.dispatcher.events.Put(ctx, queuedEvent{
+		event:   proxy.NewMembers(listed, gone),
+		applied: v.progress.begin(c.Confirmed(), c.Len()),
+	})
 }
 
 // applyEnrolment applies the key of a VM. A VM whose value is invalid still
--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -61,6 +61,8 @@
 	// asks for more, so that several changes cost one call. It delays changes
 	// and so counts against the time in which they must take effect.
 	BatchDelay time.Duration
+	// EffectTime is the time within which a change of the store must take effect.
+	EffectTime time.Duration
 	// Budget bounds the repeated attempts.
 	Budget proxy.Budget
 	// Exposure bounds the requests that an unproven version gets.
@@ -103,6 +105,7 @@
 	metrics  *meter.Registry
 
 	dispatcher *Dispatcher
+	progress   *progress
 	mover      *mover
 	accord     *accord.Duty
 	watcher    *watcher
@@ -137,6 +140,7 @@
 		peers:      make(map[string]enrolment),
 		feed:       feed.NewLog(),
 		dispatcher: newDispatcher(core, u, j),
+		progress:   newProgress(s.EffectTime, m, log),
 	}
 	c.WithObserver(func(verb, result string) {
 		m.Counter("store_calls_total", "Calls of the store.", "verb", verb, "result", result).Inc()
@@ -156,7 +160,7 @@
 			m.Counter("feed_reads_total", "Reads of changes by the kind of source.", "source", source, "result", result).Inc()
 		})
 	}
-	v.watcher.apply = v.applyChange
+	v.watcher.apply, v.watcher.idle = v.applyChange, v.progress.confirm
 	return v
 }
 
@@ -223,6 +227,10 @@
 	v.metrics.Watch("table_age_seconds", "Time since the routing table in force arrived.", func() float64 {
 		return d.now().Sub(time.Unix(0, d.tableSince.Load())).Seconds()
 	})
+	v.metrics.Watch("applied_age_seconds", "Time since the store confirmed the table and the upstreams that requests are served by.", func() float64 {
+		return v.progress.age(d.now()).Seconds()
+	})
+	v.metrics.Watch("entries_kept", "Entries that are missing from the store but kept after an outage.", func() float64 { return float64(v.watcher.kept()) })
 	v.metrics.Watch("store_age_seconds", "Time since the store, or a VM that it answered lately, confirmed the table and the upstreams.", func() float64 { return v.watcher.age().Seconds() })
 }
 
--- a/internal/edge/watcher.go
+++ b/internal/edge/watcher.go
@@ -25,7 +25,9 @@
 	reader     *feed.Reader
 	batchDelay time.Duration
 	apply      func(ctx context.Context, c follow.Change)
-	log        zerolog.Logger
+	// idle is called after each answer without a change.
+	idle func(confirmed time.Time)
+	log  zerolog.Logger
 
 	// joined is closed when the VMs of the failure domain are known, or can't be
 	// read.
@@ -67,7 +69,7 @@
 	case <-ctx.Done():
 		return
 	}
-	f := follow.New(w.client, "", w.batchDelay, w.apply, w.log)
+	f := follow.New(w.client, "", w.batchDelay, w.apply, w.log).WithIdle(w.idle)
 	if w.reader != nil {
 		f.ReadFrom(w.reader)
 	}
@@ -83,3 +85,12 @@
 	}
 	return 0
 }
+
+// kept returns the number of entries that are missing from the store but kept. It
+// may be called concurrently.
+func (w *watcher) kept() int {
+	if f := w.follower.Load(); f != nil {
+		return f.Kept()
+	}
+	return 0
+}
--- a/internal/feed/log.go
+++ b/internal/feed/log.go
@@ -151,6 +151,14 @@
 	return l.revision
 }
 
+// Confirmed returns when the store confirmed the revision, or the zero time before
+// the first list.
+func (l *Log) Confirmed() time.Time {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.confirmed
+}
+
 // Changes is a VM's answer to another VM. It is immutable.
 type Changes struct {
 	events   []store.Event
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -297,6 +297,9 @@
 	r.logger.Info().Str("peer", v.name).Uint64("revision", revision).Msg("feed: Changes come from another source.")
 }
 
+// Confirmed returns when the store confirmed the latest answer.
+func (r *Reader) Confirmed() time.Time { return r.log.Confirmed() }
+
 // Pause returns how long to wait after an answer before the next call. There is
 // no wait after an answer from another VM, because such calls are free.
 func (r *Reader) Pause() time.Duration {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -25,6 +25,14 @@
 	watch      func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error)
 	emit       func(ctx context.Context, c Change)
 	now        func() time.Time
+	// confirmed returns when the store confirmed the latest answer, which another
+	// VM may have received.
+	confirmed func() time.Time
+	// idle is called with the time of the store's confirmation after each answer
+	// without a change.
+	idle func(confirmed time.Time)
+	// kept is the number of missing keys that are kept at present.
+	kept atomic.Int64
 	// answeredAt is the time of the last successful call, in Unix nanoseconds,
 	// or 0.
 	answeredAt atomic.Int64
@@ -43,17 +51,30 @@
 		watch:      c.Watch,
 		emit:       emit,
 		now:        time.Now,
+		confirmed:  time.Now,
+		idle:       func(time.Time) {},
 		log:        log,
 	}
 }
 
+// WithIdle makes the follower call idle after each answer without a change, with
+// the time at which the store confirmed it. Call it before Run.
+func (f *Follower) WithIdle(idle func(confirmed time.Time)) *Follower {
+	f.idle = idle
+	return f
+}
+
 // ReadFrom makes the follower read from r, which may ask other VMs. Call it before
 // Run.
 func (f *Follower) ReadFrom(r *feed.Reader) *Follower {
-	f.list, f.watch, f.batchDelay = r.List, r.Watch, r.Pause
+	f.list, f.watch, f.batchDelay, f.confirmed = r.List, r.Watch, r.Pause, r.Confirmed
 	return f
 }
 
+// Kept returns the number of keys that are missing from the store but kept, since
+// their leases may have expired in an outage. It may be called concurrently.
+func (f *Follower) Kept() int { return int(f.kept.Load()) }
+
 // Age returns the time since the last successful list or watch, or since 1970
 // before the first. It may be called concurrently.
 func (f *Follower) Age() time.Duration { return f.now().Sub(time.Unix(0, f.answeredAt.Load())) }
@@ -79,19 +100,36 @@
 		if err == nil {
 			f.answeredAt.Store(f.now().UnixNano())
 		}
-		if err == nil && !c.Empty() {
+		switch {
+		case err == nil && !c.Empty():
+			c.confirmed = f.confirmed()
 			f.emit(ctx, c)
 			if c.Len() < fullBatch {
 				pause = f.batchDelay()
 			}
+		case err == nil:
+			f.idle(f.confirmed())
 		}
-		if old := f.state.Expired(f.now()); !old.Empty() {
-			f.emit(ctx, old)
-		}
+		f.expire(ctx)
 		f.sleep(ctx, pause)
 	}
 }
 
+// expire emits the kept keys whose time has passed.
+func (f *Follower) expire(ctx context.Context) {
+	kept := int64(f.state.Kept())
+	if before := f.kept.Swap(kept); kept > before {
+		f.log.Info().Str("prefix", f.prefix).Int64("keys", kept).Uint64("revision", f.state.Revision()).Msg("follow: Missing entries are kept.")
+	}
+	c := f.state.Expired(f.now())
+	if c.Empty() {
+		return
+	}
+	f.kept.Store(int64(f.state.Kept()))
+	f.log.Info().Str("prefix", f.prefix).Strs("keys", c.Deleted()).Msg("follow: Kept entries are gone.")
+	f.emit(ctx, c)
+}
+
 // poll performs one list or watch.
 func (f *Follower) poll(ctx context.Context) (Change, error) {
 	if !f.state.Synced() {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -34,8 +34,10 @@
 			}
 			return events, revision, nil
 		},
-		now: time.Now,
-		log: zerolog.Nop(),
+		now:       time.Now,
+		confirmed: time.Now,
+		idle:      func(time.Time) {},
+		log:       zerolog.Nop(),
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -37,6 +37,9 @@
 type Change struct {
 	put     []store.Entry
 	deleted []string
+	// confirmed is when the store confirmed the change, or zero for kept keys whose
+	// time has passed.
+	confirmed time.Time
 }
 
 // NewChange returns a change of new or updated entries and of deleted keys.
@@ -53,6 +56,10 @@
 // Deleted returns the keys that no longer exist or are no longer followed.
 func (c Change) Deleted() []string { return c.deleted }
 
+// Confirmed returns when the store confirmed the change, or the zero time for kept
+// keys whose time has passed.
+func (c Change) Confirmed() time.Time { return c.confirmed }
+
 // Len returns the number of changed keys.
 func (c Change) Len() int { return len(c.put) + len(c.deleted) }
 
@@ -98,6 +105,9 @@
 // Revision returns the revision to watch after.
 func (s *State) Revision() uint64 { return s.revision }
 
+// Kept returns the number of keys that are missing from the store but still kept.
+func (s *State) Kept() int { return len(s.missing) }
+
 // Failing reports whether the latest call failed.
 func (s *State) Failing() bool { return s.failures > 0 }
 
