follow: Notice a lost watch before the store's word counts again

What callers would see: a change, or a worker that leaves, takes effect up to 0.2 s too late after connections have gone silent.

Cause: a watch waits 3 s and its call 1 s longer, so a watch that was sent just before its connection went silent is given up 4 s later and sent again after a pause.

Change: a watch waits 2.5 s.

go test of follow: ok.

--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -19,9 +19,9 @@
 	emptyPause = 200 * time.Millisecond
 	// watchWait is how long a watch waits for a change. A longer wait needs
 	// fewer calls, but a watch that the store lost while it was unresponsive
-	// is noticed only when the wait ends. Changes must take effect on time
-	// again 4 s after the store has recovered.
-	watchWait = 3 * time.Second
+	// is noticed only when the wait and the deadline of the call have passed.
+	// Changes must take effect on time again 4 s after the store has recovered.
+	watchWait = 2500 * time.Millisecond
 	// failedWait replaces watchWait after a failed call.
 	failedWait = 250 * time.Millisecond
 	// minOutage is how long calls must have failed before missing keys are
