follow: Bound how long an entry that went missing is kept after an outage

What callers saw: requests reached a worker 13 s after the store had acknowledged that it leaves (DRAIN); one of them was cut when the worker ended. That this is the cause of the reported case is likely, not shown.

Cause: leases of live workers run out with an outage of the store, so a VM keeps the entries that it finds missing afterwards. Three things made that last too long or hide news: - the write that the worker leaves was dropped from an answer that also held the removal of its entry, so the VM went on with the state from before the outage; - the time began when the VM noticed that the store was back, up to 2 s late, and each further outage prolonged it for keys that were missing already; - its end was looked for after the pause that follows a change, up to 1 s later.

Change: the write stays in the change; a key is kept for 2.5 s, until 3.7 s after the store was last known to be lost, whichever is earlier, each key once; the pause ends with the time of a key. A call that is not answered is followed by the next one after 100 ms, since its wait counts as the pause, so that the return is noticed sooner.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -82,7 +82,7 @@
 // Run follows the prefix until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		lost := f.state.Failing()
+		lost, began := f.state.Failing(), f.now()
 		c, err := f.poll(ctx)
 		if ctx.Err() != nil {
 			return
@@ -90,7 +90,7 @@
 		pause := time.Duration(0)
 		switch {
 		case err != nil:
-			pause = f.state.Failed(f.now(), err)
+			pause = f.state.Failed(f.now(), lostSince(began, f.now(), err), err)
 			if !lost {
 				f.log.Warn().Err(err).Str("prefix", f.prefix).Uint64("revision", f.state.Revision()).Msg("follow: The store is lost.")
 			}
@@ -111,10 +111,22 @@
 			f.idle(f.confirmed())
 		}
 		f.expire(ctx)
+		if next := f.state.NextExpiry(); !next.IsZero() {
+			pause = min(pause, next.Sub(f.now()))
+		}
 		f.sleep(ctx, pause)
 	}
 }
 
+// lostSince returns the latest time at which the store is known not to have served
+// the VM, for a call that began and failed at the given times.
+func lostSince(began, failed time.Time, err error) time.Time {
+	if store.Refused(err) {
+		return failed
+	}
+	return began
+}
+
 // expire emits the kept keys whose time has passed.
 func (f *Follower) expire(ctx context.Context) {
 	kept := int64(f.state.Kept())
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -52,3 +53,56 @@
 		t.Errorf("%d changes in 5 s, want %d", seen, parts*fullBatch)
 	}
 }
+
+// TestKeptKeyExpires guards against a key that is kept after an outage for longer
+// than its time because a change arrived meanwhile, after which the follower
+// pauses. A worker that had left got requests for that long (DRAIN).
+func TestKeptKeyExpires(t *testing.T) {
+	var skipped time.Duration
+	calls := 0
+	f := &Follower{
+		batchDelay: func() time.Duration { return time.Hour },
+		state:      NewState(),
+		list: func(context.Context, string) ([]store.Entry, uint64, error) {
+			return []store.Entry{store.NewEntry("x", nil, 1, "")}, 1, nil
+		},
+		watch: func(ctx context.Context, _ string, after uint64, wait time.Duration) ([]store.Event, uint64, error) {
+			calls++
+			switch calls {
+			case 1, 2:
+				skipped += 2500 * time.Millisecond
+				return nil, after, store.ErrUnavailable
+			case 3:
+				return []store.Event{store.NewEvent(store.NewEntry("x", nil, 2, ""), true), store.NewEvent(store.NewEntry("y", nil, 3, ""), false)}, 3, nil
+			}
+			select {
+			case <-ctx.Done():
+			case <-time.After(wait):
+			}
+			return nil, after, ctx.Err()
+		},
+		now:       func() time.Time { return time.Now().Add(skipped) },
+		confirmed: time.Now,
+		idle:      func(time.Time) {},
+		log:       zerolog.Nop(),
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	gone := false
+	f.emit = func(_ context.Context, c Change) {
+		if slices.Contains(c.Deleted(), "x") {
+			gone = true
+			cancel()
+		}
+		if calls == 0 {
+			// The list; its pause is not part of the test.
+			f.batchDelay = func() time.Duration { return 0 }
+			return
+		}
+		f.batchDelay = func() time.Duration { return time.Hour }
+	}
+	f.Run(ctx)
+	if !gone {
+		t.Error("x is still listed 10 s after its removal")
+	}
+}
--- a/internal/follow/script_test.go
+++ b/internal/follow/script_test.go
@@ -38,7 +38,11 @@
 				if d.HasArg("compacted") {
 					err = store.ErrCompacted
 				}
-				fmt.Fprintf(&out, "pause %s\n", s.Failed(now, err))
+				took := 0
+				if d.HasArg("took") {
+					d.ScanArgs(t, "took", &took)
+				}
+				fmt.Fprintf(&out, "pause %s\n", s.Failed(now, now.Add(-time.Duration(took)*time.Millisecond), err))
 			case "tick":
 				c = s.Expired(now)
 			default:
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -31,6 +31,10 @@
 	// rewriteTime is the time that running upstreams take to write their keys
 	// again after the store has recovered.
 	rewriteTime = 2500 * time.Millisecond
+	// maxKeepTime is the time after the store's recovery at which no key may be kept
+	// any more. Its word counts again 4 s after its recovery, and requests that are
+	// sent just before reach their upstream later.
+	maxKeepTime = 3700 * time.Millisecond
 )
 
 // Change is a set of changed keys. It contains each key at most once.
@@ -85,17 +89,22 @@
 	failures int
 	// failingSince is when the first of them failed.
 	failingSince time.Time
-	// keepUntil is the time until which missing keys are kept after an outage.
+	// lostAt is the latest time at which the store is known not to have served this
+	// VM: when it refused a call, or when a call began that was never answered.
+	lostAt time.Time
+	// keepUntil is the time until which keys that go missing are kept after an
+	// outage. It is at most maxKeepTime after lostAt.
 	keepUntil time.Time
-	// missing holds the keys that are missing from the store but still kept.
-	missing map[string]bool
+	// missing holds the keys that are missing from the store but still kept, with
+	// the time until which they are. A later outage does not prolong that.
+	missing map[string]time.Time
 }
 
 // NewState returns a state without known keys.
 func NewState() *State {
 	return &State{
 		revisions: make(map[string]uint64),
-		missing:   make(map[string]bool),
+		missing:   make(map[string]time.Time),
 	}
 }
 
@@ -146,8 +155,9 @@
 	return c
 }
 
-// Failed applies the error of a call and returns the pause before the next call.
-func (s *State) Failed(now time.Time, err error) time.Duration {
+// Failed applies the error of a call that began at the given time, and returns the
+// pause before the next call.
+func (s *State) Failed(now, began time.Time, err error) time.Duration {
 	if errors.Is(err, store.ErrCompacted) {
 		s.synced = false
 		return 0
@@ -156,28 +166,42 @@
 		s.failingSince = now
 	}
 	s.failures++
+	s.lostAt = began
 	longest := maxPause
 	if len(s.revisions) == 0 {
 		longest = emptyPause
 	}
-	return min(minPause<<min(s.failures-1, 8), longest)
+	pause := min(minPause<<min(s.failures-1, 8), longest)
+	return max(pause-now.Sub(began), minPause)
 }
 
 // Expired returns the missing keys that were not written again in time after an
 // outage, as deleted.
 func (s *State) Expired(now time.Time) Change {
 	var c Change
-	if len(s.missing) == 0 || now.Before(s.keepUntil) {
-		return c
-	}
-	for key := range s.missing {
+	for key, until := range s.missing {
+		if now.Before(until) {
+			continue
+		}
 		delete(s.revisions, key)
+		delete(s.missing, key)
 		c.deleted = append(c.deleted, key)
 	}
-	clear(s.missing)
 	return c
 }
 
+// NextExpiry returns the earliest time at which Expired returns a key, or the zero
+// time if none is kept.
+func (s *State) NextExpiry() time.Time {
+	var next time.Time
+	for _, until := range s.missing {
+		if next.IsZero() || until.Before(next) {
+			next = until
+		}
+	}
+	return next
+}
+
 // Wait returns how long a watch that starts at now should wait for a change. The
 // wait is short after a failure, because a watch that starts while the store is
 // unresponsive is never answered. It ends no later than missing keys expire.
@@ -185,10 +209,11 @@
 	if s.failures > 0 {
 		return failedWait
 	}
-	if len(s.missing) == 0 {
+	next := s.NextExpiry()
+	if next.IsZero() {
 		return watchWait
 	}
-	return min(max(s.keepUntil.Sub(now), time.Millisecond), watchWait)
+	return min(max(next.Sub(now), time.Millisecond), watchWait)
 }
 
 // resetFailures ends a row of failures. After an outage it starts the time in
@@ -196,6 +221,9 @@
 func (s *State) resetFailures(now time.Time) {
 	if s.failures > 0 && now.Sub(s.failingSince) >= minOutage {
 		s.keepUntil = now.Add(rewriteTime)
+		if latest := s.lostAt.Add(maxKeepTime); latest.Before(s.keepUntil) {
+			s.keepUntil = latest
+		}
 	}
 	s.failures = 0
 }
@@ -212,14 +240,16 @@
 }
 
 // remove adds a deleted key to the change, or keeps the key as missing after an
-// outage.
+// outage. A write of a kept key in the same change remains: it may tell that the
+// upstream leaves.
 func (s *State) remove(now time.Time, c *Change, key string) {
 	if _, ok := s.revisions[key]; !ok {
 		return
 	}
 	if now.Before(s.keepUntil) {
-		s.missing[key] = true
-		c.discard(key)
+		if _, ok := s.missing[key]; !ok {
+			s.missing[key] = s.keepUntil
+		}
 		return
 	}
 	delete(s.revisions, key)
--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -126,6 +126,12 @@
 	return errors.Is(err, errBudget) || errors.As(err, &busy) && busy.status == http.StatusTooManyRequests
 }
 
+// Refused reports whether the store answered a call with a refusal.
+func Refused(err error) bool {
+	var busy *busyError
+	return errors.As(err, &busy)
+}
+
 // RetryAfter returns the delay from the Retry-After header of the store's
 // answer, or 0 if err holds none.
 func RetryAfter(err error) time.Duration {
