store: Give up an answer whose body stops

What callers would see: after the store, or a link, stops in the middle of an answer, all changes reach the VM up to 11 s late: workers that have left get requests (DRAIN), and configurations come too late.

Cause: a body had 8 s in all, whether it made progress or not. The time is meant for megabytes on slow links.

Evidence: TestStalledBody fails before with "after 8.006980567s".

Change: each pause in a body lasts 1 s at most; the whole still has 8 s.

Result: go test of store: ok; TestSlowBody shows that a body with pauses of 0.6 s arrives.

--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -25,8 +25,9 @@
 	defaultDeadline = 2 * time.Second
 	// bodyTimeout bounds the reading of an answer's body. After the loss of many
 	// upstreams an answer holds megabytes, which take seconds on the slowest
-	// link.
-	bodyTimeout = 8 * time.Second
+	// link. stallTimeout bounds each pause in it.
+	bodyTimeout  = 8 * time.Second
+	stallTimeout = time.Second
 	// connectTimeout bounds the setup of a connection, which takes under 30 ms
 	// between regions. A connection whose peer is gone is detected by keep-alive
 	// probes within 3 s.
@@ -307,14 +308,22 @@
 		}
 		return errors.Mark(errors.Wrap(err, "store: no answer"), ErrUnknown)
 	}
-	timer.Reset(bodyTimeout)
+	timer.Reset(stallTimeout)
 	defer func() { _ = resp.Body.Close() }()
+	body := &stallReader{
+		source: resp.Body,
+		end:    time.Now().Add(bodyTimeout),
+		timer:  timer,
+	}
 	if err := statusError(resp.StatusCode, resp.Header); err != nil {
-		_, _ = io.CopyN(io.Discard, resp.Body, 4096)
+		_, _ = io.CopyN(io.Discard, body, 4096)
 		return errors.Wrapf(err, "%s %s", call.method, call.path)
 	}
-	answer, err := io.ReadAll(bound.NewReader(resp.Body, "answer", maxAnswerBytes))
+	answer, err := io.ReadAll(bound.NewReader(body, "answer", maxAnswerBytes))
 	if err != nil {
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
 		return errors.Mark(errors.Wrap(err, "store: read answer"), ErrUnknown)
 	}
 	if decode == nil {
@@ -326,6 +335,23 @@
 	return nil
 }
 
+// stallReader reads a body and restarts a timer with each part that arrives, so
+// that the timer expires after stallTimeout without one, or at the end time.
+type stallReader struct {
+	source io.Reader
+	end    time.Time
+	timer  *time.Timer
+}
+
+// Read implements io.Reader.
+func (r *stallReader) Read(p []byte) (int, error) {
+	n, err := r.source.Read(p)
+	if n > 0 {
+		r.timer.Reset(min(stallTimeout, time.Until(r.end)))
+	}
+	return n, err
+}
+
 // newRequest returns a request whose body can't be rewound, so that
 // http.Transport does not repeat it when a connection breaks.
 func (c *Client) newRequest(ctx context.Context, call Call) (*http.Request, error) {
