store: Use a fresh connection after a call that was not answered

What callers would see: changes reach the VM seconds late after its connections to the store have gone silent for good, one call after another.

Cause: the next call took the next idle connection, which had gone silent as well.

Evidence: TestSilentConnections fails before: with four idle connections the second call is not answered either.

Change: a call that runs out of time closes the idle connections.

--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -60,6 +60,8 @@
 
 	// send performs one HTTP exchange and must not repeat a request.
 	send func(*http.Request) (*http.Response, error)
+	// closeIdle closes the connections that no call uses.
+	closeIdle func()
 	// observe is called with the verb and the result of each exchange.
 	observe func(verb, result string)
 	// sleep waits for a time and returns ctx's error if that ends first.
@@ -96,6 +98,8 @@
 		send:     transport.RoundTrip,
 		observe:  func(string, string) {},
 		sleep:    sleep,
+
+		closeIdle: transport.CloseIdleConnections,
 	}
 	return c.WithBudget(200, 30)
 }
@@ -280,6 +284,10 @@
 // is ErrUnavailable. Any later failure to read the answer is ErrUnknown.
 func (c *Client) exchange(ctx context.Context, verb string, wait time.Duration, call Call, decode func([]byte) error) error {
 	err := c.doExchange(ctx, wait, call, decode)
+	if errors.Is(err, context.DeadlineExceeded) {
+		// The idle connections may have gone silent with that of this call.
+		c.closeIdle()
+	}
 	c.observe(verb, resultName(err))
 	return err
 }
--- a/internal/store/silent_test.go
+++ b/internal/store/silent_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -65,3 +66,35 @@
 		t.Errorf("revision %d: %v", revision, err)
 	}
 }
+
+// TestSilentConnections guards against calls that fail one after another because
+// each takes another idle connection that has gone silent with the first.
+func TestSilentConnections(t *testing.T) {
+	const idle = 4
+	together := make(chan struct{})
+	var waiting atomic.Int64
+	s := startSilent(t, func(w http.ResponseWriter, _ *http.Request) {
+		if waiting.Add(1) == idle {
+			close(together)
+		}
+		<-together
+		_, _ = w.Write([]byte(`{"events":[],"revision":7}`))
+	})
+	c := New(s.URL, 1).WithDeadline(300 * time.Millisecond)
+	var calls sync.WaitGroup
+	for range idle {
+		calls.Go(func() {
+			if _, _, err := c.Watch(t.Context(), "k", 1, 5*time.Second); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	calls.Wait()
+	s.silent.Store(s.accepted.Load())
+	if _, _, err := c.Watch(t.Context(), "k", 1, 0); err == nil {
+		t.Error("a silent connection answered")
+	}
+	if _, _, err := c.Watch(t.Context(), "k", 1, 0); err != nil {
+		t.Errorf("second call: %v", err)
+	}
+}
