edge: Apply changes of the upstreams before the mover and the charges hear of them

What callers would see: requests reach a worker that has left for as long as the mover or the agreement on charges does not take the change (DRAIN).

Cause: the change went to two queues that block when they are full before it went to the dispatcher.

Evidence: TestMembersFirst fails before with "the dispatcher does not learn of the change".

Change: the dispatcher hears of it first. A full queue still holds back the next change.

Result: go test of edge: ok.

--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -45,6 +45,11 @@
 		}
 		listed = append(listed, entry)
 	}
+	// Upstreams that leave come first: the other receivers may make the VM wait.
+	v.dispatcher.events.Put(ctx, queuedEvent{
+		event:   proxy.NewMembers(listed, gone),
+		applied: v.progress.begin(c.Confirmed(), c.Len()),
+	})
 	if !maps.Equal(v.peers, before) {
 		v.updateFeedVMs()
 		v.dispatcher.notify(ctx, proxy.NewPeers(len(v.peers)))
@@ -57,10 +62,6 @@
 	v.mover.updates.Put(ctx, storeUpdate{
 		change: &c,
 	})
-	v.dispatcher.events.Put(ctx, queuedEvent{
-		event:   proxy.NewMembers(listed, gone),
-		applied: v.progress.begin(c.Confirmed(), c.Len()),
-	})
 }
 
 // applyEnrolment applies the key of a VM. A VM whose value is invalid still
