feed: Keep changes in the log that are newer than a list

What callers would see: a VM that reads from another one does not hear of a worker that has left, and sends it requests (DRAIN). A store whose lists are never older than its watches does not bring it about.

Cause: a list replaced all keys while the log went on to claim the larger of both revisions.

Evidence: feed/testdata/log fails before: of the removal of k4 at 25 and the write of k5 at 28, k4's is missing and k5 counts as removed.

Change: what is newer than the list remains.

--- a/internal/feed/log.go
+++ b/internal/feed/log.go
@@ -57,7 +57,8 @@
 
 // Reset replaces the keys by a list as of revision, which the store confirmed age
 // ago. Keys that the list lacks count as deleted at revision, so VMs that know
-// the keys before the list need only the difference.
+// the keys before the list need only the difference. A change that the log holds
+// and that is newer than the list remains.
 func (l *Log) Reset(entries []store.Entry, revision uint64, age time.Duration) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -69,21 +70,22 @@
 		listed[e.Key()] = store.NewEvent(e, false)
 	}
 	for key, e := range l.latest {
-		if _, ok := listed[key]; ok {
-			continue
-		}
-		if !e.Deleted() {
-			e = store.NewEvent(store.NewEntry(key, nil, max(revision, e.Entry().Revision()), ""), true)
-			l.deleted++
+		latest, ok := listed[key]
+		switch {
+		case e.Entry().Revision() > revision && e.Entry().Revision() > latest.Entry().Revision():
+			listed[key] = e
+		case !ok && e.Deleted():
+			listed[key] = e
+		case !ok:
+			listed[key] = store.NewEvent(store.NewEntry(key, nil, revision, ""), true)
 		}
-		listed[key] = e
 	}
-	for _, e := range entries {
-		if l.latest[e.Key()].Deleted() {
-			l.deleted--
+	l.latest, l.revision, l.deleted = listed, max(l.revision, revision), 0
+	for _, e := range listed {
+		if e.Deleted() {
+			l.deleted++
 		}
 	}
-	l.latest, l.revision = listed, max(l.revision, revision)
 	if l.deleted > maxDeleted {
 		l.dropDeleted()
 	}
