stand, quota, proxy: Keep to the limits that upstreams name

What callers saw: a worker in need that names the requests a second that it accepts got several times as many (LIMIT), which it refuses or works on slowly.

Cause: nothing read the limit. One limit is shared by all VMs, of which each sees a part of the traffic.

The scripts of the new field fail before, since it was ignored.

Change: a limit is a third statement beside leaving and resting. Each VM takes its share, computed from the names of the enrolled VMs: at most as many members as the limit has requests a second share nearly all of it, the other VMs a tenth.

--- a/internal/edge/dispatcher.go
+++ b/internal/edge/dispatcher.go
@@ -190,6 +190,7 @@
 type coreStats struct {
 	waiting   int
 	upstreams map[string]int
+	limited   int
 }
 
 // updateStats updates the statistics at most once per statsInterval, because it
@@ -202,6 +203,7 @@
 	d.stats.Store(&coreStats{
 		waiting:   d.core.Waiting(),
 		upstreams: d.core.Pool().CountByState(now),
+		limited:   d.core.Pool().CountLimited(),
 	})
 }
 
--- a/internal/edge/eventlog.go
+++ b/internal/edge/eventlog.go
@@ -73,10 +73,11 @@
 }
 
 // logChange logs a change of an upstream's state. age is the time in the earlier
-// state and rest that to the end of a rest, both in milliseconds.
+// state and rest that to the end of a rest, both in milliseconds. limit is the requests
+// a second that the upstream accepts from all VMs.
 func (j *eventLog) logChange(c stand.Change) {
 	j.log.Info().Str("upstream", c.Upstream()).Str("state", c.State()).Str("cause", c.Cause()).
-		Int64("age", c.Age().Milliseconds()).Int64("rest", c.Rest().Milliseconds()).Msg("pool: An upstream changed its state.")
+		Int64("age", c.Age().Milliseconds()).Int64("rest", c.Rest().Milliseconds()).Float64("limit", c.Limit()).Msg("pool: An upstream changed its state.")
 }
 
 // logInvalid logs a header field of an upstream that was ignored.
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -52,7 +52,7 @@
 	})
 	if !maps.Equal(v.peers, before) {
 		v.updateFeedVMs()
-		v.dispatcher.notify(ctx, proxy.NewPeers(len(v.peers)))
+		v.dispatcher.notify(ctx, proxy.NewPeers(v.settings.Name, v.peerNames()))
 		v.mover.updates.Put(ctx, storeUpdate{
 			peers: v.peerNames(),
 		})
--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -218,6 +218,12 @@
 			return 0
 		}, "state", state)
 	}
+	v.metrics.Watch("limited_upstreams", "Listed upstreams that name a limit on requests.", func() float64 {
+		if c := d.stats.Load(); c != nil {
+			return float64(c.limited)
+		}
+		return 0
+	})
 	v.metrics.Watch("table_version", "Version of the routing table in force, 0 for none.", func() float64 {
 		if t := d.table.Load(); t != nil {
 			return float64(t.Version())
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -59,6 +59,9 @@
 	tokens int
 	// prompt identifies the prompt, or is "".
 	prompt string
+	// others is the number of requests that the limit of an upstream must leave for
+	// more urgent ones; see stand.Standing.AvailableAt.
+	others int
 }
 
 // NewNeed returns the need of a request to a plain service.
@@ -82,6 +85,14 @@
 	return n
 }
 
+// WithOthers returns a copy of n that leaves a number of requests within the limit of
+// an upstream for more urgent ones. With a negative number it may go beyond the limit
+// by as many.
+func (n Need) WithOthers(others int) Need {
+	n.others = others
+	return n
+}
+
 // Service returns the service's name.
 func (n Need) Service() string { return n.service }
 
@@ -110,7 +121,7 @@
 	var best *Upstream
 	least := math.Inf(1)
 	for _, u := range list {
-		if !p.eligible(now, u) {
+		if !p.eligible(now, n, u) {
 			continue
 		}
 		s := p.score(now, n, u)
@@ -124,10 +135,16 @@
 	return best
 }
 
-// eligible reports whether the upstream may be sent new work: it is usable and not
-// resting, and its provisional listing has not expired.
-func (p *Pool) eligible(now time.Time, u *Upstream) bool {
-	return u.Usable() && !u.Resting(now) && (u.provisionalUntil.IsZero() || now.Before(u.provisionalUntil))
+// eligible reports whether the upstream may be sent new work now: it is usable and not
+// resting, and its limit permits the need.
+func (p *Pool) eligible(now time.Time, n Need, u *Upstream) bool {
+	return p.usable(now, u) && !u.Resting(now) && !now.Before(u.standing.AvailableAt(now, n.others))
+}
+
+// usable reports whether the upstream may be sent new work once it neither rests nor
+// is at its limit: it is not leaving, and its provisional listing has not expired.
+func (p *Pool) usable(now time.Time, u *Upstream) bool {
+	return u.Usable() && (u.provisionalUntil.IsZero() || now.Before(u.provisionalUntil))
 }
 
 // Candidates returns up to count healthy engines in the order of a hash of the
@@ -138,7 +155,7 @@
 	first := make([]*Upstream, 0, count+1)
 	weights := make([]uint64, 0, count+1)
 	for _, u := range p.byService[n.service] {
-		if !p.eligible(now, u) || u.BackingOff(now) || p.Suspect(now, u) || skip(u) {
+		if !p.eligible(now, n, u) || u.BackingOff(now) || p.Suspect(now, u) || skip(u) {
 			continue
 		}
 		// The engines with the lowest hashes are chosen.
@@ -160,7 +177,7 @@
 	var best *Upstream
 	least := math.Inf(1)
 	for _, u := range p.byService[n.service] {
-		if u.entry.Domain() == primary.entry.Domain() || !p.eligible(now, u) || u.BackingOff(now) || p.Suspect(now, u) || skip != nil && skip(u) {
+		if u.entry.Domain() == primary.entry.Domain() || !p.usable(now, u) || u.Resting(now) || u.BackingOff(now) || p.Suspect(now, u) || skip != nil && skip(u) {
 			continue
 		}
 		used := p.expectedMemory(now, u) / float64(n.memory)
--- a/internal/pool/hear.go
+++ b/internal/pool/hear.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"clementinelink.example/clementinelink/internal/quota"
 	"clementinelink.example/clementinelink/internal/stand"
 )
 
@@ -28,6 +29,17 @@
 // PermitQuery is PermitMessage for a query.
 func (u *Upstream) PermitQuery(now time.Time) bool { return u.standing.PermitQuery(now) }
 
+// Limit returns the requests a second that the upstream accepts from all VMs together,
+// or 0 if it has named no limit.
+func (u *Upstream) Limit() float64 { return u.standing.Limit() }
+
+// Take counts a request that will be sent later against the VM's share of the
+// upstream's limit.
+func (u *Upstream) Take(now time.Time) { u.standing.Take(now) }
+
+// TakeAhead counts a request that is sent now, whatever the upstream's limit is.
+func (u *Upstream) TakeAhead(now time.Time) { u.standing.TakeAhead(now) }
+
 // Gate returns the gate for messages to the upstream that wait for a connection.
 func (u *Upstream) Gate() *stand.Gate { return u.standing.Gate() }
 
@@ -79,7 +91,7 @@
 	for _, u := range p.byService[service] {
 		switch {
 		case skip(u):
-		case p.eligible(now, u):
+		case p.eligible(now, Need{}, u):
 			return time.Time{}, false
 		case u.Usable() && u.Resting(now) && (first.IsZero() || u.RestUntil().Before(first)):
 			first = u.RestUntil()
@@ -88,6 +100,49 @@
 	return first, !first.IsZero()
 }
 
+// SetVMs sets the name of this VM and the names of all enrolled VMs, which share the
+// limits of upstreams.
+func (p *Pool) SetVMs(self string, names []string) {
+	if p.fleet == nil {
+		p.fleet = quota.NewFleet(self)
+		p.book.SetFleet(p.fleet)
+	}
+	p.fleet.Set(names)
+}
+
+// Earliest returns the upstream whose limit permits the need first, and when it does.
+// It returns nil if no upstream that may be sent work has a limit. It excludes
+// upstreams for which skip returns true.
+func (p *Pool) Earliest(now time.Time, n Need, skip func(*Upstream) bool) (*Upstream, time.Time) {
+	var first *Upstream
+	var at time.Time
+	for _, u := range p.byService[n.service] {
+		if skip(u) || !p.usable(now, u) || u.Resting(now) {
+			continue
+		}
+		available := u.standing.AvailableAt(now, n.others)
+		if !available.IsZero() && (first == nil || available.Before(at)) {
+			first, at = u, available
+		}
+	}
+	return first, at
+}
+
+// Interval returns the time between two requests that the limits of a service's
+// upstreams permit this VM, or 0 if there are none.
+func (p *Pool) Interval(now time.Time, service string) time.Duration {
+	var rate float64
+	for _, u := range p.byService[service] {
+		if p.usable(now, u) {
+			rate += u.standing.Share()
+		}
+	}
+	if rate == 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / rate)
+}
+
 // Refuses reports whether the listed incarnation with the id, or else the latest
 // known one, is leaving or resting.
 func (p *Pool) Refuses(now time.Time, id string) bool {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/quota"
 	"clementinelink.example/clementinelink/internal/stand"
 )
 
@@ -38,6 +39,9 @@
 	failures map[string]*domainFailures
 	// book holds what incarnations have stated, also after their removal.
 	book *stand.Book
+	// fleet holds the VMs that share the limits of upstreams, or is nil before they
+	// are known.
+	fleet *quota.Fleet
 	// random returns a number in [0, 1).
 	random func() float64
 }
@@ -169,6 +173,17 @@
 	return count
 }
 
+// CountLimited returns the number of listed upstreams that name a limit.
+func (p *Pool) CountLimited() int {
+	n := 0
+	for _, u := range p.byID {
+		if u.Limit() > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // IDs returns the listed ids, sorted.
 func (p *Pool) IDs() []string {
 	ids := make([]string, 0, len(p.byID))
--- a/internal/pool/script_test.go
+++ b/internal/pool/script_test.go
@@ -22,6 +22,9 @@
 		quiet := false
 		p := New("r1", "a", 1).WithObserver(func(c stand.Change) {
 			fmt.Fprintf(&reports, "%s is %s: %s, after %d ms", c.Upstream(), c.State(), c.Cause(), c.Age().Milliseconds())
+			if c.Limit() > 0 {
+				fmt.Fprintf(&reports, ", %g a second", c.Limit())
+			}
 			if c.Rest() > 0 {
 				fmt.Fprintf(&reports, ", for %d ms", c.Rest().Milliseconds())
 			}
@@ -107,6 +110,16 @@
 			reports += fmt.Sprintln(id, p.Refuses(now, id))
 		}
 		return reports
+	case "vms":
+		p.SetVMs("a", strings.Fields(d.Input))
+	case "take":
+		u.TakeAhead(now)
+	case "earliest":
+		u, at := p.Earliest(now, NewNeed("s").WithOthers(number(t, d, "others")), func(*Upstream) bool { return false })
+		if u == nil {
+			return "none\n"
+		}
+		return fmt.Sprintf("%s in %d ms, every %d ms\n", u.ID(), at.Sub(now).Milliseconds(), p.Interval(now, "s").Milliseconds())
 	case "end-rests":
 		p.EndRests(now)
 	case "message":
@@ -164,6 +177,16 @@
 		s = s.WithLeaving()
 	}
 	s = s.WithRest(time.Duration(number(t, d, "rest")) * time.Millisecond)
+	if d.HasArg("limit") {
+		var limit float64
+		if _, err := fmt.Sscan(text("limit"), &limit); err != nil {
+			t.Fatalf("%s: %v", d.Pos, err)
+		}
+		s = s.WithLimit(limit)
+	}
+	if d.HasArg("unlimited-since") {
+		s = s.WithoutLimit(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC).Add(time.Duration(number(t, d, "unlimited-since")) * time.Millisecond))
+	}
 	if d.HasArg("invalid") {
 		s = s.WithInvalid("field", text("invalid"))
 	}
--- a/internal/pool/upstream.go
+++ b/internal/pool/upstream.go
@@ -186,6 +186,13 @@
 	u.loadAt = now
 }
 
+// Crowded reports whether more requests are expected to wait at a plain upstream than it
+// can work on at once. It is false if the number of its slots is unknown.
+func (u *Upstream) Crowded(now time.Time) bool {
+	slots := u.entry.spec.Slots
+	return slots > 0 && float64(u.attempts)+u.OtherLoad(now) >= float64(2*slots)
+}
+
 // OtherLoad returns the expected number of runs of other VMs.
 func (u *Upstream) OtherLoad(now time.Time) float64 {
 	if u.otherRuns == 0 {
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -47,6 +47,9 @@
 	// budgets holds the retry budget of each service.
 	budgets map[string]*budget.Window
 	limits  Budget
+	// returns holds the time by service at which the latest request that was refused
+	// because of limits was told to come back.
+	returns map[string]time.Time
 	// moves holds the services whose traffic is moving to another version.
 	moves    map[string]*serviceMove
 	exposure move.Exposure
@@ -99,6 +102,7 @@
 		inFlight:     make(map[uint64]*exchange),
 		alarms:       alarm.New[uint64](),
 		budgets:      make(map[string]*budget.Window),
+		returns:      make(map[string]time.Time),
 		moves:        make(map[string]*serviceMove),
 		peers:        move.MinVMs,
 		limits:       b,
@@ -195,6 +199,7 @@
 		c.reviewWaiting(now, e.limits.Done())
 	case Peers:
 		c.setPeers(e.index)
+		c.pool.SetVMs(e.self, e.names)
 	case Charges:
 		c.applyCharges(now, e.charges)
 		c.reviewWaiting(now, false)
--- a/internal/proxy/event.go
+++ b/internal/proxy/event.go
@@ -133,8 +133,11 @@
 	// service, target, limits and banned are set for MoveLimits.
 	service string
 	target  string
-	limits  move.Limits
-	banned  bool
+	// self and names are set for Peers.
+	self   string
+	names  []string
+	limits move.Limits
+	banned bool
 	// resumes is true for MoveLimits if the VM started during the move, and taken
 	// is then the number of requests that its incarnation before sent to the new
 	// version, or move.Unknown.
@@ -417,12 +420,15 @@
 	return e
 }
 
-// NewPeers returns the event of the number of VMs that share the common limits,
-// including this one.
-func NewPeers(n int) Event {
+// NewPeers returns the event of the names of the VMs that share the common limits,
+// and that of this one, which may be missing among them. The slice must not be
+// changed afterwards.
+func NewPeers(self string, names []string) Event {
 	return Event{
 		kind:  Peers,
-		index: n,
+		index: len(names),
+		self:  self,
+		names: names,
 	}
 }
 
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -77,6 +77,9 @@
 	// or zero if it does not wait. waited is true once it has waited.
 	returnAt time.Time
 	waited   bool
+	// awaited is the upstream whose limit has a request set aside for this one at
+	// returnAt, or nil.
+	awaited *pool.Upstream
 	// reply is a failed response that is delivered if no other attempt
 	// succeeds.
 	reply *Answer
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -209,6 +209,7 @@
 		}
 		if resuming {
 			s.outstanding[u.ID()]++
+			u.TakeAhead(now)
 			c.emit(x, Action{
 				kind:     QueryPrompt,
 				upstream: u,
@@ -235,7 +236,7 @@
 		return -float64(s.cachedTokens[u.ID()]) / prefillRate
 	})
 	switch {
-	case s.isHedge && (upstream == nil || upstream.BackingOff(now) || !c.canHedge(x) || !c.allowed(now, x)):
+	case s.isHedge && (upstream == nil || upstream.BackingOff(now) || upstream.Limit() > 0 || !c.canHedge(x) || !c.allowed(now, x)):
 		// The running attempt continues.
 	case upstream == nil || upstream.BackingOff(now):
 		c.sendToBest(now, x, s.reason)
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -44,7 +44,7 @@
 		return
 	}
 	upstream := c.pool.Pick(now, x.need, x.excludes)
-	if upstream == nil || upstream.BackingOff(now) || !c.allowed(now, x) {
+	if upstream == nil || upstream.BackingOff(now) || upstream.Limit() > 0 || !c.allowed(now, x) {
 		return
 	}
 	c.send(now, x, upstream, upstream.ID(), false, "hedge")
--- a/internal/proxy/rest.go
+++ b/internal/proxy/rest.go
@@ -27,6 +27,9 @@
 // has started is retried. If all upstreams rest, the request waits for the first one
 // that returns in time. Any other request fails.
 func (c *Core) noUpstream(now time.Time, x *exchange) {
+	if c.awaitLimit(now, x) {
+		return
+	}
 	first, resting := c.firstReturn(now, x)
 	if x.stream() && x.headSent {
 		x.retryAt = now.Add(retryPause)
@@ -69,6 +72,11 @@
 // more. If some were added, it is sent soon if there is one that does not rest.
 func (c *Core) reviewWaiting(now time.Time, added bool) {
 	for _, x := range c.waiting() {
+		if x.awaited != nil {
+			c.reviewAwaited(now, x)
+			c.resetAlarm(x)
+			continue
+		}
 		first, resting := c.firstReturn(now, x)
 		switch {
 		case x.returnAt.IsZero():
@@ -114,6 +122,9 @@
 // end of a rest if all upstreams rest. Another VM may take the requests of a draining
 // one before that.
 func (c *Core) retryAfter(now time.Time, x *exchange) time.Duration {
+	if left, limited := c.limitedRetry(now, x); limited {
+		return left
+	}
 	first, resting := c.firstReturn(now, x)
 	if !resting {
 		return retryAfter(x.q)
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -97,7 +97,11 @@
 		}
 		return s.step(NewMoveLimits("desk", "v2", l, d.HasArg("banned"), s.number(d, "seed", 1)))
 	case "peers":
-		return s.step(NewPeers(s.number(d, "count", 1)))
+		names := make([]string, s.number(d, "count", 1))
+		for i := range names {
+			names[i] = "vm" + strconv.Itoa(i)
+		}
+		return s.step(NewPeers("vm"+strconv.Itoa(s.number(d, "self", 0)), names))
 	case "charges":
 		return s.step(NewCharges(s.charges(d)))
 	case "prompt-reported":
@@ -205,6 +209,10 @@
 	if d.HasArg("leaving") {
 		st = st.WithLeaving()
 	}
+	st = st.WithLimit(float64(s.number(d, "limit", 0)))
+	if since := s.number(d, "unlimited-since", -1); since >= 0 {
+		st = st.WithoutLimit(s.base.Add(time.Duration(since) * time.Millisecond))
+	}
 	st = st.WithRest(time.Duration(s.number(d, "rest", 0)) * time.Millisecond)
 	return NewHeard(s.core.Pool().Get(id), id, st, "answer")
 }
@@ -259,6 +267,12 @@
 			r.Public = true
 		case "single":
 			r.Resumable = false
+		case "priority":
+			priority, err := strconv.Atoi(value)
+			if err != nil {
+				s.t.Fatal(err)
+			}
+			r.Priority = priority
 		}
 	}
 	return r
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -30,6 +30,10 @@
 		c.failCharged(now, x)
 		return
 	}
+	x.need = x.need.WithOthers(c.others(x))
+	if c.sendAwaited(now, x, reason) {
+		return
+	}
 	if x.need.Memory() > 0 {
 		c.placeOnEngine(now, x, reason)
 		return
@@ -54,7 +58,7 @@
 	if upstream == nil && c.fallBack(now, x) {
 		upstream = c.pool.Pick(now, x.need, x.excludes)
 	}
-	if upstream == nil {
+	if upstream == nil || c.isCrowdedOut(now, x, upstream) {
 		c.noUpstream(now, x)
 		return
 	}
@@ -90,6 +94,10 @@
 	x.placement = nil
 	x.recordVersion(upstream)
 	upstream.AddAttempt(now, x.tokens, x.stream())
+	if x.awaited == nil {
+		upstream.TakeAhead(now)
+	}
+	x.awaited = nil
 	if c.keepsCopies(x) {
 		a.holder = c.pool.PickCopy(now, x.need, upstream, x.excludesHolder(upstream))
 		if a.holder != nil {
--- a/internal/stand/book.go
+++ b/internal/stand/book.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"clementinelink.example/clementinelink/internal/quota"
 )
 
 const (
@@ -22,6 +24,7 @@
 	Usable  = "usable"
 	Leaving = "leaving"
 	Resting = "resting"
+	Limited = "limited"
 )
 
 // causeRested is the cause of the change at the end of a rest.
@@ -34,6 +37,7 @@
 	cause    string
 	age      time.Duration
 	rest     time.Duration
+	limit    float64
 }
 
 // Upstream returns the id of the incarnation.
@@ -51,6 +55,10 @@
 // Rest returns how long the upstream will rest, or 0 if it does not.
 func (c Change) Rest() time.Duration { return c.rest }
 
+// Limit returns the requests a second that the upstream accepts from all VMs, or 0 if
+// it has named no limit.
+func (c Change) Limit() float64 { return c.limit }
+
 // Book holds the standings of incarnations. Those with a statement are kept also
 // after the incarnation was removed from the registry, so that they hold if it is
 // listed again. It is not safe for concurrent use.
@@ -60,6 +68,8 @@
 	// resting holds the incarnations whose rest has not been reported to have
 	// ended.
 	resting []*Standing
+	// fleet holds the VMs that share the limits of upstreams.
+	fleet *quota.Fleet
 	// random returns a number in [0, 1).
 	random func() float64
 	// changed and ignored are called with each change of a state and each invalid
@@ -72,6 +82,7 @@
 func NewBook(random func() float64) *Book {
 	return &Book{
 		byID:    make(map[string]*Standing),
+		fleet:   quota.NewFleet(""),
 		random:  random,
 		changed: func(Change) {},
 		ignored: func(string, InvalidField) {},
@@ -84,6 +95,10 @@
 	b.changed, b.ignored = changed, ignored
 }
 
+// SetFleet sets the VMs that share the limits of upstreams. The book reads it with each
+// answer that names a limit.
+func (b *Book) SetFleet(f *quota.Fleet) { b.fleet = f }
+
 // Of returns the standing of an incarnation, which is new unless the incarnation is
 // known to have made a statement. startedAt is its start time in Unix milliseconds,
 // or 0 if it is unknown. A rest that was heard under the id since that time is the
@@ -142,6 +157,12 @@
 	if st.rest > 0 {
 		b.rest(now, s, st.rest, cause)
 	}
+	switch {
+	case st.limit > 0:
+		b.hearLimit(now, s, st.limit, cause)
+	case !st.unlimitedSince.IsZero():
+		b.hearNoLimit(now, s, st.unlimitedSince)
+	}
 }
 
 // MarkLeaving records that the incarnation accepts no new work.
@@ -211,6 +232,9 @@
 	if state == Resting {
 		c.rest = s.restUntil.Sub(now)
 	}
+	if state == Limited {
+		c.limit = s.limit.rate
+	}
 	s.changed = now
 	b.changed(c)
 }
--- a/internal/stand/standing.go
+++ b/internal/stand/standing.go
@@ -35,6 +35,8 @@
 	restUntil time.Time
 	// messages counts the messages after restGrace in the present rest.
 	messages int
+	// limit is the limit that the upstream named, or nil.
+	limit *limit
 	// changed is the time of the latest change of the state.
 	changed time.Time
 	// lastInvalid is the latest invalid field that was reported.
@@ -73,13 +75,13 @@
 
 // permit counts a message in a rest unless there were limit messages already.
 func (s *Standing) permit(now time.Time, limit int) bool {
-	if !s.Resting(now) || now.Sub(s.restSince) < restGrace {
-		return true
-	}
-	if s.messages >= limit {
-		return false
+	if s.Resting(now) && now.Sub(s.restSince) >= restGrace {
+		if s.messages >= limit {
+			return false
+		}
+		s.messages++
 	}
-	s.messages++
+	s.TakeAhead(now)
 	return true
 }
 
@@ -87,6 +89,8 @@
 // state still permits the message. It is safe for concurrent use.
 type Gate struct {
 	leaving atomic.Bool
+	// limited is true while the upstream's answers name a limit.
+	limited atomic.Bool
 	// rest is the part of the latest rest in which no message may be sent.
 	rest atomic.Pointer[interval]
 }
@@ -106,6 +110,10 @@
 	return !g.leaving.Load() && !g.Resting(now)
 }
 
+// Limited reports whether the upstream's answers name a limit, so that one without it
+// is news. A nil gate is of an upstream of which nothing is known.
+func (g *Gate) Limited() bool { return g != nil && g.limited.Load() }
+
 // Resting reports whether the upstream rests, and is past the start of the rest in
 // which messages that were decided on before may be sent. A nil gate is of an upstream
 // that does not rest.
--- a/internal/stand/statement.go
+++ b/internal/stand/statement.go
@@ -8,7 +8,13 @@
 	instance string
 	leaving  bool
 	rest     time.Duration
-	invalid  []InvalidField
+	// limit is the requests a second that the upstream accepts, or 0 if the answer
+	// states none.
+	limit float64
+	// unlimitedSince is when the request was sent whose answer states no limit, or
+	// zero if that is not known.
+	unlimitedSince time.Time
+	invalid        []InvalidField
 }
 
 // InvalidField is a header field of an answer that was ignored.
@@ -43,6 +49,20 @@
 	return s
 }
 
+// WithLimit returns a copy of s by an upstream that accepts a number of requests a
+// second from all VMs together.
+func (s Statement) WithLimit(limit float64) Statement {
+	s.limit = limit
+	return s
+}
+
+// WithoutLimit returns a copy of s by an upstream that states no limit in the answer to
+// a request that was sent at the given time.
+func (s Statement) WithoutLimit(sent time.Time) Statement {
+	s.unlimitedSince = sent
+	return s
+}
+
 // WithInvalid returns a copy of s with a field that was ignored.
 func (s Statement) WithInvalid(name, value string) Statement {
 	s.invalid = append(s.invalid[:len(s.invalid):len(s.invalid)], InvalidField{
@@ -53,7 +73,9 @@
 }
 
 // Empty reports whether the upstream states nothing.
-func (s Statement) Empty() bool { return !s.leaving && s.rest <= 0 && len(s.invalid) == 0 }
+func (s Statement) Empty() bool {
+	return !s.leaving && s.rest <= 0 && s.limit <= 0 && s.unlimitedSince.IsZero() && len(s.invalid) == 0
+}
 
 // Instance returns the id of the incarnation, or "" if the answer has none.
 func (s Statement) Instance() string { return s.instance }
@@ -64,6 +86,10 @@
 // Rest returns how long the upstream wants no messages, or 0.
 func (s Statement) Rest() time.Duration { return s.rest }
 
+// Limit returns the requests a second that the upstream accepts from all VMs, or 0 if
+// the answer states no limit.
+func (s Statement) Limit() float64 { return s.limit }
+
 // Invalid returns the fields that were ignored. The caller must not modify the
 // slice.
 func (s Statement) Invalid() []InvalidField { return s.invalid }
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -147,8 +147,10 @@
 	version int64
 	limits  Limits
 	// hosts holds the routes of each host, the longest prefix first.
-	hosts      map[string][]*Route
-	services   map[string]*Service
+	hosts    map[string][]*Route
+	services map[string]*Service
+	// top holds the most urgent priority of the routes to each service.
+	top        map[string]int
 	keys       map[string]*Workspace
 	workspaces int
 }
@@ -161,6 +163,7 @@
 		limits:   limits,
 		hosts:    make(map[string][]*Route),
 		services: make(map[string]*Service),
+		top:      make(map[string]int),
 		keys:     make(map[string]*Workspace),
 	}
 }
@@ -172,6 +175,11 @@
 		return len(b.spec.Prefix) - len(a.spec.Prefix)
 	})
 	t.hosts[host] = slices.Insert(t.hosts[host], at, r)
+	for _, s := range r.spec.Shares {
+		if top, ok := t.top[s.service]; !ok || r.Priority() < top {
+			t.top[s.service] = r.Priority()
+		}
+	}
 }
 
 // AddService adds a service, and replaces one of the same name.
@@ -232,6 +240,10 @@
 	return nil
 }
 
+// TopPriority returns the most urgent priority of the routes to a service, or 0 if
+// there are none.
+func (t *Table) TopPriority(service string) int { return t.top[service] }
+
 // RequiresKeys reports whether routes that are not public require a workspace
 // key. It is false if the table has no workspaces.
 func (t *Table) RequiresKeys() bool { return t.workspaces > 0 }
