proxy: Answer all calls before a draining VM stops

Reported by other operators: requests that came late in the grace of a planned stop were taken, passed on and cut without an answer, bookings among them (LOST).

It can happen here in two ways. A call whose time ends in the same moment as the grace was taken, and its last answer raced with the close of the connections. Calls with a longer time that were under way at the SIGTERM, which the configuration allows, were cut at the end.

--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -32,6 +32,9 @@
 	// maxDrainResume is the time for which a draining VM takes the rests of lost
 	// streams. The load balancer stops sending new connections within 2.5 s.
 	maxDrainResume = 2800 * time.Millisecond
+	// stopMargin is the time before a draining VM stops at which it answers what is
+	// still under way, so that the answers arrive before the connections are cut.
+	stopMargin = 100 * time.Millisecond
 	// retryAfterShare is the fraction of the caller's timeout that is sent as
 	// Retry-After. Callers retry within a third of their timeout.
 	retryAfterShare = 0.3
@@ -206,6 +209,7 @@
 	case Drain:
 		c.drainSince, c.stopBy = now, e.until
 		c.draining = true
+		c.endBeforeStop()
 		c.reviewWaiting(now, false)
 	case Head, Piece, Copied, Finish, Reply, Lost:
 		c.handleAttemptEvent(now, e)
@@ -304,7 +308,18 @@
 	if rt.Kind() == table.Stream {
 		return q.spec.Position > 0 && rt.Repeatable() && now.Sub(c.drainSince) <= maxDrainResume
 	}
-	return !deadline.After(c.stopBy)
+	return !deadline.After(c.stopBy.Add(-stopMargin))
+}
+
+// endBeforeStop makes all requests other than streams end before a draining VM stops.
+func (c *Core) endBeforeStop() {
+	latest := c.stopBy.Add(-stopMargin)
+	for _, x := range c.sortedExchanges() {
+		if !x.stream() && x.deadline.After(latest) {
+			x.deadline, x.cutShort = latest, true
+			c.resetAlarm(x)
+		}
+	}
 }
 
 // newNeed draws a service of the request's route and returns what the request
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -57,6 +57,8 @@
 	arrived   time.Time
 	// deadline is the time by which the caller gets a final answer.
 	deadline time.Time
+	// cutShort is true if the deadline is earlier since the VM stops.
+	cutShort bool
 	attempts []*attempt
 	// possibleRuns counts the attempts that may have run.
 	possibleRuns int
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -267,6 +267,12 @@
 			r.Public = true
 		case "single":
 			r.Resumable = false
+		case "timeout":
+			ms, err := strconv.Atoi(value)
+			if err != nil {
+				s.t.Fatal(err)
+			}
+			r.Timeout = time.Duration(ms) * time.Millisecond
 		case "priority":
 			priority, err := strconv.Atoi(value)
 			if err != nil {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -90,6 +90,10 @@
 
 // handleTimer handles the deadlines and timers of an exchange that are due.
 func (c *Core) handleTimer(now time.Time, x *exchange) {
+	if !now.Before(x.deadline) && x.cutShort {
+		c.fail(now, x, "stopping", errs.Expired)
+		return
+	}
 	if !now.Before(x.deadline) {
 		for _, a := range x.running() {
 			a.upstream.RecordFault(now)
