platform: Check the end of a limit

A final answer to a later request that names no limit lifts it; one of another incarnation and one with an ignored field do not. Nothing changed but the accessor that the test needs. go test -run TestStatements ./platform: ok.

--- a/internal/stand/statement.go
+++ b/internal/stand/statement.go
@@ -90,6 +90,10 @@
 // the answer states no limit.
 func (s Statement) Limit() float64 { return s.limit }
 
+// UnlimitedSince returns when the request was sent whose answer states no limit, or the
+// zero time if that is not known or the answer states one.
+func (s Statement) UnlimitedSince() time.Time { return s.unlimitedSince }
+
 // Invalid returns the fields that were ignored. The caller must not modify the
 // slice.
 func (s Statement) Invalid() []InvalidField { return s.invalid }
