pool: Take an upstream for crowded only for a quarter of a second

What callers saw: while the other workers of a service are at their limits, requests were refused although the worker without one had room again.

Cause: its reported load counts for seconds, as at engines, where runs last that long. A VM that refuses because of an old report hears no new one.

Change: a report tells for 250 ms that a plain upstream has no room.

--- a/internal/pool/upstream.go
+++ b/internal/pool/upstream.go
@@ -23,6 +23,9 @@
 	// loadHalfLife is the half-life of a load report. A stream lasts for about
 	// 6 s.
 	loadHalfLife = 2 * time.Second
+	// crowdedTime is how long a load report tells that an upstream has no room. Work
+	// at plain upstreams takes some 15 ms.
+	crowdedTime = 250 * time.Millisecond
 	// otherRunTokens is the memory that a run of another VM is assumed to take:
 	// a prompt of 5,000 tokens and half of its output.
 	otherRunTokens = 5500
@@ -186,11 +189,11 @@
 	u.loadAt = now
 }
 
-// Crowded reports whether more requests are expected to wait at a plain upstream than it
-// can work on at once. It is false if the number of its slots is unknown.
+// Crowded reports whether a plain upstream has lately reported that more requests wait
+// there than it can work on at once. It is false if the number of its slots is unknown.
 func (u *Upstream) Crowded(now time.Time) bool {
 	slots := u.entry.spec.Slots
-	return slots > 0 && float64(u.attempts)+u.OtherLoad(now) >= float64(2*slots)
+	return slots > 0 && now.Sub(u.loadAt) < crowdedTime && float64(u.attempts)+u.otherRuns >= float64(2*slots)
 }
 
 // OtherLoad returns the expected number of runs of other VMs.
