follow, feed: Count the store's loss from the call of the store itself

What callers would see: after an outage of the store, VMs that read from each other take upstreams out whose leases ran out in it, up to 1.8 s before they have written their entries again.

Cause: the time for which missing entries are kept counts from the start of the poll that failed. Where VMs share a watch, a poll asks other VMs before and after the store.

Change: the reader notes when the store itself is known to have been lost.

Evidence: feed/testdata/reader, 1,200 ms where the start of the poll was 2,000 ms ago. go test of feed, follow, edge and store: ok.

--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -69,6 +69,9 @@
 	// observe is called with the kind of each source that was asked, "vm" or
 	// "store", and the result, "ok", "behind" or "failed".
 	observe func(source, result string)
+	// lostAt is the latest time at which the store is known not to have served this VM,
+	// or zero.
+	lostAt time.Time
 	// source is the name of the VM that answered last, or "" for the store.
 	source string
 	logger zerolog.Logger
@@ -179,7 +182,9 @@
 // listFrom reads all keys from one source.
 func (r *Reader) listFrom(ctx context.Context, v VM, prefix string) ([]store.Entry, uint64, time.Duration, error) {
 	if v.name == "" {
+		began := r.now()
 		entries, revision, err := r.list(ctx, prefix)
+		r.noteStore(began, err)
 		return entries, revision, 0, err
 	}
 	limited, cancel := context.WithTimeout(ctx, listWait+listSlack)
@@ -276,7 +281,9 @@
 		if r.selector.Shared() {
 			wait = min(wait, r.scaled(storeWaitFactor))
 		}
+		began := r.now()
 		events, revision, err := r.watch(ctx, prefix, after, wait)
+		r.noteStore(began, err)
 		return NewChanges(events, revision, 0), err
 	}
 	limited, cancel := context.WithTimeout(ctx, r.scaled(peerWaitFactor+peerSlackFactor))
@@ -288,6 +295,17 @@
 	return c, err
 }
 
+// noteStore notes the result of a call of the store that began at the given time.
+func (r *Reader) noteStore(began time.Time, err error) {
+	if err != nil && !errors.Is(err, store.ErrCompacted) {
+		r.lostAt = store.LostAt(began, r.now(), err)
+	}
+}
+
+// LostAt returns the latest time at which the store is known not to have served this
+// VM, or the zero time. The calls of other VMs before and after it take their time too.
+func (r *Reader) LostAt() time.Time { return r.lostAt }
+
 // logSource logs if v is not the source that answered last.
 func (r *Reader) logSource(v VM, revision uint64) {
 	if r.source == v.name {
--- a/internal/feed/reader_test.go
+++ b/internal/feed/reader_test.go
@@ -36,7 +36,9 @@
 			r.SetVMs(vms(t, d))
 			return ""
 		case "watch", "list":
-			return read(t, r, d)
+			return read(t, r, d, func(by time.Duration) { now = now.Add(by) })
+		case "lost":
+			return fmt.Sprintf("%d ms ago\n", now.Sub(r.LostAt()).Milliseconds())
 		default:
 			t.Fatalf("%s: unknown command %q", d.Pos, d.Cmd)
 			return ""
@@ -46,7 +48,7 @@
 
 // read runs one Watch or List call. The input lists how each source answers, as
 // "SOURCE revision=N age=MS" or "SOURCE FAILURE".
-func read(t *testing.T, r *Reader, d *datadriven.TestData) string {
+func read(t *testing.T, r *Reader, d *datadriven.TestData, pass func(by time.Duration)) string {
 	var out strings.Builder
 	answers := make(map[string]string)
 	for l := range strings.Lines(d.Input) {
@@ -63,6 +65,9 @@
 			"compacted":   store.ErrCompacted,
 		}
 		if err := failures[answers[name]]; err != nil {
+			if d.HasArg("takes") {
+				pass(time.Duration(number(t, d, "takes")) * time.Millisecond)
+			}
 			return Changes{}, err
 		}
 		var revision uint64
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -28,6 +28,9 @@
 	// confirmed returns when the store confirmed the latest answer, which another
 	// VM may have received.
 	confirmed func() time.Time
+	// lostAt returns the latest time at which the store is known not to have served
+	// the VM, for a poll that began and failed at the given times.
+	lostAt func(began, failed time.Time, err error) time.Time
 	// idle is called with the time of the store's confirmation after each answer
 	// without a change.
 	idle func(confirmed time.Time)
@@ -52,6 +55,7 @@
 		emit:       emit,
 		now:        time.Now,
 		confirmed:  time.Now,
+		lostAt:     store.LostAt,
 		idle:       func(time.Time) {},
 		log:        log,
 	}
@@ -68,6 +72,7 @@
 // Run.
 func (f *Follower) ReadFrom(r *feed.Reader) *Follower {
 	f.list, f.watch, f.batchDelay, f.confirmed = r.List, r.Watch, r.Pause, r.Confirmed
+	f.lostAt = func(time.Time, time.Time, error) time.Time { return r.LostAt() }
 	return f
 }
 
@@ -90,7 +95,7 @@
 		pause := time.Duration(0)
 		switch {
 		case err != nil:
-			pause = f.state.Failed(f.now(), lostSince(began, f.now(), err), err)
+			pause = f.state.Failed(f.now(), began, f.lostAt(began, f.now(), err), err)
 			if !lost {
 				f.log.Warn().Err(err).Str("prefix", f.prefix).Uint64("revision", f.state.Revision()).Msg("follow: The store is lost.")
 			}
@@ -118,15 +123,6 @@
 	}
 }
 
-// lostSince returns the latest time at which the store is known not to have served
-// the VM, for a call that began and failed at the given times.
-func lostSince(began, failed time.Time, err error) time.Time {
-	if store.Refused(err) {
-		return failed
-	}
-	return began
-}
-
 // expire emits the kept keys whose time has passed.
 func (f *Follower) expire(ctx context.Context) {
 	kept := int64(f.state.Kept())
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -83,6 +83,7 @@
 		},
 		now:       func() time.Time { return time.Now().Add(skipped) },
 		confirmed: time.Now,
+		lostAt:    store.LostAt,
 		idle:      func(time.Time) {},
 		log:       zerolog.Nop(),
 	}
--- a/internal/follow/script_test.go
+++ b/internal/follow/script_test.go
@@ -42,7 +42,8 @@
 				if d.HasArg("took") {
 					d.ScanArgs(t, "took", &took)
 				}
-				fmt.Fprintf(&out, "pause %s\n", s.Failed(now, now.Add(-time.Duration(took)*time.Millisecond), err))
+				began := now.Add(-time.Duration(took) * time.Millisecond)
+				fmt.Fprintf(&out, "pause %s\n", s.Failed(now, began, began, err))
 			case "tick":
 				c = s.Expired(now)
 			default:
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -155,9 +155,10 @@
 	return c
 }
 
-// Failed applies the error of a call that began at the given time, and returns the
-// pause before the next call.
-func (s *State) Failed(now, began time.Time, err error) time.Duration {
+// Failed applies the error of a poll that began at the given time, and returns the
+// pause before the next one. lostAt is the latest time at which the store is known not
+// to have served this VM.
+func (s *State) Failed(now, began, lostAt time.Time, err error) time.Duration {
 	if errors.Is(err, store.ErrCompacted) {
 		s.synced = false
 		return 0
@@ -166,7 +167,7 @@
 		s.failingSince = now
 	}
 	s.failures++
-	s.lostAt = began
+	s.lostAt = lostAt
 	longest := maxPause
 	if len(s.revisions) == 0 {
 		longest = emptyPause
--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -126,10 +126,15 @@
 	return errors.Is(err, errBudget) || errors.As(err, &busy) && busy.status == http.StatusTooManyRequests
 }
 
-// Refused reports whether the store answered a call with a refusal.
-func Refused(err error) bool {
+// LostAt returns the latest time at which the store is known not to have served this
+// client, for a call that began and failed at the given times: a refusal tells it when
+// it arrives, and a call without an answer when it begins.
+func LostAt(began, failed time.Time, err error) time.Time {
 	var busy *busyError
-	return errors.As(err, &busy)
+	if errors.As(err, &busy) {
+		return failed
+	}
+	return began
 }
 
 // RetryAfter returns the delay from the Retry-After header of the store's
