follow, platform: Take the time after which the store counts again from the settings

What callers would see: on a deployment with another contact_ms than 4 s, missing entries are kept too long (DRAIN) or too short.

Cause: the bound on kept entries was a constant.

Change: it is contact_ms less 0.3 s, and 4 s less 0.3 s where the settings have none.

--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -63,6 +63,9 @@
 	BatchDelay time.Duration
 	// EffectTime is the time within which a change of the store must take effect.
 	EffectTime time.Duration
+	// SettleTime is the time after the store's recovery from which its word counts
+	// again.
+	SettleTime time.Duration
 	// Budget bounds the repeated attempts.
 	Budget proxy.Budget
 	// Exposure bounds the requests that an unproven version gets.
@@ -161,6 +164,7 @@
 		})
 	}
 	v.watcher.apply, v.watcher.idle = v.applyChange, v.progress.confirm
+	v.watcher.settleTime = s.SettleTime
 	return v
 }
 
--- a/internal/edge/watcher.go
+++ b/internal/edge/watcher.go
@@ -25,6 +25,9 @@
 	reader     *feed.Reader
 	batchDelay time.Duration
 	apply      func(ctx context.Context, c follow.Change)
+	// settleTime is the time after the store's recovery from which its word counts
+	// again.
+	settleTime time.Duration
 	// idle is called after each answer without a change.
 	idle func(confirmed time.Time)
 	log  zerolog.Logger
@@ -69,7 +72,7 @@
 	case <-ctx.Done():
 		return
 	}
-	f := follow.New(w.client, "", w.batchDelay, w.apply, w.log).WithIdle(w.idle)
+	f := follow.New(w.client, "", w.batchDelay, w.apply, w.log).WithIdle(w.idle).WithSettleTime(w.settleTime)
 	if w.reader != nil {
 		f.ReadFrom(w.reader)
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -61,6 +61,14 @@
 	}
 }
 
+// WithSettleTime sets the time after the store's recovery from which its word counts
+// again, 4 s by default. Entries that are missing are kept for less than that. Call it
+// before Run.
+func (f *Follower) WithSettleTime(d time.Duration) *Follower {
+	f.state.maxKeep = max(d-settleMargin, 0)
+	return f
+}
+
 // WithIdle makes the follower call idle after each answer without a change, with
 // the time at which the store confirmed it. Call it before Run.
 func (f *Follower) WithIdle(idle func(confirmed time.Time)) *Follower {
--- a/internal/follow/script_test.go
+++ b/internal/follow/script_test.go
@@ -44,6 +44,13 @@
 				}
 				began := now.Add(-time.Duration(took) * time.Millisecond)
 				fmt.Fprintf(&out, "pause %s\n", s.Failed(now, began, began, err))
+			case "settle":
+				settle := 0
+				d.ScanArgs(t, "ms", &settle)
+				f := &Follower{
+					state: s,
+				}
+				f.WithSettleTime(time.Duration(settle) * time.Millisecond)
 			case "tick":
 				c = s.Expired(now)
 			default:
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -31,10 +31,12 @@
 	// rewriteTime is the time that running upstreams take to write their keys
 	// again after the store has recovered.
 	rewriteTime = 2500 * time.Millisecond
-	// maxKeepTime is the time after the store's recovery at which no key may be kept
-	// any more. Its word counts again 4 s after its recovery, and requests that are
-	// sent just before reach their upstream later.
-	maxKeepTime = 3700 * time.Millisecond
+	// defaultSettleTime is the time after the store's recovery from which its word
+	// counts again, unless another one is set.
+	defaultSettleTime = 4 * time.Second
+	// settleMargin is the time before that at which no key may be kept any more, since
+	// requests that are sent just before reach their upstream later.
+	settleMargin = 300 * time.Millisecond
 )
 
 // Change is a set of changed keys. It contains each key at most once.
@@ -93,8 +95,10 @@
 	// VM: when it refused a call, or when a call began that was never answered.
 	lostAt time.Time
 	// keepUntil is the time until which keys that go missing are kept after an
-	// outage. It is at most maxKeepTime after lostAt.
+	// outage. It is at most maxKeep after lostAt.
 	keepUntil time.Time
+	// maxKeep is how long after the store's recovery missing keys are kept at most.
+	maxKeep time.Duration
 	// missing holds the keys that are missing from the store but still kept, with
 	// the time until which they are. A later outage does not prolong that.
 	missing map[string]time.Time
@@ -105,6 +109,7 @@
 	return &State{
 		revisions: make(map[string]uint64),
 		missing:   make(map[string]time.Time),
+		maxKeep:   defaultSettleTime - settleMargin,
 	}
 }
 
@@ -222,7 +227,7 @@
 func (s *State) resetFailures(now time.Time) {
 	if s.failures > 0 && now.Sub(s.failingSince) >= minOutage {
 		s.keepUntil = now.Add(rewriteTime)
-		if latest := s.lostAt.Add(maxKeepTime); latest.Before(s.keepUntil) {
+		if latest := s.lostAt.Add(s.maxKeep); latest.Before(s.keepUntil) {
 			s.keepUntil = latest
 		}
 	}
