quota, pool: Give all VMs a part in the limits of a service

What callers would see: with many VMs, callers of some are refused nearly always while the workers of a service are at their limits.

Cause: the members of each worker's limit were chosen by themselves. With 295 VMs, six workers and limits of 57.8, each VM was a member with a chance of a fifth for each worker, so that a third of the VMs were members of none where five workers name limits. Shares also changed only with the next answer that names the limit, which VMs that are no members hardly get.

Change: the VMs form a ring, the members of a worker stand side by side on it, and those of a service's workers begin at equal distances. Shares follow a change of the VMs or of the upstreams at once.

--- a/internal/pool/hear.go
+++ b/internal/pool/hear.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"clementinelink.example/clementinelink/internal/quota"
@@ -105,11 +106,29 @@
 func (p *Pool) SetVMs(self string, names []string) {
 	if p.fleet == nil {
 		p.fleet = quota.NewFleet(self)
-		p.book.SetFleet(p.fleet)
+		p.book.SetFleet(p.fleet, p.place)
 	}
 	p.fleet.Set(names)
 }
 
+// place returns the index of an upstream among the listed ones of its service, and
+// their number. An upstream that is not listed has the first place.
+func (p *Pool) place(id string) (index, count int) {
+	u := p.byID[id]
+	if u == nil {
+		return 0, 1
+	}
+	list := p.byService[u.entry.Service()]
+	return max(slices.Index(list, u), 0), len(list)
+}
+
+// placesChanged counts a change of the listed upstreams.
+func (p *Pool) placesChanged() {
+	if p.fleet != nil {
+		p.fleet.Changed()
+	}
+}
+
 // Earliest returns the upstream whose limit permits the need first, and when it does.
 // It returns nil if no upstream that may be sent work has a limit. It excludes
 // upstreams for which skip returns true.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -100,6 +100,7 @@
 		list := p.byService[e.Service()]
 		at, _ := slices.BinarySearchFunc(list, e.ID(), func(a *Upstream, id string) int { return strings.Compare(a.ID(), id) })
 		p.byService[e.Service()] = slices.Insert(list, at, u)
+		p.placesChanged()
 	}
 	u.entry = e
 	u.provisionalUntil = time.Time{}
@@ -142,6 +143,7 @@
 	delete(p.byID, id)
 	name := u.entry.Service()
 	p.byService[name] = slices.DeleteFunc(p.byService[name], func(a *Upstream) bool { return a == u })
+	p.placesChanged()
 	return u
 }
 
--- a/internal/quota/bench_test.go
+++ b/internal/quota/bench_test.go
@@ -5,8 +5,8 @@
 	"testing"
 )
 
-// BenchmarkShare measures the share of one limit by the number of VMs. It is computed
-// when an upstream names a limit, changes it, or the VMs change.
+// BenchmarkShare measures a change of the VMs, and the share of one limit, by their
+// number.
 func BenchmarkShare(b *testing.B) {
 	for _, vms := range []int{9, 64, 295, 360} {
 		b.Run(fmt.Sprint(vms), func(b *testing.B) {
@@ -17,7 +17,10 @@
 			f := NewFleet("vm-0")
 			f.Set(names)
 			for b.Loop() {
-				f.Share("w", 5)
+				f.version++
+				f.names = f.names[:1]
+				f.Set(names)
+				f.Share(1, 6, 5)
 			}
 		})
 	}
--- a/internal/quota/fleet.go
+++ b/internal/quota/fleet.go
@@ -22,6 +22,9 @@
 	self string
 	// names holds the names of all VMs including self, sorted.
 	names []string
+	// position is the number of VMs that precede this one in the order of a hash of
+	// their names, which all VMs use.
+	position int
 	// version increases with each change.
 	version int
 }
@@ -42,40 +45,41 @@
 		all = append(all, f.self)
 	}
 	slices.Sort(all)
-	if !slices.Equal(all, f.names) {
-		f.names = all
-		f.version++
+	if slices.Equal(all, f.names) {
+		return
 	}
+	f.names, f.position = all, 0
+	own := xxhash.Sum64String(f.self)
+	for _, name := range all {
+		if xxhash.Sum64String(name) < own {
+			f.position++
+		}
+	}
+	f.version++
 }
 
+// Changed counts a change of the upstreams that have limits, which changes shares.
+func (f *Fleet) Changed() { f.version++ }
+
 // Version returns a number that changes when the shares may have changed.
 func (f *Fleet) Version() int { return f.version }
 
 // Share returns the requests a second that this VM may send to an upstream with the
 // given limit, and whether it is one of the members, the VMs that send nearly all
 // requests there. There is at most one member for each request a second of the limit,
-// chosen by a hash of the VM and the upstream (rendezvous hashing), since the small
-// bursts of more VMs would exceed the limit together.
-func (f *Fleet) Share(upstream string, limit float64) (rate float64, member bool) {
+// since the small bursts of more VMs would exceed it together. The VMs form a ring, on
+// which the members of an upstream stand side by side. Those of the upstreams of a
+// service, of which this one has the given index among count, begin at equal distances,
+// so that no VM is a member of many and none of few.
+func (f *Fleet) Share(index, count int, limit float64) (rate float64, member bool) {
 	total := len(f.names)
 	members := min(max(int(min(limit, float64(total))), 1), total)
 	if members == total {
 		return max(limit, minRate) / float64(total), true
 	}
-	if f.rank(upstream) < members {
+	first := index * total / max(count, 1)
+	if (f.position-first%total+total)%total < members {
 		return max(memberPart*limit, minRate) / float64(members), true
 	}
 	return max((1-memberPart)*limit, minRate) / float64(total-members), false
 }
-
-// rank returns the number of VMs that precede this one in the order of an upstream.
-func (f *Fleet) rank(upstream string) int {
-	own := xxhash.Sum64String(upstream + " " + f.self)
-	before := 0
-	for _, name := range f.names {
-		if xxhash.Sum64String(upstream+" "+name) < own {
-			before++
-		}
-	}
-	return before
-}
--- a/internal/quota/pacer.go
+++ b/internal/quota/pacer.go
@@ -26,11 +26,10 @@
 	p := Pacer{
 		interval: interval(rate),
 	}
-	ahead := phase
 	if !member {
-		ahead += burst - 1
+		phase += burst - 1
 	}
-	p.next = now.Add(time.Duration(ahead * float64(p.interval)))
+	p.next = now.Add(time.Duration(phase * float64(p.interval)))
 	return p
 }
 
@@ -42,7 +41,7 @@
 
 // SetRate changes the rate. Requests that were sent ahead of the former rate count as
 // many at the new one.
-func (p *Pacer) SetRate(now time.Time, rate float64) {
+func (p *Pacer) SetRate(now time.Time, rate float64, member bool) {
 	fresh := interval(rate)
 	if ahead := p.next.Sub(now); ahead > 0 {
 		p.next = now.Add(time.Duration(float64(ahead) / float64(p.interval) * float64(fresh)))
@@ -53,7 +52,7 @@
 // AvailableAt returns the earliest time at which a request may be sent that leaves
 // others requests for more urgent ones. A negative number lets it be sent ahead of the
 // rate.
-func (p *Pacer) AvailableAt(others int) time.Time {
+func (p *Pacer) AvailableAt(now time.Time, others int) time.Time {
 	return p.next.Add(-time.Duration(burst-1-others) * p.interval)
 }
 
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -18,8 +18,11 @@
 // as its part of the demand; the parts differ by up to the given factor.
 func TestFleets(t *testing.T) {
 	datadriven.RunTest(t, "testdata/fleets", func(t *testing.T, d *datadriven.TestData) string {
+		if d.Cmd == "ring" {
+			return ring(t, d)
+		}
 		f := scanFleet(t, d)
-		most, used := f.run(60 * time.Second)
+		most, used := f.run(time.Duration(f.quiet)*time.Second + time.Minute)
 		allowed := 1.5*4*f.limit + 5
 		result := fmt.Sprintf("members=%d within=%t", f.members, float64(most) <= allowed)
 		if f.demand >= 2*f.limit {
@@ -29,6 +32,32 @@
 	})
 }
 
+// ring returns in how many of the upstreams of a service a VM is a member.
+func ring(t *testing.T, d *datadriven.TestData) string {
+	var vms, count int
+	var limit float64
+	d.ScanArgs(t, "vms", &vms)
+	d.ScanArgs(t, "count", &count)
+	scanFloat(t, d, "limit", &limit)
+	var names []string
+	for i := range vms {
+		names = append(names, fmt.Sprintf("vm-%d", i))
+	}
+	least, most := count, 0
+	for _, name := range names {
+		f := NewFleet(name)
+		f.Set(names)
+		n := 0
+		for i := range count {
+			if _, member := f.Share(i, count, limit); member {
+				n++
+			}
+		}
+		least, most = min(least, n), max(most, n)
+	}
+	return fmt.Sprintf("member of %d to %d\n", least, most)
+}
+
 // simFleet is a fleet of VMs that send requests to one upstream.
 type simFleet struct {
 	limit   float64
@@ -38,7 +67,9 @@
 	pacers  []Pacer
 	parts   []float64
 	members int
-	random  *rand.Rand
+	// quiet is the number of seconds before the demand begins.
+	quiet  int
+	random *rand.Rand
 }
 
 func scanFleet(t *testing.T, d *datadriven.TestData) *simFleet {
@@ -60,11 +91,19 @@
 		total += part
 	}
 	now := time.Unix(0, 0)
+	index, count := 0, 1
+	if d.HasArg("count") {
+		d.ScanArgs(t, "index", &index)
+		d.ScanArgs(t, "count", &count)
+	}
+	if d.HasArg("quiet") {
+		d.ScanArgs(t, "quiet", &f.quiet)
+	}
 	for i, name := range f.names {
 		f.parts[i] *= f.demand / total
 		fleet := NewFleet(name)
 		fleet.Set(f.names)
-		rate, member := fleet.Share("w", f.limit)
+		rate, member := fleet.Share(index, count, f.limit)
 		if member {
 			f.members++
 		}
@@ -89,8 +128,11 @@
 	const step = 10 * time.Millisecond
 	for at := time.Duration(0); at < length; at += step {
 		now := start.Add(at)
+		if at < time.Duration(f.quiet)*time.Second {
+			continue
+		}
 		for i := range f.pacers {
-			if f.random.Float64() < f.parts[i]*step.Seconds() && !now.Before(f.pacers[i].AvailableAt(0)) {
+			if f.random.Float64() < f.parts[i]*step.Seconds() && !now.Before(f.pacers[i].AvailableAt(now, 0)) {
 				f.pacers[i].Take(now)
 				sent = append(sent, now)
 			}
@@ -100,7 +142,7 @@
 		first, _ := slices.BinarySearchFunc(sent, at.Add(-4*time.Second), func(a, b time.Time) int { return a.Compare(b) })
 		most = max(most, i-first+1)
 	}
-	return most, float64(len(sent)) / length.Seconds()
+	return most, float64(len(sent)) / (length.Seconds() - float64(f.quiet))
 }
 
 // TestPacer guards the order of what a limit permits: more urgent requests before
@@ -124,7 +166,7 @@
 			p = NewPacer(now, rate, d.HasArg("member"), 0.5)
 		case "rate":
 			scanFloat(t, d, "rate", &rate)
-			p.SetRate(now, rate)
+			p.SetRate(now, rate, d.HasArg("member"))
 		case "take":
 			p.Take(now)
 		case "ahead":
@@ -134,7 +176,7 @@
 		}
 		var out strings.Builder
 		for _, n := range []int{0, 1, -2} {
-			fmt.Fprintf(&out, "others=%d: %d\n", n, p.AvailableAt(n).Sub(base).Milliseconds())
+			fmt.Fprintf(&out, "others=%d: %d\n", n, p.AvailableAt(now, n).Sub(base).Milliseconds())
 		}
 		return out.String()
 	})
--- a/internal/stand/book.go
+++ b/internal/stand/book.go
@@ -70,6 +70,9 @@
 	resting []*Standing
 	// fleet holds the VMs that share the limits of upstreams.
 	fleet *quota.Fleet
+	// place returns the index of an upstream among the listed ones of its service, and
+	// their number.
+	place func(id string) (index, count int)
 	// random returns a number in [0, 1).
 	random func() float64
 	// changed and ignored are called with each change of a state and each invalid
@@ -83,6 +86,7 @@
 	return &Book{
 		byID:    make(map[string]*Standing),
 		fleet:   quota.NewFleet(""),
+		place:   func(string) (int, int) { return 0, 1 },
 		random:  random,
 		changed: func(Change) {},
 		ignored: func(string, InvalidField) {},
@@ -95,9 +99,12 @@
 	b.changed, b.ignored = changed, ignored
 }
 
-// SetFleet sets the VMs that share the limits of upstreams. The book reads it with each
-// answer that names a limit.
-func (b *Book) SetFleet(f *quota.Fleet) { b.fleet = f }
+// SetFleet sets the VMs that share the limits of upstreams, and the function that
+// returns the index of an upstream among the listed ones of its service, and their
+// number. The fleet must count each change of what the function returns.
+func (b *Book) SetFleet(f *quota.Fleet, place func(id string) (index, count int)) {
+	b.fleet, b.place = f, place
+}
 
 // Of returns the standing of an incarnation, which is new unless the incarnation is
 // known to have made a statement. startedAt is its start time in Unix milliseconds,
--- a/internal/stand/limit.go
+++ b/internal/stand/limit.go
@@ -30,7 +30,10 @@
 	// before it rises at the end of the limit.
 	share   float64
 	version int
+	member  bool
 	pacer   quota.Pacer
+	// book is the book of the standing, which knows the VMs that share the limit.
+	book *Book
 }
 
 // hearLimit applies a limit that an answer names.
@@ -38,7 +41,9 @@
 	l := s.limit
 	begins := l == nil
 	if begins {
-		l = &limit{}
+		l = &limit{
+			book: b,
+		}
 		s.limit = l
 	}
 	changed := l.rate != rate || l.version != b.fleet.Version() || !l.lifted.IsZero()
@@ -56,14 +61,14 @@
 // share computes the VM's share of a limit.
 func (b *Book) share(now time.Time, s *Standing, begins bool) {
 	l := s.limit
-	var member bool
-	l.share, member = b.fleet.Share(s.id, l.rate)
+	index, count := b.place(s.id)
+	l.share, l.member = b.fleet.Share(index, count, l.rate)
 	l.version = b.fleet.Version()
 	if begins {
-		l.pacer = quota.NewPacer(now, l.share, member, b.random())
+		l.pacer = quota.NewPacer(now, l.share, l.member, b.random())
 		return
 	}
-	l.pacer.SetRate(now, l.share)
+	l.pacer.SetRate(now, l.share, l.member)
 }
 
 // hearNoLimit applies an answer without a limit to a request that was sent at the
@@ -83,7 +88,13 @@
 // paced returns the limit that binds at present, or nil.
 func (s *Standing) paced(now time.Time) *limit {
 	l := s.limit
-	if l == nil || l.lifted.IsZero() {
+	if l == nil {
+		return nil
+	}
+	if l.version != l.book.fleet.Version() {
+		l.book.share(now, s, false)
+	}
+	if l.lifted.IsZero() {
 		return l
 	}
 	elapsed := now.Sub(l.lifted)
@@ -91,7 +102,7 @@
 		s.limit = nil
 		return nil
 	}
-	l.pacer.SetRate(now, l.share*math.Exp2(elapsed.Seconds()/liftStep.Seconds()))
+	l.pacer.SetRate(now, l.share*math.Exp2(elapsed.Seconds()/liftStep.Seconds()), true)
 	return l
 }
 
@@ -118,7 +129,7 @@
 // no limit.
 func (s *Standing) AvailableAt(now time.Time, others int) time.Time {
 	if l := s.paced(now); l != nil {
-		return l.pacer.AvailableAt(others)
+		return l.pacer.AvailableAt(now, others)
 	}
 	return time.Time{}
 }
