quota: Let the places of VMs that are no members lapse

What callers would see: nothing; a worker in need gets more than its limit allows (LIMIT) when a burst follows a quiet time of minutes.

Cause: a VM that is no member of a limit gets a place once in a while, and saved up to two of them. With 295 VMs and a limit of 12 that is over 500 requests that may be sent at once.

Evidence: the lines with quiet in quota/testdata/fleets give within=false without the change, for 64 and 295 VMs.

Change: a place that is not used within a second lapses.

Result: go test of quota: ok.

--- a/internal/quota/pacer.go
+++ b/internal/quota/pacer.go
@@ -8,6 +8,9 @@
 	// maxDebt is the number of requests by which a VM may be ahead of its rate.
 	// Requests about runs under way are not withheld, but delay others.
 	maxDebt = 2
+	// lapseTime is how long a VM that is no member may use a place before the place
+	// lapses. If such VMs saved their places, a burst would use all of them at once.
+	lapseTime = time.Second
 )
 
 // Pacer paces requests to a constant rate, by the generic cell rate algorithm. The
@@ -17,6 +20,8 @@
 	interval time.Duration
 	// next is the time at which all requests so far are within the rate.
 	next time.Time
+	// member is false if places lapse.
+	member bool
 }
 
 // NewPacer returns a pacer of a VM that has just learned of a limit. A member may send
@@ -25,6 +30,7 @@
 func NewPacer(now time.Time, rate float64, member bool, phase float64) Pacer {
 	p := Pacer{
 		interval: interval(rate),
+		member:   member,
 	}
 	if !member {
 		phase += burst - 1
@@ -42,17 +48,31 @@
 // SetRate changes the rate. Requests that were sent ahead of the former rate count as
 // many at the new one.
 func (p *Pacer) SetRate(now time.Time, rate float64, member bool) {
+	p.lapse(now)
 	fresh := interval(rate)
 	if ahead := p.next.Sub(now); ahead > 0 {
 		p.next = now.Add(time.Duration(float64(ahead) / float64(p.interval) * float64(fresh)))
 	}
-	p.interval = fresh
+	p.interval, p.member = fresh, member
+}
+
+// lapse gives up the places that a VM that is no member has not used in time. Those
+// of rates beyond one in lapseTime stay.
+func (p *Pacer) lapse(now time.Time) {
+	if p.member || p.interval <= lapseTime {
+		return
+	}
+	place := p.next.Add(-(burst - 1) * p.interval)
+	if late := now.Sub(place) - lapseTime; late > 0 {
+		p.next = p.next.Add((late + p.interval - 1) / p.interval * p.interval)
+	}
 }
 
 // AvailableAt returns the earliest time at which a request may be sent that leaves
 // others requests for more urgent ones. A negative number lets it be sent ahead of the
 // rate.
 func (p *Pacer) AvailableAt(now time.Time, others int) time.Time {
+	p.lapse(now)
 	return p.next.Add(-time.Duration(burst-1-others) * p.interval)
 }
 
