--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -102,20 +102,37 @@
 	}
 }
 
-// generate sends a request for a stream, reads it over the link, and reports whether
-// it was complete.
-func generate(ctx context.Context, front string, r *record, l *link, id string) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+"/draft/x", http.NoBody)
+// generator is a client that sends generations.
+type generator struct {
+	name  string
+	front string
+	body  []byte
+	// up and down are the links over which it sends and reads, or nil.
+	up   *link
+	down *link
+}
+
+// generate sends a generation, reads its stream and reports whether that was
+// complete.
+func (g *generator) generate(ctx context.Context, r *record, id string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.front+"/draft/x", &carried{
+		source: bytes.NewReader(g.body),
+		link:   g.up,
+	})
 	if err != nil {
 		panic(err)
 	}
 	req.Host = host
+	req.ContentLength = int64(len(g.body))
+	if len(g.body) == 0 {
+		req.Body = http.NoBody
+	}
 	req.Header.Set(headerID, id)
 	req.Header.Set(headerDeadline, "25000")
 	req.Header.Set("X-Model", "m")
-	req.Header.Set(names["tokens"], "5200,480")
+	req.Header.Set(names["tokens"], "5200,1120")
 	req.Header.Set(names["parts"], "aa:200,"+id+":5000")
-	r.add("a client sends %s", id)
+	r.add("a client sends %s with a body of %d bytes", id, len(g.body))
 	resp, err := http.DefaultTransport.RoundTrip(req)
 	if err != nil {
 		if !errors.Is(err, syscall.ECONNREFUSED) && ctx.Err() == nil {
@@ -124,18 +141,27 @@
 		return false
 	}
 	defer func() { _ = resp.Body.Close() }()
-	total := 0
-	for buffer := make([]byte, 4<<10); ; {
-		n, err := resp.Body.Read(buffer)
-		l.carry(n)
-		total += n
-		if errors.Is(err, io.EOF) {
-			r.add("%s: status %d, complete after %d bytes", id, resp.StatusCode, total)
-			return resp.StatusCode == http.StatusOK
-		}
-		if err != nil {
-			r.add("%s: status %d, ended after %d bytes: %v", id, resp.StatusCode, total, err)
-			return false
-		}
+	n, err := io.Copy(io.Discard, &carried{
+		source: resp.Body,
+		link:   g.down,
+	})
+	if err != nil {
+		r.add("%s: status %d, ended after %d bytes: %v", id, resp.StatusCode, n, err)
+		return false
 	}
+	r.add("%s: status %d, complete after %d bytes", id, resp.StatusCode, n)
+	return resp.StatusCode == http.StatusOK
+}
+
+// carried reads over a link.
+type carried struct {
+	source io.Reader
+	link   *link
+}
+
+// Read implements io.Reader.
+func (c *carried) Read(p []byte) (int, error) {
+	n, err := c.source.Read(p[:min(len(p), 8<<10)])
+	c.link.carry(n)
+	return n, err
 }
--- a/review/stand/keys.go
+++ b/review/stand/keys.go
@@ -13,9 +13,9 @@
 )
 
 // playKeys removes the only workspace from the configuration and then sends calls
-// with its former key, with a key that was never configured and without one.
+// with a key that was never configured, and for the record some without a key.
 func playKeys(p *play) (broken bool, err error) {
-	desk, err := startWorker(p.store, p.record, nil, "desk-0", "desk", zone(0), 6)
+	desks, err := p.startWorkers(1, "desk", "desk", 6, nil)
 	if err != nil {
 		return false, err
 	}
@@ -34,7 +34,7 @@
 		p.record.add("the store has accepted version 2, with the same workspaces")
 	}
 	time.Sleep(applyTime + 500*time.Millisecond)
-	ran := 0
+	foreign, without := 0, 0
 	for i, authorization := range []string{"Bearer never-configured", ""} {
 		c := &caller{
 			name:          fmt.Sprintf("client %d", i),
@@ -48,12 +48,17 @@
 			if _, ok := c.call(id, "/book/x"); !ok {
 				return false, fmt.Errorf("%s can't connect", c.name)
 			}
-			if desk.ran(id) {
-				ran++
+			switch {
+			case !desks[0].ran(id):
+			case authorization == "":
+				without++
+			default:
+				foreign++
 			}
 		}
 		c.close()
 	}
-	p.record.add("calls that ran without a key that any configuration ever held: %d", ran)
-	return ran > 0, nil
+	p.record.add("calls that ran without a key: %d (not judged)", without)
+	p.record.add("calls that ran with a key that no configuration ever held: %d", foreign)
+	return foreign > 0, nil
 }
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -11,8 +11,9 @@
 
 // scripts holds the scripts by name. Each reports whether its rule was broken.
 var scripts = map[string]func(*play) (bool, error){
-	"flood": playFlood,
-	"keys":  playKeys,
+	"flood":  playFlood,
+	"keys":   playKeys,
+	"upload": playUpload,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -164,13 +164,27 @@
 
 // link is a network link that its users share. It delays what it carries.
 type link struct {
+	mbps int
+
 	mutex sync.Mutex
-	mbps  int
+	// free is when the link has carried all bytes so far.
+	free time.Time
 }
 
-// carry waits for the time that the link takes for n bytes.
+// carry waits until the link has carried n bytes. A nil link takes no time.
 func (l *link) carry(n int) {
+	if l == nil {
+		return
+	}
 	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	time.Sleep(time.Duration(8*n) * time.Microsecond / time.Duration(l.mbps))
+	now := time.Now()
+	if l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(8*n) * time.Microsecond / time.Duration(l.mbps))
+	wait := l.free.Sub(now)
+	l.mutex.Unlock()
+	if wait > time.Millisecond {
+		time.Sleep(wait)
+	}
 }
