--- a/review/stand/flood.go
+++ b/review/stand/flood.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		return false, err
 	}
-	engines, err := p.startWorkers(6, "model", "llm", 32, arriving)
+	engines, err := p.startWorkers(6, "model", engineService, 32, arriving)
 	if err != nil {
 		return false, err
 	}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -13,6 +13,7 @@
 var scripts = map[string]func(*play) (bool, error){
 	"flood":  playFlood,
 	"keys":   playKeys,
+	"reuse":  playReuse,
 	"upload": playUpload,
 }
 
--- a/review/stand/play.go
+++ b/review/stand/play.go
@@ -70,14 +70,14 @@
 				"timeout_ms": 1500, "goal_ms": 150, "attempts": 1, "priority": 2,
 			},
 			map[string]any{
-				"name": "draft", "host": host, "path_prefix": "/draft/", "kind": "streaming", "service": "llm",
+				"name": "draft", "host": host, "path_prefix": "/draft/", "kind": "streaming", "service": engineService,
 				"timeout_ms": 25000, "goal_ms": 4500, "attempts": 5, "priority": 1, "resumable": true, "gap_aim_ms": 700, "sticky": true,
 			},
 		},
 		"services": []any{
 			map[string]any{"name": "desk", "health_path": healthPath},
 			map[string]any{
-				"name": "llm", "health_path": healthPath,
+				"name": engineService, "health_path": healthPath,
 				"engine": map[string]any{"slots": 32, "kv_capacity": 55000, "backups": true, "models": []any{map[string]any{"name": "m"}}},
 			},
 		},
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -52,6 +52,16 @@
 	})
 }
 
+// remove removes a key.
+func (s *store) remove(key string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.apply(item{
+		Key:     key,
+		Removed: true,
+	})
+}
+
 // apply makes a change at a new revision and wakes the watches. The caller must
 // hold the mutex.
 func (s *store) apply(i item) {
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -22,6 +22,9 @@
 	machineMbps = 1000
 )
 
+// engineService is the service whose workers are model engines.
+const engineService = "llm"
+
 // worker stands for a worker of a service. It serves one request per connection.
 type worker struct {
 	id       string
@@ -32,6 +35,9 @@
 	// events and gap are the number of events of a stream and the time between two.
 	events int
 	gap    time.Duration
+	// engine is true for a model engine. It has no room for copies of runs, and refuses
+	// requests that name one. Other workers know nothing of copies and streams.
+	engine bool
 	// endless makes streams go on without end with large events, over link.
 	endless atomic.Bool
 	link    *link
@@ -39,11 +45,19 @@
 	mutex sync.Mutex
 	// runs counts the runs of each request by its id.
 	runs map[string]int
+	// holders holds the addresses that were named to keep copies of the runs.
+	holders map[string]string
+	conns   map[net.Conn]bool
 }
 
 // startWorker starts a worker on a free port and registers it.
 func startWorker(s *store, r *record, l *link, id, service, zone string, slots int) (*worker, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return startWorkerAt("127.0.0.1:0", s, r, l, id, service, zone, slots)
+}
+
+// startWorkerAt starts a worker at an address and registers it.
+func startWorkerAt(address string, s *store, r *record, l *link, id, service, zone string, slots int) (*worker, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -51,11 +65,14 @@
 		id:       id,
 		listener: listener,
 		record:   r,
+		engine:   service == engineService,
 		work:     100 * time.Millisecond,
 		events:   60,
 		gap:      40 * time.Millisecond,
 		link:     l,
 		runs:     make(map[string]int),
+		holders:  make(map[string]string),
+		conns:    make(map[net.Conn]bool),
 	}
 	go w.accept()
 	s.put(names["registry"]+id, map[string]any{
@@ -78,10 +95,32 @@
 		if err != nil {
 			return
 		}
+		w.mutex.Lock()
+		w.conns[conn] = true
+		w.mutex.Unlock()
 		go w.serve(conn)
 	}
 }
 
+// crash ends the worker and resets its connections. Its entry stays in the store.
+func (w *worker) crash() {
+	w.record.add("worker %s crashes", w.id)
+	_ = w.listener.Close()
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for conn := range w.conns {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+}
+
+// holderOf returns the address that was named to keep a copy of a run, or "".
+func (w *worker) holderOf(id string) string {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.holders[id]
+}
+
 // ran reports whether a request ran here.
 func (w *worker) ran(id string) bool {
 	w.mutex.Lock()
@@ -90,7 +129,12 @@
 }
 
 func (w *worker) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
+	defer func() {
+		w.mutex.Lock()
+		delete(w.conns, conn)
+		w.mutex.Unlock()
+		_ = conn.Close()
+	}()
 	req, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		return
@@ -113,19 +157,26 @@
 		reply(conn, "404 Not Found", "", "")
 		return
 	case req.Header.Get(names["expect"]) != "" && req.Header.Get(names["expect"]) != w.id:
+		w.record.add("worker %s answers 421 to %s, which names %s", w.id, id, req.Header.Get(names["expect"]))
 		reply(conn, "421 Misdirected Request", names["instance"]+": "+w.id+"\r\n", "")
 		return
 	case id == "":
 		reply(conn, "400 Bad Request", headerNotRun+": 1\r\n", "")
 		return
 	}
+	if w.engine && req.Header.Get(names["copy"]) != "" {
+		w.record.add("worker %s has no copy for %s", w.id, id)
+		reply(conn, "503 Service Unavailable", headerNotRun+": 1\r\n", "")
+		return
+	}
 	w.mutex.Lock()
 	w.runs[id]++
+	w.holders[id] = req.Header.Get(names["holder"])
 	w.mutex.Unlock()
 	w.record.add("worker %s runs %s (%s %s, body of %d bytes, workspace %q)", w.id, id, req.Method, req.RequestURI, len(body), req.Header.Get(names["workspace"]))
 	head := fmt.Sprintf("%s: seal-%s\r\n%s: %s\r\n", names["seal"], id, headerID, id)
 	time.Sleep(w.work)
-	if req.Header.Get(names["tokens"]) == "" {
+	if !w.engine {
 		reply(conn, "200 OK", head, "done "+id)
 		return
 	}
