--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -7,8 +7,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 )
 
+// maxTime bounds a script.
+const maxTime = 110 * time.Second
+
 // scripts holds the scripts by name. Each reports whether its rule was broken.
 var scripts = map[string]func(*play) (bool, error){
 	"flood":  playFlood,
@@ -30,6 +36,17 @@
 		return 2
 	}
 	defer p.end()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-stopped:
+		case <-time.After(maxTime):
+		}
+		p.record.add("the script was stopped")
+		p.end()
+		os.Exit(2)
+	}()
 	broken, err := scripts[args[0]](p)
 	switch {
 	case err != nil:
