edge: Log the service that a request is sent for

The lines of a VM could not tell whether a stream that ran at another service was sent there by the belief about an address or by its route. 'Attempt sent' has the service now, and 'An engine was asked' the service that the answer identified.

No decision changes; the tests of edge, proxy and the commands pass.

--- a/internal/edge/eventlog.go
+++ b/internal/edge/eventlog.go
@@ -67,7 +67,7 @@
 	case proxy.StateReported:
 		if !e.Responded() || e.Instance() != "" {
 			j.log.Info().Str("upstream", e.Upstream()).Str("instance", e.Instance()).Bool("alive", e.Responded()).
-				Str("detail", e.Detail()).Msg("pool: An engine was asked.")
+				Str("service", c.IdentifiedService(e)).Str("detail", e.Detail()).Msg("pool: An engine was asked.")
 		}
 	}
 }
@@ -142,6 +142,7 @@
 type sendRecord struct {
 	attempt  int
 	reason   string
+	service  string
 	instance string
 	address  string
 	version  string
@@ -167,6 +168,7 @@
 	l := sendRecord{
 		attempt:  a.Attempt(),
 		reason:   a.Reason(),
+		service:  u.Entry().Service(),
 		instance: a.Instance(),
 		address:  u.Address(),
 		version:  u.Entry().Version(),
@@ -221,7 +223,7 @@
 // writeSend writes the log line of an attempt.
 func (j *eventLog) writeSend(r *request, l *sendRecord) {
 	e := j.log.Info().Str("request", r.id).Int("attempt", l.attempt).Str("reason", l.reason).
-		Str("upstream", l.instance).Str("address", l.address).Str("version", l.version).Str("domain", l.domain).
+		Str("service", l.service).Str("upstream", l.instance).Str("address", l.address).Str("version", l.version).Str("domain", l.domain).
 		Int64("after", l.at.Milliseconds()).Int("work", l.work).Int("tokens", l.tokens).Int("position", l.position)
 	if l.copied {
 		e = e.Bool("copied", true)
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -143,6 +143,15 @@
 	}
 }
 
+// IdentifiedService returns the only service whose engines are like the one that
+// reported its state in e, or "" if there is none. e must be a StateReported event.
+func (c *Core) IdentifiedService(e Event) string {
+	if c.table == nil || !e.responded {
+		return ""
+	}
+	return c.table.Identify(e.state.Memory(), e.state.Models())
+}
+
 // sameService reports whether the state of an engine identifies it as one of
 // the service of the upstream that it replaced.
 func (c *Core) sameService(old *pool.Upstream, s pool.State) bool {
