proxy: Name only incarnations of the request's service in an attempt

What callers saw: a generation ran at a worker of another service, to which no configuration sends it (ROUTE). The engine of the stream crashes, the holder of its copy has ended shortly before, and the holder's address has passed to a worker of another service.

Cause: resumeFrom followed the id in the worker's 421 and named it in the next attempt, without asking which service it belongs to. The guard that the name gives against reused addresses was so defeated.

Change: an attempt names its upstream in the pool, and nothing else can be named. A resume that another incarnation received goes there only if the pool has that one as an upstream of the service.

The script "again" held the fault as expected: its resume is followed once the state is known now, and its engine is lost by silence, so that the order to stop the run still names the incarnation that was sent it.

--- a/internal/proxy/action.go
+++ b/internal/proxy/action.go
@@ -125,13 +125,7 @@
 func (a Action) Instance() string { return a.instance }
 
 // Gate returns the gate for the message of Send, which may be nil.
-func (a Action) Gate() *stand.Gate {
-	if a.instance != a.upstream.ID() {
-		// The gate is that of another incarnation at the same address.
-		return nil
-	}
-	return a.upstream.Gate()
-}
+func (a Action) Gate() *stand.Gate { return a.upstream.Gate() }
 
 // Holder returns the upstream that must receive a copy of the run of Send or
 // Copy, or nil.
--- a/internal/proxy/cancel.go
+++ b/internal/proxy/cancel.go
@@ -27,7 +27,7 @@
 		return
 	}
 	c.cancelled.Add(now, reap.Run{
-		Instance: a.instance,
+		Instance: a.upstream.ID(),
 		Address:  a.upstream.Address(),
 		Request:  x.q.ID(),
 		Others:   c.otherEngines(now, a),
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -11,9 +11,6 @@
 type attempt struct {
 	number   int
 	upstream *pool.Upstream
-	// instance is the id of the incarnation that was sent the request. It differs
-	// from the upstream's if a copy was followed to another incarnation.
-	instance string
 	// holder receives a standby copy of the run, or is nil.
 	holder *pool.Upstream
 	// onDemandCopy is the on-demand copy that replaces a lost standby copy.
@@ -93,6 +90,9 @@
 	// copyFollowed is true once a resume was sent to another incarnation that
 	// answered at the address of the copy's holder.
 	copyFollowed bool
+	// misdirected is the resume that waits until the service of the incarnation that
+	// received it is known, or nil. No attempt runs meanwhile.
+	misdirected *misdirectedResume
 	// stallHandled is true once the stream has been silent for stallAfter. A
 	// stall is handled this early only once per stream.
 	stallHandled bool
--- a/internal/proxy/limit.go
+++ b/internal/proxy/limit.go
@@ -112,7 +112,7 @@
 	if reason == afterRest {
 		reason = afterLimit
 	}
-	c.send(now, x, u, u.ID(), false, reason)
+	c.send(now, x, u, reason)
 	return true
 }
 
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -50,7 +50,7 @@
 // queryState queries the state of an engine unless such a query is in flight or the
 // engine rests.
 func (c *Core) queryState(now time.Time, u *pool.Upstream, instance, reason string) {
-	key := u.ID() + " " + instance
+	key := stateQueryKey(u.ID(), instance)
 	if _, ok := c.stateQueries[key]; ok {
 		return
 	}
@@ -67,12 +67,16 @@
 	})
 }
 
+// stateQueryKey returns the key of a query in Core.stateQueries.
+func stateQueryKey(upstream, instance string) string { return upstream + " " + instance }
+
 // stateReported applies the state that an engine reported, or its failure to
 // answer.
 func (c *Core) stateReported(now time.Time, e Event) {
-	delete(c.stateQueries, e.upstream+" "+e.instance)
+	delete(c.stateQueries, stateQueryKey(e.upstream, e.instance))
 	if e.instance != "" {
 		c.otherAnswered(now, e)
+		c.resumeMisdirected(now, e.upstream, e.instance)
 		return
 	}
 	u := c.pool.Get(e.upstream)
@@ -255,7 +259,7 @@
 		if s.cachedTokens[upstream.ID()] > 0 {
 			s.reason += PromptCached
 		}
-		c.send(now, x, upstream, upstream.ID(), false, s.reason)
+		c.send(now, x, upstream, s.reason)
 	}
 	c.resetAlarm(x)
 }
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -47,7 +47,7 @@
 	if upstream == nil || upstream.BackingOff(now) || upstream.Limit() > 0 || !c.allowed(now, x) {
 		return
 	}
-	c.send(now, x, upstream, upstream.ID(), false, "hedge")
+	c.send(now, x, upstream, "hedge")
 }
 
 // canHedge reports whether exactly one attempt runs and its answer has not
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -62,26 +62,23 @@
 		c.noUpstream(now, x)
 		return
 	}
-	c.send(now, x, upstream, upstream.ID(), false, reason)
+	c.send(now, x, upstream, reason)
 }
 
-// send starts an attempt that only the given incarnation may run. It resumes
-// from a standby copy if copied is true.
-func (c *Core) send(now time.Time, x *exchange, upstream *pool.Upstream, instance string, copied bool, reason string) {
+// send starts an attempt that does not resume from a copy.
+func (c *Core) send(now time.Time, x *exchange, upstream *pool.Upstream, reason string) {
 	c.sendFrom(now, x, upstream, Action{
-		instance: instance,
-		copied:   copied,
-		reason:   reason,
+		reason: reason,
 	})
 }
 
-// sendFrom starts an attempt. options holds the instance, the copy to resume
-// from and the reason; the other fields of the Send action are filled in.
+// sendFrom starts an attempt that only this incarnation of the upstream may run.
+// options holds the copy to resume from and the reason; the other fields of the Send
+// action are filled in.
 func (c *Core) sendFrom(now time.Time, x *exchange, upstream *pool.Upstream, options Action) {
 	a := &attempt{
 		number:       len(x.attempts) + 1,
 		upstream:     upstream,
-		instance:     options.instance,
 		copied:       options.copied,
 		source:       options.source,
 		handle:       options.handle,
@@ -113,6 +110,7 @@
 		workspace = x.workspace.Name()
 	}
 	options.kind, options.attempt, options.upstream, options.holder = Send, a.number, upstream, a.holder
+	options.instance = upstream.ID()
 	options.stream, options.position, options.deadline = x.stream(), x.position, x.deadline
 	options.rank, options.workspace = rank, workspace
 	c.emit(x, options)
@@ -181,20 +179,6 @@
 	c.retryPlain(now, x, e)
 }
 
-// misdirected handles an attempt that another incarnation received at the
-// upstream's address. The state of an unknown engine is queried, because the
-// registry may lag or be unreachable.
-func (c *Core) misdirected(now time.Time, x *exchange, a *attempt, instance string) {
-	if a.upstream.Gone() {
-		return
-	}
-	a.upstream.MarkReplaced()
-	if instance == "" || x.need.Memory() == 0 || c.pool.Get(instance) != nil {
-		return
-	}
-	c.queryState(now, a.upstream, instance, "moved")
-}
-
 // upstreamUnreachable records that an upstream does not answer. If its failure
 // domain seems to be affected, it queries the other engines of the domain that
 // run attempts.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -263,6 +263,9 @@
 		c.failCharged(now, x)
 		return
 	}
+	if c.awaitSuccessor(now, x, a, e) {
+		return
+	}
 	from := c.resumeFrom(now, x, a, e)
 	if from != nil && x.fence.excludes(from.upstream) {
 		from = nil
@@ -289,7 +292,7 @@
 	case (e.cause == Broken || e.cause == Garbled) && a.upstream.Usable() && !a.upstream.Resting(now) && !a.upstream.BackingOff(now) && x.sendCount(a.upstream) <= maxSendsToSame && !x.wrongVersion(a.upstream):
 		// An engine that is alive still has the prompt, and one that is dead
 		// refuses the connection.
-		c.send(now, x, a.upstream, a.upstream.ID(), false, "same after "+e.cause.String())
+		c.send(now, x, a.upstream, "same after "+e.cause.String())
 	default:
 		reason := "after " + e.cause.String()
 		if unusable := c.standbyUnusable(now, x, a); e.cause.mayHaveRun() && unusable != "" {
@@ -299,20 +302,19 @@
 	}
 }
 
-// resumeFrom returns the instance, the copy and the reason with which a stream
+// resumeFrom returns the upstream, the copy and the reason with which a stream
 // resumes after the loss of an attempt, or nil if there is no copy of its run.
 func (c *Core) resumeFrom(now time.Time, x *exchange, a *attempt, e Event) *Action {
 	o := &a.onDemandCopy
 	switch {
 	case a.copied && c.versionFull(x, a.upstream):
 		return nil
-	case a.copied && e.cause == Misdirected && e.instance != "" && !x.copyFollowed && !c.pool.Refuses(now, e.instance):
+	case a.copied && e.cause == Misdirected && !x.copyFollowed && c.successor(now, x, a, e.instance) != nil:
 		// The copy was placed by address, so the incarnation that now has the
 		// address may hold it. An engine without the copy refuses to run.
 		x.copyFollowed = true
 		return &Action{
-			upstream: a.upstream,
-			instance: e.instance,
+			upstream: c.pool.Get(e.instance),
 			copied:   true,
 			reason:   "copy moved",
 		}
@@ -322,7 +324,6 @@
 		x.copyResends++
 		return &Action{
 			upstream: a.upstream,
-			instance: a.upstream.ID(),
 			copied:   true,
 			source:   a.source,
 			handle:   a.handle,
@@ -335,14 +336,12 @@
 		h := a.holder.Latest()
 		return &Action{
 			upstream: h,
-			instance: h.ID(),
 			copied:   true,
 			reason:   "copy after " + e.cause.String(),
 		}
 	case o.handle != "" && available(now, o.holder) && !c.versionFull(x, o.holder):
 		return &Action{
 			upstream: o.holder,
-			instance: o.holder.ID(),
 			copied:   true,
 			source:   a.upstream.Address(),
 			handle:   o.handle,
