proxy: Ask for an unlisted engine's id before its state

What callers could see: a generation runs at a worker of another service (ROUTE).

Cause: an engine that the registry does not list was added to the pool with the state of one answer and the id of a later one. A VM that stands still between the two may ask for the id after the address has passed to another service, and name that one's worker in attempts as an engine.

Change: once the id is known, the state is asked for again, and only that one counts. If the address changes hands between these answers, the incarnation with the id has ended, and no worker runs what names it.

Evidence: on the code before, the worker of the script's new case is sent the request after its id.

--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -61,9 +61,9 @@
 	// stateQueries holds the start time of each state query in flight, keyed by
 	// the engine's id and the incarnation that the query is about.
 	stateQueries map[string]time.Time
-	// awaitingID holds the states of engines whose id is being queried, keyed
-	// by the id of the engine that was listed at the same address before.
-	awaitingID map[string]pool.State
+	// awaitingID holds the ids of the engines that another one has replaced whose id or
+	// state is being queried.
+	awaitingID map[string]bool
 	// cancelled holds the runs of engines that were cancelled while their requests
 	// went on elsewhere.
 	cancelled *reap.Set
@@ -111,7 +111,7 @@
 		limits:       b,
 		cancelled:    reap.New(),
 		stateQueries: make(map[string]time.Time),
-		awaitingID:   make(map[string]pool.State),
+		awaitingID:   make(map[string]bool),
 		random:       rand.New(rand.NewPCG(seed, 1)).Float64,
 	}
 }
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -77,6 +77,7 @@
 	if e.instance != "" {
 		c.otherAnswered(now, e)
 		c.resumeMisdirected(now, e.upstream, e.instance)
+		c.endAwaitingID(now, e.upstream, e.instance)
 		return
 	}
 	u := c.pool.Get(e.upstream)
@@ -91,7 +92,7 @@
 		}
 		c.engineDown(now, e.upstream, e.refused)
 	}
-	if _, ok := c.awaitingID[e.upstream]; !ok {
+	if !c.awaitingID[e.upstream] {
 		c.markAnswered(now, e.upstream, nil)
 	}
 }
@@ -118,7 +119,7 @@
 	if !c.sameService(u, s) {
 		return
 	}
-	c.awaitingID[u.ID()] = s
+	c.awaitingID[u.ID()] = true
 	c.actions = append(c.actions, Action{
 		kind:     QueryID,
 		upstream: u,
@@ -128,19 +129,29 @@
 	})
 }
 
-// idReported adds the engine that replaced another one to the pool under its
-// own id.
+// idReported queries the state of the engine that replaced another one and has the
+// reported id, unless the pool has it already. The state that was reported before is
+// of no use: the address may have passed to another service since.
 func (c *Core) idReported(now time.Time, e Event) {
-	s, ok := c.awaitingID[e.upstream]
-	delete(c.awaitingID, e.upstream)
-	if old := c.pool.Get(e.upstream); ok && old != nil && e.instance != "" {
-		c.pool.AddProvisional(now, old, e.instance, s)
+	if old := c.pool.Get(e.upstream); c.awaitingID[e.upstream] && old != nil && e.instance != "" && c.pool.Get(e.instance) == nil {
+		c.queryState(now, old, e.instance, "another incarnation")
+		return
+	}
+	c.endAwaitingID(now, e.upstream, e.instance)
+}
+
+// endAwaitingID ends the wait of placements for the engine that replaced another one.
+func (c *Core) endAwaitingID(now time.Time, replaced, instance string) {
+	if !c.awaitingID[replaced] {
+		return
 	}
-	c.markAnswered(now, e.upstream, c.pool.Get(e.instance))
+	delete(c.awaitingID, replaced)
+	c.markAnswered(now, replaced, c.pool.Get(instance))
 }
 
-// otherAnswered adds an engine to the pool that answered at the address of
-// another one under an id of its own.
+// otherAnswered adds an engine to the pool that answered at the address of another
+// one. Its id was reported before its state: if another incarnation has the address
+// by the time of the state, the one with the id has ended and runs nothing.
 func (c *Core) otherAnswered(now time.Time, e Event) {
 	if old := c.pool.Get(e.upstream); e.responded && old != nil && c.sameService(old, e.state) {
 		c.pool.AddProvisional(now, old, e.instance, e.state)
