edge, feed: Log large changes and late timers

Nothing in the logs of a VM told whether its link or its processor was the reason that many engines seemed not to answer at once. 'feed: Large changes arrived.' has the bytes and the time of their transfer, 'edge: The dispatcher woke late.' the lateness of a timer, which the metric late_seconds has too.

No decision changes.

--- a/internal/edge/dispatcher.go
+++ b/internal/edge/dispatcher.go
@@ -128,6 +128,7 @@
 func (d *Dispatcher) run(ctx context.Context) {
 	timer := time.NewTimer(statsInterval)
 	defer timer.Stop()
+	due := d.now().Add(statsInterval)
 	for {
 		select {
 		case <-ctx.Done():
@@ -145,9 +146,12 @@
 				s.applied(d.now())
 			}
 		case <-timer.C:
+			d.log.logLateness(d.now(), due)
 			d.step(ctx, proxy.Event{})
 		}
-		timer.Reset(d.sleep())
+		wait := d.sleep()
+		due = d.now().Add(wait)
+		timer.Reset(wait)
 	}
 }
 
--- a/internal/edge/eventlog.go
+++ b/internal/edge/eventlog.go
@@ -11,6 +11,9 @@
 	"github.com/rs/zerolog"
 )
 
+// minLoggedLateness is the lateness of a timer from which it is logged.
+const minLoggedLateness = 50 * time.Millisecond
+
 // eventLog logs and counts events and the decisions about requests. The log
 // writer is bounded and never blocks the dispatcher.
 type eventLog struct {
@@ -20,6 +23,7 @@
 	maxGap     *meter.Histogram
 	duration   *meter.Histogram
 	resumeGap  *meter.Histogram
+	lateness   *meter.Histogram
 	// table returns the version of the current table and when it arrived.
 	table func() (version int64, since time.Time)
 }
@@ -31,6 +35,7 @@
 		firstPiece: m.Histogram("first_piece_seconds", "Time from a stream's arrival to its first piece."),
 		maxGap:     m.Histogram("piece_pause_seconds", "Longest pause between the pieces of a stream."),
 		resumeGap:  m.Histogram("resume_pause_seconds", "Time between two pieces of a stream from different attempts."),
+		lateness:   m.Histogram("late_seconds", "Time by which the dispatcher woke too late."),
 		duration:   m.Histogram("answer_seconds", "Time from a request's arrival to its end."),
 	}
 }
@@ -98,6 +103,16 @@
 		Int64("after", now.Sub(o.Cancelled()).Milliseconds()).AnErr("detail", err).Msg("proxy: A cancelled run was looked for.")
 }
 
+// logLateness observes by how much a timer that was due was late, and logs it if that
+// may make answers seem to be missing.
+func (j *eventLog) logLateness(now, due time.Time) {
+	late := now.Sub(due)
+	j.lateness.Observe(late)
+	if late >= minLoggedLateness {
+		j.log.Info().Int64("ms", late.Milliseconds()).Msg("edge: The dispatcher woke late.")
+	}
+}
+
 // logQueryFailure logs that a query to an engine failed.
 func (j *eventLog) logQueryFailure(upstream string, err error) {
 	j.log.Info().Str("upstream", upstream).Err(err).Msg("pool: Engine query failed.")
--- a/internal/feed/log.go
+++ b/internal/feed/log.go
@@ -166,6 +166,9 @@
 	events   []store.Event
 	revision uint64
 	age      time.Duration
+	// transfer is the time from the first byte of the answer to its last one, or 0 if
+	// it was not measured.
+	transfer time.Duration
 }
 
 // NewChanges returns an answer with the changes up to revision, which the store
@@ -187,6 +190,15 @@
 // Age returns the time since the store confirmed the revision.
 func (c Changes) Age() time.Duration { return c.age }
 
+// size returns the number of bytes of the changes' values.
+func (c Changes) size() int {
+	n := 0
+	for _, e := range c.events {
+		n += len(e.Entry().Value())
+	}
+	return n
+}
+
 // Wait returns the changes after a revision as soon as there are any. It returns
 // no changes when wait has passed, and ctx's error when ctx ends. Other errors
 // are ErrTooOld and ErrNotListed.
--- a/internal/feed/peer.go
+++ b/internal/feed/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"clementinelink.example/clementinelink/internal/bound"
@@ -118,6 +119,10 @@
 // address, which waits up to wait for some. The error is ErrTooOld or
 // ErrNotListed if the VM can't be used as a source.
 func (c *Client) Changes(ctx context.Context, address string, after uint64, wait time.Duration) (Changes, error) {
+	var first time.Time
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotFirstResponseByte: func() { first = time.Now() },
+	})
 	out, err := wire.NewFeedProtobufClient("http://"+address, c.http).Changes(ctx, &wire.ChangesRequest{
 		After:  after,
 		WaitMs: wait.Milliseconds(),
@@ -125,7 +130,9 @@
 	if err != nil {
 		return Changes{}, errors.Wrapf(markError(err), "feed: changes from %s", address)
 	}
-	return decode(out)
+	changes, err := decode(out)
+	changes.transfer = time.Since(first)
+	return changes, err
 }
 
 // List requests all keys from the VM at the IP:port address, which waits up to
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -49,6 +49,10 @@
 	listRetryDelay = 200 * time.Millisecond
 )
 
+// largeChanges is the number of bytes from which changes are logged. They take 50 ms on
+// a link of 10 Mbit/s.
+const largeChanges = 64 << 10
+
 // Reader reads changes from another VM or the store. List, Watch and Pause must
 // be called from the same goroutine.
 type Reader struct {
@@ -231,6 +235,7 @@
 				r.selector.Failed(r.now(), VM{})
 			}
 			r.logSource(v, c.revision)
+			r.logLarge(v, c)
 			r.log.Append(c.events, c.revision, c.age)
 			return c.events, max(after, c.revision), nil
 		case errors.Is(err, store.ErrCompacted):
@@ -315,6 +320,14 @@
 	r.logger.Info().Str("peer", v.name).Uint64("revision", revision).Msg("feed: Changes come from another source.")
 }
 
+// logLarge logs changes that occupy the links of the VMs for a while.
+func (r *Reader) logLarge(v VM, c Changes) {
+	if n := c.size(); n >= largeChanges {
+		r.logger.Info().Str("peer", v.name).Uint64("revision", c.revision).Int("bytes", n).Int64("ms", c.transfer.Milliseconds()).
+			Msg("feed: Large changes arrived.")
+	}
+}
+
 // Confirmed returns when the store confirmed the latest answer.
 func (r *Reader) Confirmed() time.Time { return r.log.Confirmed() }
 
