proxy: Take an engine for dead only if another one answers

Cause: a query of an engine's state that was not answered within 130 ms counted as the engine's death, whatever else the VM heard. While a configuration of 530 KB occupies the link of a VM of 10 Mbit/s for 450 ms, all engines are silent for it. Each stream was then given up at one sound engine after the other, until the repeats were used up, and stood for up to 10 s without an attempt. The class of fault: a failure of the observer charged to what it observes.

Change: with each query about an engine that may be dead, another one is asked as a witness, in another failure domain if there is one. The engine is dead if a query that began no earlier was answered by another. If none was, both are asked again, with a timeout that doubles from the second time on. A stall of a stream is judged only if something was heard since its last piece.

--- a/internal/pool/hear.go
+++ b/internal/pool/hear.go
@@ -122,6 +122,30 @@
 	return max(slices.Index(list, u), 0), len(list)
 }
 
+// Witness returns the upstream of the same service that is the most likely to answer a
+// query besides u, or nil if there is none: of those in other failure domains, or else
+// of all, the one that sent something last. It excludes upstreams for which skip returns
+// true.
+func (p *Pool) Witness(now time.Time, u *Upstream, skip func(*Upstream) bool) *Upstream {
+	var best *Upstream
+	better := func(w *Upstream) bool {
+		if best == nil {
+			return true
+		}
+		elsewhere, found := w.entry.Domain() != u.entry.Domain(), best.entry.Domain() != u.entry.Domain()
+		if elsewhere != found {
+			return elsewhere
+		}
+		return w.lastActivity.After(best.lastActivity)
+	}
+	for _, w := range p.byService[u.entry.Service()] {
+		if w != u && p.usable(now, w) && !w.Resting(now) && !w.BackingOff(now) && !skip(w) && better(w) {
+			best = w
+		}
+	}
+	return best
+}
+
 // placesChanged counts a change of the listed upstreams.
 func (p *Pool) placesChanged() {
 	if p.fleet != nil {
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -61,6 +61,13 @@
 	// stateQueries holds the start time of each state query in flight, keyed by
 	// the engine's id and the incarnation that the query is about.
 	stateQueries map[string]time.Time
+	// answered is the latest start of a state query that an upstream answered.
+	answered time.Time
+	// witnessAt is when an engine was last queried as a witness.
+	witnessAt time.Time
+	// unheard counts the state queries since the latest answer whose silence was not
+	// charged to the engine.
+	unheard int
 	// awaitingID holds the ids of the engines that another one has replaced whose id or
 	// state is being queried.
 	awaitingID map[string]bool
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -96,6 +96,8 @@
 	// stallHandled is true once the stream has been silent for stallAfter. A
 	// stall is handled this early only once per stream.
 	stallHandled bool
+	// stallPostponed is the earliest time of the next check of a stall, or zero.
+	stallPostponed time.Time
 	// copyResends counts how often a resume from the latest copy was sent again
 	// after its answer broke off.
 	copyResends int
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -48,23 +48,24 @@
 }
 
 // queryState queries the state of an engine unless such a query is in flight or the
-// engine rests.
-func (c *Core) queryState(now time.Time, u *pool.Upstream, instance, reason string) {
+// engine rests. It reports whether it does.
+func (c *Core) queryState(now time.Time, u *pool.Upstream, instance, reason string) bool {
 	key := stateQueryKey(u.ID(), instance)
 	if _, ok := c.stateQueries[key]; ok {
-		return
+		return false
 	}
 	if instance == "" && !u.PermitQuery(now) {
-		return
+		return false
 	}
 	c.stateQueries[key] = now
 	c.actions = append(c.actions, Action{
 		kind:     QueryState,
 		upstream: u,
 		instance: instance,
-		timeout:  queryTimeout,
+		timeout:  c.patience(),
 		reason:   reason,
 	})
+	return true
 }
 
 // stateQueryKey returns the key of a query in Core.stateQueries.
@@ -73,7 +74,11 @@
 // stateReported applies the state that an engine reported, or its failure to
 // answer.
 func (c *Core) stateReported(now time.Time, e Event) {
+	began := c.stateQueries[stateQueryKey(e.upstream, e.instance)]
 	delete(c.stateQueries, stateQueryKey(e.upstream, e.instance))
+	if e.responded || e.refused {
+		c.noteAnswer(began)
+	}
 	if e.instance != "" {
 		c.otherAnswered(now, e)
 		c.resumeMisdirected(now, e.upstream, e.instance)
@@ -86,7 +91,9 @@
 		c.queryID(u, e.state)
 	case e.responded && u != nil:
 		c.pool.UpdateState(now, u, e.state)
-	case !e.responded:
+	case u != nil && !c.atFault(now, u, began):
+		c.checkAgain(now, u)
+	default:
 		if u != nil {
 			c.upstreamUnreachable(now, u)
 		}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -144,7 +144,7 @@
 	case Broken:
 		// The upstream may have lost only this answer.
 		if x.need.Memory() > 0 {
-			c.queryState(now, a.upstream, "", "broken")
+			c.checkAlive(now, a.upstream, "broken")
 		}
 	case Misdirected:
 		c.misdirected(now, x, a, e.instance)
@@ -187,7 +187,7 @@
 	for _, x := range c.sortedExchanges() {
 		for _, a := range x.running() {
 			if x.need.Memory() > 0 && c.pool.Suspect(now, a.upstream) {
-				c.queryState(now, a.upstream, "", "domain hit")
+				c.checkAlive(now, a.upstream, "domain hit")
 			}
 		}
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -69,7 +69,7 @@
 		return x.deadline
 	}
 	at := a.lastProgress.Add(x.probeAfter(a))
-	switch stop, resume := x.lastDelivered.Add(x.stallAfter()), a.sent.Add(x.resumeTimeout()); {
+	switch stop, resume := later(x.lastDelivered.Add(x.stallAfter()), x.stallPostponed), a.sent.Add(x.resumeTimeout()); {
 	case a.begun && !x.stallHandled && stop.Before(at):
 		return stop
 	case !a.begun && x.headSent && !a.overdue && resume.Before(at):
@@ -147,7 +147,7 @@
 	// The next check is due after another interval of probeAfter.
 	a.lastProgress = now
 	if x.route.Repeatable() && x.need.Memory() > 0 {
-		c.queryState(now, a.upstream, "", "silent")
+		c.checkAlive(now, a.upstream, "silent")
 	}
 }
 
@@ -161,6 +161,10 @@
 	case !a.begun:
 		a.overdue = true
 		return "resume overdue"
+	case !c.heardSince(a.upstream, x.lastDelivered):
+		// The next check of a stall is due after another query may have been answered.
+		x.stallPostponed = now.Add(queryTimeout)
+		return ""
 	case silence >= hungGaps*x.maxGap():
 		return "hung"
 	case x.stallHandled || silence < x.stallAfter():
