proxy: Ask a witness on the same path

Cause: the VMs that read a configuration from the store occupy the link between two regions for some 280 ms. Engines of the other region are silent for it, while a witness in the VM's own region answers, so that the path's silence was charged to the engines.

Change: the witness is another engine of the same region. If that one is silent too, both are asked once more with a second witness elsewhere, and the engine counts as dead if it is silent again while any other one answers.

--- a/internal/pool/hear.go
+++ b/internal/pool/hear.go
@@ -124,9 +124,9 @@
 
 // Witness returns the upstream of the same service that is the most likely to answer a
 // query besides u, or nil if there is none: of those in other failure domains, or else
-// of all, the one that sent something last. It excludes upstreams for which skip returns
-// true.
-func (p *Pool) Witness(now time.Time, u *Upstream, skip func(*Upstream) bool) *Upstream {
+// of all, the one that sent something last. It considers only upstreams for which match
+// returns true.
+func (p *Pool) Witness(now time.Time, u *Upstream, match func(*Upstream) bool) *Upstream {
 	var best *Upstream
 	better := func(w *Upstream) bool {
 		if best == nil {
@@ -139,7 +139,7 @@
 		return w.lastActivity.After(best.lastActivity)
 	}
 	for _, w := range p.byService[u.entry.Service()] {
-		if w != u && p.usable(now, w) && !w.Resting(now) && !w.BackingOff(now) && !skip(w) && better(w) {
+		if w != u && p.usable(now, w) && !w.Resting(now) && !w.BackingOff(now) && match(w) && better(w) {
 			best = w
 		}
 	}
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -61,13 +61,7 @@
 	// stateQueries holds the start time of each state query in flight, keyed by
 	// the engine's id and the incarnation that the query is about.
 	stateQueries map[string]time.Time
-	// answered is the latest start of a state query that an upstream answered.
-	answered time.Time
-	// witnessAt is when an engine was last queried as a witness.
-	witnessAt time.Time
-	// unheard counts the state queries since the latest answer whose silence was not
-	// charged to the engine.
-	unheard int
+	witnesses    witnesses
 	// awaitingID holds the ids of the engines that another one has replaced whose id or
 	// state is being queried.
 	awaitingID map[string]bool
@@ -118,6 +112,7 @@
 		limits:       b,
 		cancelled:    reap.New(),
 		stateQueries: make(map[string]time.Time),
+		witnesses:    newWitnesses(),
 		awaitingID:   make(map[string]bool),
 		random:       rand.New(rand.NewPCG(seed, 1)).Float64,
 	}
@@ -198,6 +193,7 @@
 	case Members:
 		for _, id := range e.unlisted {
 			c.pool.Remove(id)
+			delete(c.witnesses.silences, id)
 		}
 		for _, l := range e.listed {
 			c.pool.Upsert(now, l)
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -62,7 +62,7 @@
 		kind:     QueryState,
 		upstream: u,
 		instance: instance,
-		timeout:  c.patience(),
+		timeout:  c.witnesses.patience(),
 		reason:   reason,
 	})
 	return true
@@ -77,7 +77,7 @@
 	began := c.stateQueries[stateQueryKey(e.upstream, e.instance)]
 	delete(c.stateQueries, stateQueryKey(e.upstream, e.instance))
 	if e.responded || e.refused {
-		c.noteAnswer(began)
+		c.noteAnswer(c.pool.Get(e.upstream), began)
 	}
 	if e.instance != "" {
 		c.otherAnswered(now, e)
@@ -94,6 +94,7 @@
 	case u != nil && !c.atFault(now, u, began):
 		c.checkAgain(now, u)
 	default:
+		delete(c.witnesses.silences, e.upstream)
 		if u != nil {
 			c.upstreamUnreachable(now, u)
 		}
--- a/internal/proxy/witness.go
+++ b/internal/proxy/witness.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"clementinelink.example/clementinelink/internal/pool"
@@ -10,41 +12,133 @@
 // nothing.
 const maxPatience = time.Second
 
+// witnesses is what the answers to state queries tell about the paths from the VM to
+// its upstreams. An engine that does not answer is dead only if others on its path
+// do: a busy or broken link silences all of them.
+type witnesses struct {
+	// answered holds the latest start of a query that an upstream of the region
+	// answered.
+	answered map[string]time.Time
+	// silences counts the queries in a row that an engine did not answer without
+	// being taken for dead, by its id.
+	silences map[string]int
+	// askedAt is when a witness was last queried.
+	askedAt time.Time
+	// unheard counts the silences since the latest answer of any upstream.
+	unheard int
+}
+
+func newWitnesses() witnesses {
+	return witnesses{
+		answered: make(map[string]time.Time),
+		silences: make(map[string]int),
+	}
+}
+
+// latest returns the latest start of a query that any upstream answered.
+func (w *witnesses) latest() time.Time {
+	var t time.Time
+	for _, u := range w.answered {
+		t = later(t, u)
+	}
+	return t
+}
+
+// patience returns the timeout of a state query.
+func (w *witnesses) patience() time.Duration {
+	t := queryTimeout
+	for range w.unheard - 1 {
+		t = min(2*t, maxPatience)
+	}
+	return t
+}
+
 // checkAlive queries the state of an engine that may be dead, and that of another one
-// as a witness: if neither answers, the VM itself may be out of reach.
+// as a witness, in its region if there is one.
 func (c *Core) checkAlive(now time.Time, u *pool.Upstream, reason string) {
-	if !c.queryState(now, u, "", reason) || c.witnessAt.Equal(now) {
+	if !c.queryState(now, u, "", reason) || c.witnesses.askedAt.Equal(now) {
+		return
+	}
+	c.witnesses.askedAt = now
+	if !c.queryWitness(now, u, inRegionOf(u)) {
+		c.queryWitness(now, u, anywhere)
+	}
+}
+
+// checkAgain queries the state of an engine once more after a silence that is not known
+// to be the engine's, if attempts run there. A second witness in another region tells
+// the silence of a region from that of all upstreams.
+func (c *Core) checkAgain(now time.Time, u *pool.Upstream) {
+	c.witnesses.unheard++
+	c.witnesses.silences[u.ID()]++
+	if !c.hasAttempts(u) {
+		delete(c.witnesses.silences, u.ID())
 		return
 	}
+	if c.queryState(now, u, "", "unheard") {
+		c.queryWitness(now, u, inRegionOf(u))
+		c.queryWitness(now, u, func(w *pool.Upstream) bool { return w.Entry().Region() != u.Entry().Region() })
+	}
+}
+
+// hasAttempts reports whether attempts are in progress at the upstream.
+func (c *Core) hasAttempts(u *pool.Upstream) bool {
+	return slices.ContainsFunc(slices.Collect(maps.Values(c.inFlight)), func(x *exchange) bool {
+		return slices.ContainsFunc(x.running(), func(a *attempt) bool { return a.upstream == u })
+	})
+}
+
+// inRegionOf returns a function that reports whether an upstream is in the region of u.
+func inRegionOf(u *pool.Upstream) func(*pool.Upstream) bool {
+	return func(w *pool.Upstream) bool { return w.Entry().Region() == u.Entry().Region() }
+}
+
+// anywhere returns true.
+func anywhere(*pool.Upstream) bool { return true }
+
+// queryWitness queries the state of another engine of the service for which match
+// returns true, and reports whether there is one that is not being queried.
+func (c *Core) queryWitness(now time.Time, u *pool.Upstream, match func(*pool.Upstream) bool) bool {
 	w := c.pool.Witness(now, u, func(w *pool.Upstream) bool {
-		_, ok := c.stateQueries[stateQueryKey(w.ID(), "")]
-		return ok
+		_, pending := c.stateQueries[stateQueryKey(w.ID(), "")]
+		return match(w) && !pending
 	})
-	if w != nil {
-		c.witnessAt = now
-		c.queryState(now, w, "", "witness")
-	}
+	return w != nil && c.queryState(now, w, "", "witness")
 }
 
 // noteAnswer records that an upstream answered a query that began at a time. A refused
 // connection is an answer as well.
-func (c *Core) noteAnswer(began time.Time) {
-	c.answered = later(c.answered, began)
-	c.unheard = 0
+func (c *Core) noteAnswer(u *pool.Upstream, began time.Time) {
+	w := &c.witnesses
+	w.unheard = 0
+	if u != nil {
+		delete(w.silences, u.ID())
+		region := u.Entry().Region()
+		w.answered[region] = later(w.answered[region], began)
+	}
 }
 
 // atFault reports whether the silence of an engine to a query that began at a time is
-// the engine's: another upstream answered a query that began no earlier, or there is no
-// other one. The silence of all is charged to the VM or its link.
+// the engine's. It is if another engine of the region answered a query that began no
+// earlier. One of another region suffices if the engine was silent before or is the only
+// one of its region, and nothing is needed if there is no other one.
 func (c *Core) atFault(now time.Time, u *pool.Upstream, began time.Time) bool {
-	return !c.answered.Before(began) || c.pool.Witness(now, u, func(*pool.Upstream) bool { return false }) == nil
+	w := &c.witnesses
+	switch {
+	case !w.answered[u.Entry().Region()].Before(began):
+		return true
+	case w.silences[u.ID()] > 0 || c.pool.Witness(now, u, inRegionOf(u)) == nil:
+		return !w.latest().Before(began) || c.pool.Witness(now, u, anywhere) == nil
+	default:
+		return false
+	}
 }
 
 // heardSince reports whether the VM has received something since the time t that shows
-// that it is not out of reach: a message of the upstream, or the answer of any other one
-// to a query that began since then.
+// that the upstream is not out of reach: a message of its own, or an answer from its
+// region to a query that began since then.
 func (c *Core) heardSince(u *pool.Upstream, t time.Time) bool {
-	return !c.answered.Before(t) || u.LastActivity().After(t)
+	return !c.witnesses.answered[u.Entry().Region()].Before(t) || u.LastActivity().After(t)
 }
 
 // later returns the later one of two times.
@@ -54,27 +148,3 @@
 	}
 	return t
 }
-
-// checkAgain queries the state of an engine once more after a silence that is not known
-// to be the engine's, if attempts run there. The timeout doubles from the second time
-// on, since each query that is given up costs a new connection.
-func (c *Core) checkAgain(now time.Time, u *pool.Upstream) {
-	c.unheard++
-	for _, x := range c.inFlight {
-		for _, a := range x.running() {
-			if a.upstream == u {
-				c.checkAlive(now, u, "unheard")
-				return
-			}
-		}
-	}
-}
-
-// patience returns the timeout of a state query.
-func (c *Core) patience() time.Duration {
-	t := queryTimeout
-	for range c.unheard - 1 {
-		t = min(2*t, maxPatience)
-	}
-	return t
-}
