platform: Bound the bodies of all requests together

What callers saw: calls that had run lost their answers (LOST), since the process took more memory than its VM has and was ended.

Cause: each body was read whole, with a limit for one body only, and kept until the answer ends, so that it can be sent again. 49 bodies of 4 MB, which callers may send, take a VM of 284 MB over its memory.

Change: what is held on behalf of callers is taken from one account of 0.3 of the VM's memory before it is read (internal/ledger). A request whose body does not fit is refused at once with 503 and Retry-After, and its connection is closed. What has begun goes on.

--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -10,6 +10,7 @@
 	"clementinelink.example/clementinelink/internal/accord"
 	"clementinelink.example/clementinelink/internal/blame"
 	"clementinelink.example/clementinelink/internal/feed"
+	"clementinelink.example/clementinelink/internal/ledger"
 	"clementinelink.example/clementinelink/internal/meter"
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/pool"
@@ -55,6 +56,9 @@
 	// LinkMbps is the bandwidth of the VM's network link in Mbit/s, or 0 if it is
 	// unknown.
 	LinkMbps float64
+	// Held is the number of bytes that the VM may hold on behalf of callers and
+	// upstreams.
+	Held int64
 	// Grace is the time from the request to stop until the process is killed.
 	Grace time.Duration
 	// BatchDelay is how long the VM waits after a change of the store before it
@@ -123,6 +127,8 @@
 	// peers holds the enrolled VMs by key. Only the watcher's goroutine uses it.
 	peers map[string]enrolment
 	feed  *feed.Log
+	// account bounds what is held on behalf of callers and upstreams.
+	account *ledger.Account
 	// lease is the lease of the VM's own key, or "". Only enrol uses it.
 	lease string
 }
@@ -142,12 +148,14 @@
 		metrics:    m,
 		peers:      make(map[string]enrolment),
 		feed:       feed.NewLog(),
+		account:    ledger.New(s.Held),
 		dispatcher: newDispatcher(core, u, j),
 		progress:   newProgress(s.EffectTime, m, log),
 	}
 	c.WithObserver(func(verb, result string) {
 		m.Counter("store_calls_total", "Calls of the store.", "verb", verb, "result", result).Inc()
 	})
+	m.Watch("held_bytes", "Bytes held on behalf of callers and upstreams.", func() float64 { return float64(s.Held - v.account.Free()) })
 	v.mover = newMover(s.Name, int(s.Seed^uint64(time.Now().UnixNano())), s.Exposure, sources, c, v.dispatcher.notify, log)
 	v.dispatcher.reports = v.mover.reports
 	v.accord = accord.New(s.Name, c, func(ctx context.Context, charges []blame.Charge) {
@@ -168,6 +176,9 @@
 	return v
 }
 
+// Hold returns a holding for what a request makes the VM hold.
+func (v *VM) Hold() *ledger.Holding { return v.account.Open() }
+
 // Metrics returns the VM's metrics.
 func (v *VM) Metrics() *meter.Registry { return v.metrics }
 
