proxy: Ask a witness in another failure domain

Cause: the witness could be an engine of the failure domain that had just been lost, and the timeout of queries doubled with each engine that was silent at the same time, instead of each round. A lost domain was found out 130 ms to 1 s later.

Change: a witness is in another failure domain of the region, and elsewhere if there is none. Queries that began together count as one round.

--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -285,13 +285,13 @@
 }
 
 // entries parses lines "ID SERVICE DOMAIN [started=N] [version=V] [leaving]".
-// The region is r2 for the domain c and r1 for all others.
+// The region is r2 for the domains c and d and r1 for all others.
 func (s *script) entries(d *datadriven.TestData) []pool.Entry {
 	var list []pool.Entry
 	for _, l := range strings.Split(d.Input, "\n") {
 		f := strings.Fields(l)
 		region := "r1"
-		if f[2] == "c" {
+		if f[2] == "c" || f[2] == "d" {
 			region = "r2"
 		}
 		list = append(list, pool.NewEntry(pool.EntrySpec{
--- a/internal/proxy/witness.go
+++ b/internal/proxy/witness.go
@@ -24,8 +24,10 @@
 	silences map[string]int
 	// askedAt is when a witness was last queried.
 	askedAt time.Time
-	// unheard counts the silences since the latest answer of any upstream.
-	unheard int
+	// unheard counts the rounds of queries without an answer of any upstream, of which
+	// the latest ended at unheardAt.
+	unheard   int
+	unheardAt time.Time
 }
 
 func newWitnesses() witnesses {
@@ -44,6 +46,15 @@
 	return t
 }
 
+// countRound counts a silence towards the rounds without an answer. Queries that began
+// together belong to one round.
+func (w *witnesses) countRound(now time.Time) {
+	if now.Sub(w.unheardAt) >= queryTimeout/2 {
+		w.unheard++
+		w.unheardAt = now
+	}
+}
+
 // patience returns the timeout of a state query.
 func (w *witnesses) patience() time.Duration {
 	t := queryTimeout
@@ -54,13 +65,13 @@
 }
 
 // checkAlive queries the state of an engine that may be dead, and that of another one
-// as a witness, in its region if there is one.
+// as a witness, in another failure domain of its region if there is one.
 func (c *Core) checkAlive(now time.Time, u *pool.Upstream, reason string) {
 	if !c.queryState(now, u, "", reason) || c.witnesses.askedAt.Equal(now) {
 		return
 	}
 	c.witnesses.askedAt = now
-	if !c.queryWitness(now, u, inRegionOf(u)) {
+	if !c.queryWitness(now, u, besides(u)) {
 		c.queryWitness(now, u, anywhere)
 	}
 }
@@ -69,14 +80,14 @@
 // to be the engine's, if attempts run there. A second witness in another region tells
 // the silence of a region from that of all upstreams.
 func (c *Core) checkAgain(now time.Time, u *pool.Upstream) {
-	c.witnesses.unheard++
+	c.witnesses.countRound(now)
 	c.witnesses.silences[u.ID()]++
 	if !c.hasAttempts(u) {
 		delete(c.witnesses.silences, u.ID())
 		return
 	}
 	if c.queryState(now, u, "", "unheard") {
-		c.queryWitness(now, u, inRegionOf(u))
+		c.queryWitness(now, u, besides(u))
 		c.queryWitness(now, u, func(w *pool.Upstream) bool { return w.Entry().Region() != u.Entry().Region() })
 	}
 }
@@ -88,9 +99,12 @@
 	})
 }
 
-// inRegionOf returns a function that reports whether an upstream is in the region of u.
-func inRegionOf(u *pool.Upstream) func(*pool.Upstream) bool {
-	return func(w *pool.Upstream) bool { return w.Entry().Region() == u.Entry().Region() }
+// besides returns a function that reports whether an upstream is in another failure
+// domain of the region of u, so that it shares the path to u, but not its fate.
+func besides(u *pool.Upstream) func(*pool.Upstream) bool {
+	return func(w *pool.Upstream) bool {
+		return w.Entry().Region() == u.Entry().Region() && w.Entry().Domain() != u.Entry().Domain()
+	}
 }
 
 // anywhere returns true.
@@ -120,14 +134,14 @@
 
 // atFault reports whether the silence of an engine to a query that began at a time is
 // the engine's. It is if another engine of the region answered a query that began no
-// earlier. One of another region suffices if the engine was silent before or is the only
-// one of its region, and nothing is needed if there is no other one.
+// earlier. One of another region suffices if the engine was silent before or its region
+// has no other failure domain, and nothing is needed if there is no other engine.
 func (c *Core) atFault(now time.Time, u *pool.Upstream, began time.Time) bool {
 	w := &c.witnesses
 	switch {
 	case !w.answered[u.Entry().Region()].Before(began):
 		return true
-	case w.silences[u.ID()] > 0 || c.pool.Witness(now, u, inRegionOf(u)) == nil:
+	case w.silences[u.ID()] > 0 || c.pool.Witness(now, u, besides(u)) == nil:
 		return !w.latest().Before(began) || c.pool.Witness(now, u, anywhere) == nil
 	default:
 		return false
