edge: Read a stream no faster than its caller takes it

What callers saw: calls that had run lost their answers (LOST), since the process took more memory than its VM has and was ended.

Change: the pieces of a stream that are on their way to the caller take bytes of the VM's account, 256 KB for each stream. A stream beyond that is not read until the caller has taken some, which holds back nothing else; its silence is not the engine's (HeldBack). A third of the account is left to streams that have begun.

--- a/internal/edge/dispatcher.go
+++ b/internal/edge/dispatcher.go
@@ -17,10 +17,6 @@
 	// eventCap is the capacity of the event queue: several seconds of events
 	// at the peak load of one VM. Producers block when it is full.
 	eventCap = 4096
-	// outputCap is the capacity of a request's output queue. It holds a
-	// complete stream of 190 pieces, so only a caller that does not read at
-	// all can fill it.
-	outputCap = 512
 	// statsInterval is the time between two updates of the core's statistics,
 	// and therefore the longest sleep of the dispatcher. See
 	// pool.BenchmarkCountByState for the cost of an update.
@@ -31,7 +27,7 @@
 type arrival struct {
 	id      string
 	message *Message
-	outputs *ring.Ring[proxy.Action]
+	outputs *Output
 }
 
 // queuedEvent is an event that is queued for the dispatcher. arrival is set
@@ -169,13 +165,19 @@
 // caller whose output queue is full is treated as disconnected.
 func (d *Dispatcher) step(ctx context.Context, e proxy.Event) {
 	now := d.now()
-	d.log.logEvent(e, d.requests[e.Number()], d.core)
+	r := d.requests[e.Number()]
+	d.log.logEvent(e, r, d.core)
 	var stalled []uint64
+	passed := false
 	for _, a := range d.core.Step(now, e) {
+		passed = passed || a.Kind() == proxy.SendPiece && a.Number() == e.Number()
 		if !d.execute(ctx, now, a) {
 			stalled = append(stalled, a.Number())
 		}
 	}
+	if e.Kind() == proxy.Piece && !passed && r != nil {
+		r.outputs.held.Give(pieceSize(e.Bytes()))
+	}
 	for _, n := range stalled {
 		for _, a := range d.core.Step(now, proxy.NewCallerLeft(n)) {
 			d.execute(ctx, now, a)
@@ -255,7 +257,7 @@
 		r.sends++
 		attempt, stop := context.WithDeadline(ctx, a.Deadline())
 		r.cancels[a.Attempt()] = stop
-		go d.upstreams.Send(attempt, d.attemptSpec(ctx, a, r), func(e proxy.Event) { d.notify(attempt, e) })
+		go d.upstreams.Send(attempt, d.attemptSpec(ctx, a, r), d.flow(attempt, a.Number(), a.Attempt(), r.outputs.held))
 		return true
 	case proxy.Cancel:
 		d.cancelAttempt(r, a.Attempt())
@@ -264,7 +266,7 @@
 		d.log.observePiece(now, r)
 		r.recordPiece(now)
 	}
-	ok := r.outputs.Put(ctx, a)
+	ok := r.outputs.Put(ctx, newStep(a))
 	if a.Kind().Final() {
 		for n := range r.cancels {
 			d.cancelAttempt(r, n)
--- a/internal/edge/log_test.go
+++ b/internal/edge/log_test.go
@@ -6,10 +6,10 @@
 	"testing"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/ledger"
 	"clementinelink.example/clementinelink/internal/meter"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/proxy"
-	"clementinelink.example/clementinelink/internal/ring"
 	"clementinelink.example/clementinelink/internal/table"
 	"github.com/rs/zerolog"
 )
@@ -50,7 +50,7 @@
 	d.requests[1] = &request{
 		arrival: arrival{
 			id:      "q1",
-			outputs: ring.New[proxy.Action](4, ring.Refuse),
+			outputs: NewOutput(4, ledger.New(0, 0).Open()),
 		},
 		arrived: now,
 	}
--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -15,7 +15,6 @@
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/proxy"
-	"clementinelink.example/clementinelink/internal/ring"
 	"clementinelink.example/clementinelink/internal/store"
 	"clementinelink.example/clementinelink/internal/table"
 	"clementinelink.example/clementinelink/internal/wire"
@@ -133,6 +132,9 @@
 	lease string
 }
 
+// begunShare is the share of Settings.Held that is left to the pieces of streams.
+const begunShare = 1.0 / 3
+
 // New returns a VM that has not been started.
 func New(s Settings, c *store.Client, sources Sources, u Upstreams, log zerolog.Logger) *VM {
 	m := meter.New("clementinelink")
@@ -148,7 +150,7 @@
 		metrics:    m,
 		peers:      make(map[string]enrolment),
 		feed:       feed.NewLog(),
-		account:    ledger.New(s.Held),
+		account:    ledger.New(s.Held, int64(begunShare*float64(s.Held))),
 		dispatcher: newDispatcher(core, u, j),
 		progress:   newProgress(s.EffectTime, m, log),
 	}
@@ -337,9 +339,9 @@
 // Submit queues a caller's request for the dispatcher. It returns the number
 // that it assigns to the request, and a queue of the actions to perform towards
 // the caller. The last action is the one whose kind is Final.
-func (v *VM) Submit(ctx context.Context, s proxy.RequestSpec, m *Message) (uint64, *ring.Ring[proxy.Action]) {
+func (v *VM) Submit(ctx context.Context, s proxy.RequestSpec, m *Message) (uint64, *Output) {
 	s.Number = v.lastNumber.Add(1)
-	out := ring.New[proxy.Action](outputCap, ring.Refuse)
+	out := NewOutput(outputCap, v.account.Open())
 	v.dispatcher.events.Put(ctx, queuedEvent{
 		event: proxy.NewArrive(proxy.NewRequest(s)),
 		arrival: &arrival{
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -214,7 +214,7 @@
 		c.draining = true
 		c.endBeforeStop()
 		c.reviewWaiting(now, false)
-	case Head, Piece, Copied, Finish, Reply, Lost:
+	case Head, Piece, HeldBack, Copied, Finish, Reply, Lost:
 		c.handleAttemptEvent(now, e)
 	}
 	c.fireAlarms(now)
@@ -409,6 +409,9 @@
 		a.head = e.answer
 	case Piece:
 		c.handlePiece(now, x, a, e.index, e.bytes)
+	case HeldBack:
+		// Its silence is the caller's.
+		a.heldBack, a.lastProgress, x.lastDelivered = e.held, now, now
 	case Copied:
 		c.handleCopied(now, a, e.handle)
 	case Finish:
--- a/internal/proxy/event.go
+++ b/internal/proxy/event.go
@@ -63,6 +63,9 @@
 	Head
 	// Piece is a piece of a stream.
 	Piece
+	// HeldBack reports that a stream is no longer read, since its caller does not
+	// take the pieces as fast, or that it is read again.
+	HeldBack
 	// Copied is the result of a Copy action.
 	Copied
 	// Finish reports that a stream ended completely.
@@ -101,7 +104,7 @@
 // String returns the kind's name for traces.
 func (k EventKind) String() string {
 	return [...]string{
-		"tick", "arrive", "caller-left", "head", "piece", "copied", "finish", "reply", "lost", "state-reported", "id-reported", "prompt-reported", "stop-reported", "heard", "configure", "members", "move", "peers", "charges", "drain",
+		"tick", "arrive", "caller-left", "head", "piece", "held-back", "copied", "finish", "reply", "lost", "state-reported", "id-reported", "prompt-reported", "stop-reported", "heard", "configure", "members", "move", "peers", "charges", "drain",
 	}[k]
 }
 
@@ -156,6 +159,8 @@
 	charges   []blame.Charge
 	// refused is true if the upstream's address refused the connection.
 	refused bool
+	// held is true for HeldBack if the stream is no longer read.
+	held bool
 }
 
 // Load is the number of requests that an upstream reports. The zero value means
@@ -260,6 +265,16 @@
 	}
 }
 
+// NewHeldBack returns the event of a stream that is no longer read, or is read again.
+func NewHeldBack(number uint64, attempt int, held bool) Event {
+	return Event{
+		kind:    HeldBack,
+		number:  number,
+		attempt: attempt,
+		held:    held,
+	}
+}
+
 // NewCopied returns the event of the result of a Copy action. The handle
 // identifies the copy, or is "" if the copy failed.
 func NewCopied(number uint64, attempt int, handle string) Event {
@@ -271,6 +286,9 @@
 	}
 }
 
+// Bytes returns the piece of a Piece event. The caller must not change it.
+func (e Event) Bytes() []byte { return e.bytes }
+
 // NewFinish returns the event of the complete end of a stream.
 func NewFinish(number uint64, attempt int) Event {
 	return Event{
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -27,6 +27,8 @@
 	lastProgress time.Time
 	// begun is true once the attempt has produced a piece.
 	begun bool
+	// heldBack is true while the stream is not read, since its caller is slower.
+	heldBack bool
 	// overdue is true once a resume has taken too long to produce its first
 	// piece.
 	overdue bool
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -78,6 +78,8 @@
 		return s.step(NewHead(number, attempt, NewAnswer(http.StatusOK, http.Header{}, nil), Load{}))
 	case "piece":
 		return s.step(NewPiece(number, attempt, s.number(d, "index", 1), []byte("x")))
+	case "held-back":
+		return s.step(NewHeldBack(number, attempt, !d.HasArg("ended")))
 	case "copied":
 		return s.step(NewCopied(number, attempt, s.text(d, "handle", "")))
 	case "finish":
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -65,7 +65,7 @@
 // nextCheck returns the time at which the progress of an attempt must be
 // checked.
 func (x *exchange) nextCheck(a *attempt) time.Time {
-	if !x.stream() {
+	if !x.stream() || a.heldBack {
 		return x.deadline
 	}
 	at := a.lastProgress.Add(x.probeAfter(a))
