table, platform: Tell an empty list of workspaces from none

Cause: whether keys are needed depended on the number of workspaces, so that an empty list could not be told from a configuration without one.

An empty list admits nobody on routes that are not public; without a list no keys are asked for.

--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -150,9 +150,10 @@
 	hosts    map[string][]*Route
 	services map[string]*Service
 	// top holds the most urgent priority of the routes to each service.
-	top        map[string]int
-	keys       map[string]*Workspace
-	workspaces int
+	top  map[string]int
+	keys map[string]*Workspace
+	// keyed is true if the configuration has a list of workspaces, which may be empty.
+	keyed bool
 }
 
 // New returns an empty table for a configuration version. AddRoute, AddService
@@ -185,11 +186,18 @@
 // AddService adds a service, and replaces one of the same name.
 func (t *Table) AddService(s *Service) { t.services[s.name] = s }
 
-// AddWorkspace adds a workspace and its keys.
+// RequireKeys makes routes that are not public require the key of a workspace. Without
+// a workspace they admit nobody.
+func (t *Table) RequireKeys() { t.keyed = true }
+
+// AddWorkspace adds a workspace and its keys, and makes routes that are not public
+// require one. An empty key admits nobody, since callers without a key have it.
 func (t *Table) AddWorkspace(w *Workspace, keys []string) {
-	t.workspaces++
+	t.RequireKeys()
 	for _, k := range keys {
-		t.keys[k] = w
+		if k != "" {
+			t.keys[k] = w
+		}
 	}
 }
 
@@ -245,8 +253,8 @@
 func (t *Table) TopPriority(service string) int { return t.top[service] }
 
 // RequiresKeys reports whether routes that are not public require a workspace
-// key. It is false if the table has no workspaces.
-func (t *Table) RequiresKeys() bool { return t.workspaces > 0 }
+// key. It is false if the configuration has no list of workspaces.
+func (t *Table) RequiresKeys() bool { return t.keyed }
 
 // WorkspaceForKey returns the workspace that the key belongs to, or nil.
 func (t *Table) WorkspaceForKey(key string) *Workspace { return t.keys[key] }
