proxy: End a request whose caller leaves before the first configuration

What operators saw: a VM whose caller left before it had a configuration counted the request as in flight for good, held its body and queue, and took its whole grace period at a SIGTERM.

Cause: the core dropped such a request without a final action, which is what makes the dispatcher forget it.

Change: it ends with Forget, like any other request whose caller leaves. TestEnds draws orders of events, also before the first configuration, and checks that each request ends exactly once and that nothing is held afterwards: it fails on the code before at its third draw, and passes 20,000 draws.

--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -378,7 +378,15 @@
 
 // callerLeft ends the request of a caller that disconnected.
 func (c *Core) callerLeft(now time.Time, number uint64) {
-	c.pending = slices.DeleteFunc(c.pending, func(e pendingRequest) bool { return e.q.Number() == number })
+	if i := slices.IndexFunc(c.pending, func(e pendingRequest) bool { return e.q.Number() == number }); i >= 0 {
+		c.pending = slices.Delete(c.pending, i, i+1)
+		c.actions = append(c.actions, Action{
+			kind:   Forget,
+			number: number,
+			reason: "caller left",
+		})
+		return
+	}
 	x := c.inFlight[number]
 	if x == nil {
 		return
