reap, platform: End the search for a cancelled run at another service

What operators saw: nine of ten messages to a plain service were orders about runs of another one, which it turned away, for as long as the requests had time left, with a line in the log for each.

Cause: an order goes to the address that the run had. A worker of another service that has taken it over does not know the call and answers 400, which counted as an engine that could not carry out the order: up to eight orders followed at once and again every 100 ms.

Orders that an engine refuses follow after pauses that double up to 0.8 s, and a run gets 100 at most. The log has a line for the answer to the first order, and one at the end with their number.

The scripts of reap print the ends as well.

--- a/internal/edge/dispatcher.go
+++ b/internal/edge/dispatcher.go
@@ -8,6 +8,7 @@
 
 	"clementinelink.example/clementinelink/internal/blame"
 	"clementinelink.example/clementinelink/internal/proxy"
+	"clementinelink.example/clementinelink/internal/reap"
 	"clementinelink.example/clementinelink/internal/ring"
 	"clementinelink.example/clementinelink/internal/stand"
 	"clementinelink.example/clementinelink/internal/table"
@@ -109,6 +110,7 @@
 		now:         time.Now,
 		log:         j,
 	}
+	core.WithStopObserver(func(e reap.Ended) { j.logStopEnd(d.now(), e) })
 	j.table = func() (int64, time.Time) { return tableVersion(core), time.Unix(0, d.tableSince.Load()) }
 	return d
 }
--- a/internal/edge/eventlog.go
+++ b/internal/edge/eventlog.go
@@ -95,10 +95,13 @@
 	j.log.Info().Str("request", id).Str("address", holder).Err(err).Msg("proxy: Copying the run failed.")
 }
 
-// logStop logs and counts the answer to an order to stop a run. after is the time
-// since the run was cancelled, in milliseconds.
+// logStop counts the answer to an order to stop a run, and logs that to the first one.
+// after is the time since the run was cancelled, in milliseconds.
 func (j *eventLog) logStop(now time.Time, o reap.Order, outcome reap.Outcome, err error) {
 	j.metrics.Counter("stops_total", "Orders to stop runs of cancelled attempts.", meter.Outcome, outcome.String()).Inc()
+	if !o.First() {
+		return
+	}
 	j.log.Info().Str("request", o.Run().Request).Str("upstream", o.Run().Instance).Str("outcome", outcome.String()).Str("other", o.Other()).
 		Int64("after", now.Sub(o.Cancelled()).Milliseconds()).AnErr("detail", err).Msg("proxy: A cancelled run was looked for.")
 }
@@ -113,6 +116,15 @@
 	}
 }
 
+// logStopEnd logs the end of the search for a cancelled run that took more than one
+// order.
+func (j *eventLog) logStopEnd(now time.Time, e reap.Ended) {
+	if e.Orders() > 1 {
+		j.log.Info().Str("request", e.Run().Request).Str("upstream", e.Run().Instance).Str("outcome", e.Outcome().String()).
+			Int("orders", e.Orders()).Int64("after", now.Sub(e.Cancelled()).Milliseconds()).Msg("proxy: A cancelled run is looked for no more.")
+	}
+}
+
 // logQueryFailure logs that a query to an engine failed.
 func (j *eventLog) logQueryFailure(upstream string, err error) {
 	j.log.Info().Str("upstream", upstream).Err(err).Msg("pool: Engine query failed.")
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -72,6 +72,13 @@
 // Get returns the listed upstream with the id, or nil.
 func (p *Pool) Get(id string) *Upstream { return p.byID[id] }
 
+// PassedOn reports whether the upstream that was listed last at the address is one of
+// another service.
+func (p *Pool) PassedOn(address, service string) bool {
+	u := p.byAddress[address]
+	return u != nil && u.entry.Service() != service
+}
+
 // Len returns the number of listed upstreams.
 func (p *Pool) Len() int { return len(p.byID) }
 
--- a/internal/proxy/cancel.go
+++ b/internal/proxy/cancel.go
@@ -27,6 +27,7 @@
 		return
 	}
 	c.cancelled.Add(now, reap.Run{
+		Service:  a.upstream.Entry().Service(),
 		Instance: a.upstream.ID(),
 		Address:  a.upstream.Address(),
 		Request:  x.q.ID(),
@@ -79,6 +80,10 @@
 // an engine that rests is put off.
 func (c *Core) stopCancelled(now time.Time) {
 	for _, o := range c.cancelled.Due(now) {
+		if c.pool.PassedOn(o.Run().Address, o.Run().Service) {
+			c.cancelled.Answer(now, o, reap.Replaced)
+			continue
+		}
 		u := c.pool.Get(o.Run().Instance)
 		if u != nil && !u.PermitMessage(now) {
 			c.cancelled.Answer(now, o, reap.Unanswered)
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -147,6 +147,13 @@
 	return n
 }
 
+// WithStopObserver sets the function that is called with the end of the search for each
+// cancelled run. It must be called before the first event.
+func (c *Core) WithStopObserver(ended func(reap.Ended)) *Core {
+	c.cancelled.WithObserver(ended)
+	return c
+}
+
 // Ready reports whether the VM can serve requests: it has a routing table and
 // upstreams and is not draining.
 func (c *Core) Ready() bool { return c.table != nil && c.pool.Len() > 0 && !c.draining }
--- a/internal/reap/reap.go
+++ b/internal/reap/reap.go
@@ -24,6 +24,12 @@
 	// maxOrders is the number of orders at once to an engine that answers. A run may
 	// go on for 400 ms, and an order takes 50 to 100 ms between regions.
 	maxOrders = 8
+	// maxRetryDelay bounds the pause before an order is sent again that the engine could
+	// not carry out. The pause doubles each time that all other engines were tried.
+	maxRetryDelay = 800 * time.Millisecond
+	// maxRunOrders is the number of orders about one run, after which it is left to its
+	// deadline. An engine that does not answer gets as many in 30 s.
+	maxRunOrders = 100
 	// maxRuns bounds the tracked runs. No more are tracked until some have ended.
 	maxRuns = 1024
 )
@@ -53,7 +59,9 @@
 // Run identifies the run of a cancelled attempt. Its fields are exported for
 // construction only.
 type Run struct {
-	// Instance is the id of the engine's incarnation, and Address its host:port.
+	// Service is the name of the engine's service, Instance the id of its incarnation,
+	// and Address its host:port.
+	Service  string
 	Instance string
 	Address  string
 	// Request is the id of the request.
@@ -79,6 +87,7 @@
 	cancelled time.Time
 	sent      time.Time
 	other     string
+	first     bool
 }
 
 // Run returns the run to stop.
@@ -90,6 +99,9 @@
 // Other returns the address of the engine that is offered the run's memory, or "".
 func (o Order) Other() string { return o.other }
 
+// First reports whether it is the first order about the run.
+func (o Order) First() bool { return o.first }
+
 // entry is a tracked run.
 type entry struct {
 	run Run
@@ -102,6 +114,10 @@
 	refusals int
 	// order is the number of the order about the run that is unanswered, or 0.
 	order uint64
+	// orders is the number of orders about the run so far, and latest the latest answer
+	// to one.
+	orders int
+	latest Outcome
 	// suspended is true while another attempt of the request is at the engine.
 	suspended bool
 }
@@ -127,15 +143,47 @@
 	number uint64
 	// next is the earliest time at which an order may be due, or zero if none is.
 	next time.Time
+	// ended is called with each run about which there were orders once it is no longer
+	// tracked.
+	ended func(Ended)
+}
+
+// Ended is the end of the search for a cancelled run.
+type Ended struct {
+	run       Run
+	outcome   Outcome
+	orders    int
+	cancelled time.Time
 }
 
+// Run returns the run.
+func (e Ended) Run() Run { return e.run }
+
+// Outcome returns the latest answer: Unanswered or Refused if the run was given up, or
+// left to its deadline.
+func (e Ended) Outcome() Outcome { return e.outcome }
+
+// Orders returns the number of orders about the run.
+func (e Ended) Orders() int { return e.orders }
+
+// Cancelled returns when the run was cancelled.
+func (e Ended) Cancelled() time.Time { return e.cancelled }
+
 // New returns an empty set.
 func New() *Set {
 	return &Set{
 		engines: make(map[string]*engine),
+		ended:   func(Ended) {},
 	}
 }
 
+// WithObserver sets the function that is called with the end of each run about which
+// there were orders. It must be called before any other method.
+func (s *Set) WithObserver(ended func(Ended)) *Set {
+	s.ended = ended
+	return s
+}
+
 // Add tracks a cancelled run. It is ordered to stop at once if silent is true,
 // because the attempt's connection has delivered nothing, and otherwise if its end
 // is not seen.
@@ -210,6 +258,7 @@
 		for e := g.first(); e != nil && !now.Before(e.due); e = g.first() {
 			s.number++
 			e.order = s.number
+			e.orders++
 			g.orders[e.order] = e
 			orders = append(orders, Order{
 				number:    e.order,
@@ -217,6 +266,7 @@
 				cancelled: e.cancelled,
 				sent:      now,
 				other:     e.other(),
+				first:     e.orders == 1,
 			})
 		}
 	}
@@ -236,7 +286,7 @@
 	}
 	delete(g.orders, o.number)
 	if answered != nil {
-		answered.order = 0
+		answered.order, answered.latest = 0, outcome
 	}
 	g.silent = outcome == Unanswered
 	switch outcome {
@@ -253,6 +303,7 @@
 	case Absent:
 		s.remove(g, func(e *entry) bool { return e == answered && e.absent(now) })
 	}
+	s.remove(g, func(e *entry) bool { return e == answered && e.orders >= maxRunOrders })
 	s.settle()
 }
 
@@ -271,8 +322,9 @@
 		return
 	}
 	e.refusals++
-	if len(e.run.Others) == 0 || e.refusals%len(e.run.Others) == 0 {
-		e.postpone(now.Add(retryDelay))
+	tried := max(len(e.run.Others), 1)
+	if e.refusals%tried == 0 {
+		e.postpone(now.Add(min(retryDelay<<min(e.refusals/tried-1, 8), maxRetryDelay)))
 	}
 }
 
@@ -338,6 +390,14 @@
 		if e.order != 0 {
 			g.orders[e.order] = nil
 		}
+		if e.orders > 0 {
+			s.ended(Ended{
+				run:       e.run,
+				outcome:   e.latest,
+				orders:    e.orders,
+				cancelled: e.cancelled,
+			})
+		}
 		return true
 	})
 	s.size -= before - len(g.entries)
--- a/internal/reap/script_test.go
+++ b/internal/reap/script_test.go
@@ -17,6 +17,8 @@
 	t    *testing.T
 	set  *Set
 	base time.Time
+	// ended holds the runs that have ended since the latest output.
+	ended []Ended
 	// orders holds the latest order about each run, by its text.
 	orders map[string]Order
 }
@@ -32,6 +34,7 @@
 			base:   time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
 			orders: make(map[string]Order),
 		}
+		s.set.WithObserver(func(e Ended) { s.ended = append(s.ended, e) })
 		datadriven.RunTest(t, path, s.run)
 	})
 }
@@ -56,6 +59,11 @@
 			r.Others = a.Vals
 		}
 	}
+	if d.HasArg("until") {
+		var ms int
+		d.ScanArgs(s.t, "until", &ms)
+		r.Until = s.base.Add(time.Duration(ms) * time.Millisecond)
+	}
 	if d.HasArg("instance") {
 		d.ScanArgs(s.t, "instance", &r.Instance)
 	}
@@ -70,6 +78,8 @@
 		s.set.Answer(now, s.orders[d.CmdArgs[0].Key], s.outcome(d))
 	case "absent":
 		return s.absent(d, r)
+	case "refuse":
+		return s.refuse(d, now)
 	case "due":
 	default:
 		s.t.Fatalf("%s: unknown command %q", d.Pos, d.Cmd)
@@ -99,6 +109,27 @@
 }
 
 // state prints the orders that are due, and the time of the next one.
+// refuse refuses all orders until the time of the argument to, and prints the pauses
+// between them and their number.
+func (s *script) refuse(d *datadriven.TestData, now time.Time) string {
+	var to, n int
+	d.ScanArgs(s.t, "to", &to)
+	end := s.base.Add(time.Duration(to) * time.Millisecond)
+	var b strings.Builder
+	for at, ok := s.set.Next(); ok && !at.After(end); at, ok = s.set.Next() {
+		for _, o := range s.set.Due(at) {
+			n++
+			if n <= 6 {
+				fmt.Fprintf(&b, "after %d ms\n", at.Sub(now).Milliseconds())
+			}
+			s.set.Answer(at, o, Refused)
+		}
+		now = at
+	}
+	fmt.Fprintf(&b, "%d orders\n", n)
+	return b.String() + s.state(end)
+}
+
 func (s *script) state(now time.Time) string {
 	var b strings.Builder
 	for _, o := range s.set.Due(now) {
@@ -110,6 +141,10 @@
 		}
 		b.WriteByte('\n')
 	}
+	for _, e := range s.ended {
+		fmt.Fprintf(&b, "ended %s/%s, %s after %d orders\n", e.Run().Address, e.Run().Request, e.Outcome(), e.Orders())
+	}
+	s.ended = nil
 	if at, ok := s.set.Next(); ok {
 		fmt.Fprintf(&b, "next %d\n", at.Sub(s.base).Milliseconds())
 	}
