proxy: Leave repeats to streams that have begun, and log denials

What callers saw: streams that had begun stood still for up to 10 s and were broken off, while the budget of repeats went to hedges and to streams that had not begun. The log had no line about it.

Cause: the budget served whoever asked first, and a denial left no trace.

Change: a quarter of the budget is left to streams whose callers have output. A denial writes one line for each wait, with what is left and when there is more.

--- a/internal/budget/window.go
+++ b/internal/budget/window.go
@@ -42,18 +42,41 @@
 }
 
 // Take reports whether an extra attempt is allowed and counts it if so.
-func (w *Window) Take(now time.Time) bool {
+func (w *Window) Take(now time.Time) bool { return w.TakeAbove(now, 0) }
+
+// TakeAbove is Take for an attempt that leaves a share of the limit, from 0 to 1, to
+// others.
+func (w *Window) TakeAbove(now time.Time, share float64) bool {
+	limit, extra := w.count(now)
+	if float64(extra+1) > limit*(1-share) {
+		return false
+	}
+	w.extra[w.newest]++
+	return true
+}
+
+// Left returns the number of extra attempts that are allowed, and the time after which
+// the earliest ones leave the period, or 0 if there are none in it.
+func (w *Window) Left(now time.Time) (int, time.Duration) {
+	limit, extra := w.count(now)
+	for i := range windowSlots {
+		// The oldest slot follows the newest one.
+		if at := (w.newest + 1 + i) % windowSlots; w.extra[at] > 0 {
+			return int(limit) - extra, w.slotStart.Add(time.Duration(i+1) * w.slotLength).Sub(now)
+		}
+	}
+	return int(limit) - extra, 0
+}
+
+// count returns the limit on extra attempts and their number in the period.
+func (w *Window) count(now time.Time) (limit float64, extra int) {
 	w.advance(now)
-	first, extra := 0, 0
+	first := 0
 	for i := range windowSlots {
 		first += w.first[i]
 		extra += w.extra[i]
 	}
-	if float64(extra+1) > w.ratio*float64(first)+w.slack {
-		return false
-	}
-	w.extra[w.newest]++
-	return true
+	return w.ratio*float64(first) + w.slack, extra
 }
 
 // advance moves the newest slot to the present time and clears the slots that
--- a/internal/edge/dispatcher.go
+++ b/internal/edge/dispatcher.go
@@ -264,6 +264,8 @@
 	case proxy.Cancel:
 		d.cancelAttempt(r, a.Attempt())
 		return true
+	case proxy.Denied:
+		return true
 	case proxy.SendPiece:
 		d.log.observePiece(now, r)
 		r.recordPiece(now)
--- a/internal/proxy/action.go
+++ b/internal/proxy/action.go
@@ -37,6 +37,8 @@
 	// ReportSurvival one that its engine has survived.
 	ReportCrash
 	ReportSurvival
+	// Denied reports that the budget denies a repeat of the request.
+	Denied
 	// SendHead sends the caller the head of a stream.
 	SendHead
 	// SendPiece sends the caller a piece of a stream.
@@ -57,7 +59,7 @@
 // String returns the kind's name. The names of final kinds are label values of
 // metrics and fields of log lines.
 func (k ActionKind) String() string {
-	return [...]string{"send", "cancel", "copy", "query-state", "query-id", "query-prompt", "stop-run", "report-outcome", "report-crash", "report-survival", "send-head", "send-piece", "close", "deliver", "refuse", "break", "forget"}[k]
+	return [...]string{"send", "cancel", "copy", "query-state", "query-id", "query-prompt", "stop-run", "report-outcome", "report-crash", "report-survival", "denied", "send-head", "send-piece", "close", "deliver", "refuse", "break", "forget"}[k]
 }
 
 // ExpectsResult reports whether the action queries an engine, asks it for a copy
@@ -156,8 +158,12 @@
 // Path returns the URL path that QueryID requests.
 func (a Action) Path() string { return a.path }
 
+// Left returns the number of repeats that the budget of Denied holds, of which some
+// may be left to others.
+func (a Action) Left() int { return a.position }
+
 // Timeout returns the timeout of Copy, QueryState, QueryID, QueryPrompt and
-// StopRun.
+// StopRun, and the time after which the budget of Denied holds more.
 func (a Action) Timeout() time.Duration { return a.timeout }
 
 // Rank returns the priority of Send at the upstream; 0 is the most urgent.
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -74,6 +74,8 @@
 	// none is scheduled.
 	hedgeAt time.Time
 	retryAt time.Time
+	// denied is true once the budget has denied a repeat since the latest attempt.
+	denied bool
 	// returnAt is when the request is sent after a wait for an upstream that rests,
 	// or zero if it does not wait. waited is true once it has waited.
 	returnAt time.Time
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"clementinelink.example/clementinelink/internal/budget"
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/pool"
 )
@@ -87,7 +88,7 @@
 	}
 	x.attempts = append(x.attempts, a)
 	c.cancelled.Suspend(upstream.Address(), x.q.ID())
-	x.retryAt, x.returnAt = time.Time{}, time.Time{}
+	x.retryAt, x.returnAt, x.denied = time.Time{}, time.Time{}, false
 	x.placement = nil
 	x.recordVersion(upstream)
 	upstream.AddAttempt(now, x.tokens, x.stream())
@@ -127,10 +128,39 @@
 	return s != nil && s.Engine() != nil && s.Engine().KeepsStandbyCopies()
 }
 
+// begunShare is the share of the budget of repeats that is left to streams whose callers
+// have output: they stand still without it, and others can be refused.
+const begunShare = 0.25
+
 // allowed takes one retry from the service's budget and reports whether it was
 // available.
 func (c *Core) allowed(now time.Time, x *exchange) bool {
-	return c.budget(x.need.Service()).Take(now)
+	b := c.budget(x.need.Service())
+	switch {
+	case !x.stream() || x.headSent:
+		if b.Take(now) {
+			return true
+		}
+	case b.TakeAbove(now, begunShare):
+		return true
+	}
+	c.reportDenied(now, x, b)
+	return false
+}
+
+// reportDenied reports that the budget denies a repeat, once for each wait.
+func (c *Core) reportDenied(now time.Time, x *exchange, b *budget.Window) {
+	if x.denied {
+		return
+	}
+	x.denied = true
+	left, more := b.Left(now)
+	c.emit(x, Action{
+		kind:     Denied,
+		position: left,
+		timeout:  more,
+		reason:   "budget of repeats",
+	})
 }
 
 // attemptLost applies the end of an attempt without an answer.
