proxy: Let engines that back off be witnesses

What callers could see: a stream that was given up at each engine in turn while the VM heard nothing at all (LOST).

Cause: engines that back off were no witnesses. On a VM that had heard nothing for a while, all of them back off, so that there was no other one to ask, and the silence counted as the engine's again.

Change: a witness that backs off is asked if there is no better one, but not as the one on the same path, since it may have failed itself.

--- a/internal/pool/hear.go
+++ b/internal/pool/hear.go
@@ -123,15 +123,18 @@
 }
 
 // Witness returns the upstream of the same service that is the most likely to answer a
-// query besides u, or nil if there is none: of those in other failure domains, or else
-// of all, the one that sent something last. It considers only upstreams for which match
-// returns true.
+// query besides u, or nil if there is none: one that is not backing off before others,
+// one in another failure domain before others, and of these the one that sent something
+// last. It considers only upstreams for which match returns true.
 func (p *Pool) Witness(now time.Time, u *Upstream, match func(*Upstream) bool) *Upstream {
 	var best *Upstream
 	better := func(w *Upstream) bool {
 		if best == nil {
 			return true
 		}
+		if backing := w.BackingOff(now); backing != best.BackingOff(now) {
+			return !backing
+		}
 		elsewhere, found := w.entry.Domain() != u.entry.Domain(), best.entry.Domain() != u.entry.Domain()
 		if elsewhere != found {
 			return elsewhere
@@ -139,7 +142,7 @@
 		return w.lastActivity.After(best.lastActivity)
 	}
 	for _, w := range p.byService[u.entry.Service()] {
-		if w != u && p.usable(now, w) && !w.Resting(now) && !w.BackingOff(now) && match(w) && better(w) {
+		if w != u && p.usable(now, w) && !w.Resting(now) && match(w) && better(w) {
 			best = w
 		}
 	}
--- a/internal/proxy/witness.go
+++ b/internal/proxy/witness.go
@@ -71,7 +71,7 @@
 		return
 	}
 	c.witnesses.askedAt = now
-	if !c.queryWitness(now, u, besides(u)) {
+	if !c.queryWitness(now, u, besides(now, u)) {
 		c.queryWitness(now, u, anywhere)
 	}
 }
@@ -87,7 +87,7 @@
 		return
 	}
 	if c.queryState(now, u, "", "unheard") {
-		c.queryWitness(now, u, besides(u))
+		c.queryWitness(now, u, besides(now, u))
 		c.queryWitness(now, u, func(w *pool.Upstream) bool { return w.Entry().Region() != u.Entry().Region() })
 	}
 }
@@ -100,10 +100,11 @@
 }
 
 // besides returns a function that reports whether an upstream is in another failure
-// domain of the region of u, so that it shares the path to u, but not its fate.
-func besides(u *pool.Upstream) func(*pool.Upstream) bool {
+// domain of the region of u, so that it shares the path to u, but not its fate. One that
+// is backing off may have failed itself.
+func besides(now time.Time, u *pool.Upstream) func(*pool.Upstream) bool {
 	return func(w *pool.Upstream) bool {
-		return w.Entry().Region() == u.Entry().Region() && w.Entry().Domain() != u.Entry().Domain()
+		return w.Entry().Region() == u.Entry().Region() && w.Entry().Domain() != u.Entry().Domain() && !w.BackingOff(now)
 	}
 }
 
@@ -141,7 +142,7 @@
 	switch {
 	case !w.answered[u.Entry().Region()].Before(began):
 		return true
-	case w.silences[u.ID()] > 0 || c.pool.Witness(now, u, besides(u)) == nil:
+	case w.silences[u.ID()] > 0 || c.pool.Witness(now, u, besides(now, u)) == nil:
 		return !w.latest().Before(began) || c.pool.Witness(now, u, anywhere) == nil
 	default:
 		return false
