feed, tree: Let one VM read the store for all

What callers saw: beside a large configuration, streams were broken off and requests failed on VMs with narrow links, also when nothing else happened. Streams went on at a second engine while the first one still worked on them, and routes that were in force were not known.

Cause: VMs shared what they read from the store only within a failure domain of four or more. With three VMs in each domain, every VM read each version for itself: nine times 360 KB over the link between the regions, which a configuration of 1,400 routes held for 1.85 s. Queries of engines, orders to stop runs and requests waited behind it.

The model gives the same: TestSpread/regions fails before the change with "carried 3244, held 1.854s" (on a scratch copy in which VMs know those of their failure domain alone) and passes now, with 34 KB and 20 ms.

Change: the VMs of all failure domains and regions form one tree (internal/tree). The first VM of a domain asks that of another domain, and the first one of a region that of the region nearer to the store, so that a version crosses the link between two regions once, and packed. If the VMs before a VM fail, others that precede it take their place before the store does. A VM on a narrow link is asked by few. VMs state their region and the time of a call of the store when they enrol (internal/roster, from internal/edge).

--- a/internal/edge/enrol.go
+++ b/internal/edge/enrol.go
@@ -1,14 +1,13 @@
 package edge
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"path"
 	"time"
 
-	"clementinelink.example/clementinelink/internal/feed"
+	"clementinelink.example/clementinelink/internal/roster"
 	"clementinelink.example/clementinelink/internal/store"
+	"clementinelink.example/clementinelink/internal/tree"
 	"github.com/cockroachdb/errors"
 )
 
@@ -22,26 +21,13 @@
 	enrolRetryDelay = 2 * time.Second
 )
 
-// enrolment is the value that a VM stores under its own key.
-type enrolment struct {
-	// Feed is the IP:port at which the VM serves changes of the store to other
-	// VMs, or "" if it does not.
-	Feed string `json:"feed,omitempty"`
-	// LinkMbps is the bandwidth of the VM's network link in Mbit/s, or 0 if it is
-	// unknown.
-	LinkMbps float64 `json:"link,omitempty"`
+// self returns the VM as the others see it. distance is the time of a call of the
+// store, or 0 if it is unknown.
+func (v *VM) self(distance time.Duration) tree.VM {
+	own := tree.NewVM(v.settings.Name, v.settings.Feed, v.settings.LinkMbps)
+	return own.In(v.settings.Domain, v.settings.Region).WithDistance(distance)
 }
 
-// decodeEnrolment decodes the value of a VM's key.
-func decodeEnrolment(e store.Entry) (enrolment, error) {
-	var n enrolment
-	err := json.Unmarshal(e.Value(), &n)
-	return n, errors.Wrap(err, "edge: enrolment")
-}
-
-// vm returns the VM that stored the enrolment under key.
-func (n enrolment) vm(key string) feed.VM { return feed.NewVM(path.Base(key), n.Feed, n.LinkMbps) }
-
 // domainPrefix returns the prefix of the keys of the VMs in the failure domain.
 func (v *VM) domainPrefix() string { return v.sources.EnrolledPrefix + v.settings.Domain + "/" }
 
@@ -75,20 +61,13 @@
 		}
 		v.lease = ""
 	}
-	value, err := json.Marshal(enrolment{
-		Feed:     v.settings.Feed,
-		LinkMbps: v.settings.LinkMbps,
-	})
-	if err != nil {
-		return errors.Wrap(err, "edge: enrolment")
-	}
 	revision := uint64(0)
 	if !v.settings.FirstStart {
 		own, vms, err := v.readDomain(ctx)
 		if err != nil {
 			return err
 		}
-		if own.Revision() > 0 && bytes.Equal(own.Value(), value) {
+		if stored, err := roster.Decode(own); err == nil && own.Revision() > 0 && roster.Same(stored, v.self(0)) {
 			v.watcher.join(vms)
 			return nil
 		}
@@ -97,7 +76,7 @@
 	// The key exists at the first start of all VMs if this process was restarted.
 	// The next call reads it.
 	v.settings.FirstStart = false
-	if err := v.writeEnrolment(ctx, value, revision); err != nil {
+	if err := v.writeEnrolment(ctx, revision); err != nil {
 		return err
 	}
 	if v.watcher.isJoined.Load() {
@@ -114,23 +93,19 @@
 
 // readDomain returns the VM's own key and the VMs of the failure domain that serve
 // changes of the store, including the one itself.
-func (v *VM) readDomain(ctx context.Context) (own store.Entry, vms []feed.VM, err error) {
+func (v *VM) readDomain(ctx context.Context) (own store.Entry, vms []tree.VM, err error) {
 	entries, _, err := v.store.List(ctx, v.domainPrefix())
 	if err != nil {
 		return store.Entry{}, nil, err
 	}
-	self := enrolment{
-		Feed:     v.settings.Feed,
-		LinkMbps: v.settings.LinkMbps,
-	}
-	vms = append(vms, self.vm(v.settings.Name))
+	vms = append(vms, v.self(0))
 	for _, e := range entries {
 		if path.Base(e.Key()) == v.settings.Name {
 			own = e
 			continue
 		}
-		if n, err := decodeEnrolment(e); err == nil && n.Feed != "" {
-			vms = append(vms, n.vm(e.Key()))
+		if n, err := roster.Decode(e); err == nil && n.Address() != "" {
+			vms = append(vms, n)
 		}
 	}
 	return own, vms, nil
@@ -138,11 +113,16 @@
 
 // writeEnrolment writes the VM's own key, whose present revision is given, under a
 // new lease.
-func (v *VM) writeEnrolment(ctx context.Context, value []byte, revision uint64) error {
+func (v *VM) writeEnrolment(ctx context.Context, revision uint64) error {
+	began := time.Now()
 	lease, err := v.store.Grant(ctx, enrolLease)
 	if err != nil {
 		return err
 	}
+	value, err := roster.Encode(v.self(time.Since(began)))
+	if err != nil {
+		return err
+	}
 	mine := func(e store.Entry) bool { return e.Lease() == lease }
 	if _, err := v.store.PutConfirmed(ctx, v.domainPrefix()+v.settings.Name, value, revision, lease, mine); err != nil {
 		return err
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -2,12 +2,8 @@
 
 import (
 	"context"
-	"maps"
-	"path"
-	"slices"
 	"strings"
 
-	"clementinelink.example/clementinelink/internal/feed"
 	"clementinelink.example/clementinelink/internal/follow"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/proxy"
@@ -19,9 +15,8 @@
 func (v *VM) applyChange(ctx context.Context, c follow.Change) {
 	var listed []pool.Entry
 	var gone []string
-	before := maps.Clone(v.peers)
 	for _, key := range c.Deleted() {
-		delete(v.peers, key)
+		v.peers.Delete(key)
 		if id := v.sources.ID(key); id != "" {
 			gone = append(gone, id)
 		}
@@ -31,7 +26,9 @@
 			v.configure(ctx, e)
 		}
 		if strings.HasPrefix(e.Key(), v.sources.EnrolledPrefix) {
-			v.applyEnrolment(e)
+			if err := v.peers.Put(e); err != nil {
+				v.log.Warn().Err(err).Uint64("revision", e.Revision()).Msg("edge: Invalid VM key.")
+			}
 		}
 		id := v.sources.ID(e.Key())
 		if id == "" {
@@ -50,13 +47,16 @@
 		event:   proxy.NewMembers(listed, gone),
 		applied: v.progress.begin(c.Confirmed(), c.Len()),
 	})
-	if !maps.Equal(v.peers, before) {
-		v.updateFeedVMs()
-		v.dispatcher.notify(ctx, proxy.NewPeers(v.settings.Name, v.peerNames()))
+	if v.peers.Update() {
+		names := v.peers.Names()
+		if v.watcher.reader != nil {
+			v.watcher.reader.SetVMs(v.peers.Servers())
+		}
+		v.dispatcher.notify(ctx, proxy.NewPeers(v.settings.Name, names))
 		v.mover.updates.Put(ctx, storeUpdate{
-			peers: v.peerNames(),
+			peers: names,
 		})
-		v.accord.SetVMs(ctx, v.feedAddresses())
+		v.accord.SetVMs(ctx, v.peers.Addresses())
 	}
 	v.accord.Apply(ctx, c)
 	v.mover.updates.Put(ctx, storeUpdate{
@@ -64,52 +64,6 @@
 	})
 }
 
-// applyEnrolment applies the key of a VM. A VM whose value is invalid still
-// counts.
-func (v *VM) applyEnrolment(e store.Entry) {
-	n, err := decodeEnrolment(e)
-	if err != nil {
-		v.log.Warn().Err(err).Str("key", e.Key()).Uint64("revision", e.Revision()).Msg("edge: Invalid VM key.")
-	}
-	v.peers[e.Key()] = n
-}
-
-// updateFeedVMs tells the feed reader which VMs of the failure domain serve
-// changes.
-func (v *VM) updateFeedVMs() {
-	if v.watcher.reader == nil {
-		return
-	}
-	var vms []feed.VM
-	for key, n := range v.peers {
-		if strings.HasPrefix(key, v.domainPrefix()) && n.Feed != "" {
-			vms = append(vms, n.vm(key))
-		}
-	}
-	v.watcher.reader.SetVMs(vms)
-}
-
-// feedAddresses returns the feed addresses of the enrolled VMs by name.
-func (v *VM) feedAddresses() map[string]string {
-	addresses := make(map[string]string)
-	for key, n := range v.peers {
-		if n.Feed != "" {
-			addresses[path.Base(key)] = n.Feed
-		}
-	}
-	return addresses
-}
-
-// peerNames returns the names of the enrolled VMs, sorted.
-func (v *VM) peerNames() []string {
-	names := make([]string, 0, len(v.peers))
-	for key := range v.peers {
-		names = append(names, path.Base(key))
-	}
-	slices.Sort(names)
-	return names
-}
-
 // configure decodes a routing table and passes it to the dispatcher.
 func (v *VM) configure(ctx context.Context, e store.Entry) {
 	t, err := v.sources.Table(e.Value())
--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -15,6 +15,7 @@
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/proxy"
+	"clementinelink.example/clementinelink/internal/roster"
 	"clementinelink.example/clementinelink/internal/store"
 	"clementinelink.example/clementinelink/internal/table"
 	"clementinelink.example/clementinelink/internal/wire"
@@ -49,8 +50,7 @@
 	Ready   string
 	Metrics string
 	// Feed is the IP:port at which the VM serves changes of the store to other
-	// VMs of the failure domain, or "" if it neither serves nor reads such
-	// changes.
+	// VMs, or "" if it neither serves nor reads such changes.
 	Feed string
 	// LinkMbps is the bandwidth of the VM's network link in Mbit/s, or 0 if it is
 	// unknown.
@@ -123,8 +123,8 @@
 	// charges is the number of charges in force.
 	charges atomic.Int64
 	stop    context.CancelFunc
-	// peers holds the enrolled VMs by key. Only the watcher's goroutine uses it.
-	peers map[string]enrolment
+	// peers holds the enrolled VMs. Only the watcher's goroutine uses it.
+	peers *roster.Roster
 	feed  *feed.Log
 	// account bounds what is held on behalf of callers and upstreams.
 	account *ledger.Account
@@ -148,7 +148,7 @@
 		sources:    sources,
 		log:        log,
 		metrics:    m,
-		peers:      make(map[string]enrolment),
+		peers:      roster.New(),
 		feed:       feed.NewLog(),
 		account:    ledger.New(s.Held, int64(begunShare*float64(s.Held))),
 		dispatcher: newDispatcher(core, u, j),
--- a/internal/edge/watcher.go
+++ b/internal/edge/watcher.go
@@ -8,6 +8,7 @@
 	"clementinelink.example/clementinelink/internal/feed"
 	"clementinelink.example/clementinelink/internal/follow"
 	"clementinelink.example/clementinelink/internal/store"
+	"clementinelink.example/clementinelink/internal/tree"
 	"github.com/rs/zerolog"
 )
 
@@ -51,7 +52,7 @@
 
 // join lets the watcher begin to read. vms are the VMs of the failure domain,
 // including the one itself. Calls after the first do nothing.
-func (w *watcher) join(vms []feed.VM) {
+func (w *watcher) join(vms []tree.VM) {
 	if !w.isJoined.CompareAndSwap(false, true) {
 		return
 	}
--- a/internal/feed/model_test.go
+++ b/internal/feed/model_test.go
@@ -9,6 +9,7 @@
 	"clementinelink.example/clementinelink/internal/feed"
 	"clementinelink.example/clementinelink/internal/follow"
 	"clementinelink.example/clementinelink/internal/store"
+	"clementinelink.example/clementinelink/internal/tree"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 )
@@ -17,14 +18,47 @@
 const (
 	storeDelay  = 16 * time.Millisecond
 	peerDelay   = time.Millisecond
+	farDelay    = 24 * time.Millisecond
 	darkDelay   = 250 * time.Millisecond
 	entryBytes  = 400
 	batchDelay  = 1600 * time.Millisecond
 	startSpread = 300 * time.Millisecond
 	largeMbps   = 200.0
 	smallMbps   = 20.0
+	// packedShare is the size of a large value that is packed, as a share of its size:
+	// 270 KB of routes take 34 KB. textShare is its size in the store's answers.
+	packedShare = 1.0 / 8
+	textShare   = 4.0 / 3
+	// storeRegion is the region in which the store stands.
+	storeRegion = "r0"
 )
 
+// link is one direction of a network link. Its fields are guarded by the fleet's mutex.
+type link struct {
+	mbps float64
+	// free is when the link has sent all that was given to it.
+	free time.Time
+	// sent is the number of bytes given to it.
+	sent int
+	// held is the longest time that a small message would have waited behind them.
+	held time.Duration
+}
+
+// send puts bytes on the link and returns when it has sent them. A nil link is
+// infinitely wide.
+func (l *link) send(now time.Time, bytes int) time.Time {
+	if l == nil {
+		return now
+	}
+	if l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(float64(bytes) * 8 / l.mbps * float64(time.Microsecond)))
+	l.sent += bytes
+	l.held = max(l.held, l.free.Sub(now))
+	return l.free
+}
+
 // modelStore is a store in memory that counts the calls of each kind.
 type modelStore struct {
 	mutex     sync.Mutex
@@ -50,11 +84,13 @@
 	return s
 }
 
-func (s *modelStore) put(key string) uint64 {
+func (s *modelStore) put(key string) uint64 { return s.putValue(key, nil) }
+
+func (s *modelStore) putValue(key string, value []byte) uint64 {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.revision++
-	e := store.NewEntry(key, nil, s.revision, "")
+	e := store.NewEntry(key, value, s.revision, "")
 	s.entries[key] = e
 	s.events = append(s.events, store.NewEvent(e, false))
 	close(s.changed)
@@ -129,6 +165,8 @@
 // modelVM is a VM of the model. Its fields are guarded by the fleet's mutex.
 type modelVM struct {
 	name   string
+	domain string
+	region string
 	mbps   float64
 	log    *feed.Log
 	cancel context.CancelFunc
@@ -139,10 +177,10 @@
 	// does not answer them.
 	dark   bool
 	frozen bool
-	// sent is the number of bytes of its answers to other VMs, and linkFree is
-	// when its link has sent all of them.
-	sent     int
-	linkFree time.Time
+	// up is the link over which it answers other VMs, and down the one over which it
+	// reads, or nil.
+	up   *link
+	down *link
 	// revisions holds the revision of each key.
 	revisions map[string]uint64
 	// wentBack is true if a key got an older value than before.
@@ -150,28 +188,61 @@
 	listedAt time.Time
 }
 
-// fleet is one failure domain.
+// plan is the shape of a fleet.
+type plan struct {
+	vms       int
+	upstreams int
+	domains   int
+	regions   int
+	// mbps is the bandwidth of all VMs' links in both directions. If it is 0, one VM in
+	// 16 has a wide link, and only answers to other VMs take time.
+	mbps int
+	// betweenMbps is the bandwidth between two regions, or 0 for no limit.
+	betweenMbps int
+}
+
+// fleet is a set of VMs.
 type fleet struct {
-	mutex   sync.Mutex
-	store   *modelStore
-	vms     map[string]*modelVM
-	order   []*modelVM
+	mutex sync.Mutex
+	store *modelStore
+	vms   map[string]*modelVM
+	order []*modelVM
+	// between holds the link from the store's region to each other one.
+	between map[string]*link
 	running sync.WaitGroup
 }
 
-func newFleet(vms, upstreams int) *fleet {
+func newFleet(p plan) *fleet {
 	f := &fleet{
-		store: newModelStore(upstreams),
-		vms:   make(map[string]*modelVM),
+		store:   newModelStore(p.upstreams),
+		vms:     make(map[string]*modelVM),
+		between: make(map[string]*link),
 	}
-	for i := range vms {
+	for i := range p.vms {
+		domain := i % max(1, p.domains)
 		v := &modelVM{
-			name: fmt.Sprintf("vm-%03d", i),
-			mbps: smallMbps,
+			name:   fmt.Sprintf("vm-%03d", i),
+			domain: fmt.Sprintf("d%d", domain),
+			region: fmt.Sprintf("r%d", domain%max(1, p.regions)),
+			mbps:   smallMbps,
 		}
 		if i%16 == 0 {
 			v.mbps = largeMbps
 		}
+		if p.mbps > 0 {
+			v.mbps = float64(p.mbps)
+			v.down = &link{
+				mbps: v.mbps,
+			}
+		}
+		v.up = &link{
+			mbps: v.mbps,
+		}
+		if v.region != storeRegion && p.betweenMbps > 0 {
+			f.between[v.region] = &link{
+				mbps: float64(p.betweenMbps),
+			}
+		}
 		f.vms[v.name] = v
 		f.order = append(f.order, v)
 	}
@@ -184,18 +255,31 @@
 	defer f.mutex.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	v.cancel, v.log = cancel, feed.NewLog()
-	v.frozen, v.linkFree, v.listedAt = false, time.Time{}, time.Time{}
+	v.frozen, v.listedAt = false, time.Time{}
+	v.up.free = time.Time{}
 	v.started = false
 	v.revisions = make(map[string]uint64)
 	log := v.log
 	r := feed.NewTestReader(v.name, log, batchDelay, feed.Sources{
-		List:  f.store.list,
-		Watch: f.store.watch,
+		List: func(ctx context.Context, prefix string) ([]store.Entry, uint64, error) {
+			entries, revision, err := f.store.list(ctx, prefix)
+			f.fromStore(v, len(entries), size(entries))
+			return entries, revision, err
+		},
+		Watch: func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error) {
+			events, revision, err := f.store.watch(ctx, prefix, after, wait)
+			var entries []store.Entry
+			for _, e := range events {
+				entries = append(entries, e.Entry())
+			}
+			f.fromStore(v, len(entries), size(entries))
+			return events, revision, err
+		},
 		AskPeer: func(ctx context.Context, address string, after uint64, wait time.Duration) (feed.Changes, error) {
-			return f.call(ctx, address, func(l *feed.Log) (feed.Changes, error) { return l.Wait(ctx, after, wait) })
+			return f.call(ctx, v, address, func(l *feed.Log) (feed.Changes, error) { return l.Wait(ctx, after, wait) })
 		},
 		ListPeer: func(ctx context.Context, address string, wait time.Duration) (feed.Changes, error) {
-			return f.call(ctx, address, func(l *feed.Log) (feed.Changes, error) { return l.List(ctx, wait) })
+			return f.call(ctx, v, address, func(l *feed.Log) (feed.Changes, error) { return l.List(ctx, wait) })
 		},
 	})
 	emit := func(_ context.Context, c follow.Change) { f.apply(v, log, c) }
@@ -219,11 +303,15 @@
 
 // enrolledVMs returns the VMs that have ever started. The caller must hold the
 // mutex.
-func (f *fleet) enrolledVMs() []feed.VM {
-	var vms []feed.VM
+func (f *fleet) enrolledVMs() []tree.VM {
+	var vms []tree.VM
 	for _, o := range f.order {
 		if o.enrolled {
-			vms = append(vms, feed.NewVM(o.name, o.name, o.mbps))
+			distance := storeDelay
+			if o.region != storeRegion {
+				distance += farDelay
+			}
+			vms = append(vms, tree.NewVM(o.name, o.name, o.mbps).In(o.domain, o.region).WithDistance(distance))
 		}
 	}
 	return vms
@@ -252,13 +340,34 @@
 	}
 }
 
-// call performs a call of another VM, including the time that its link needs for
+// size returns the number of bytes of the entries' values.
+func size(entries []store.Entry) int {
+	n := 0
+	for _, e := range entries {
+		n += len(e.Value())
+	}
+	return n
+}
+
+// fromStore waits for the time that an answer of the store takes on its way to v.
+func (f *fleet) fromStore(v *modelVM, entries, bytes int) {
+	f.mutex.Lock()
+	n, now := 100+entryBytes*entries+int(textShare*float64(bytes)), time.Now()
+	done := v.down.send(now, n)
+	if t := f.between[v.region].send(now, n); t.After(done) {
+		done = t
+	}
+	f.mutex.Unlock()
+	time.Sleep(time.Until(done))
+}
+
+// call performs a call of another VM by v, including the time that the links need for
 // the answer.
-func (f *fleet) call(ctx context.Context, address string, answer func(l *feed.Log) (feed.Changes, error)) (feed.Changes, error) {
+func (f *fleet) call(ctx context.Context, v *modelVM, address string, answer func(l *feed.Log) (feed.Changes, error)) (feed.Changes, error) {
 	time.Sleep(peerDelay)
 	f.mutex.Lock()
-	v := f.vms[address]
-	log, dark, frozen, started := v.log, v.dark, v.frozen, v.started
+	peer := f.vms[address]
+	log, dark, frozen, started := peer.log, peer.dark, peer.frozen, peer.started
 	f.mutex.Unlock()
 	switch {
 	case dark:
@@ -274,17 +383,29 @@
 	if err != nil {
 		return c, err
 	}
+	var entries []store.Entry
+	for _, e := range c.Events() {
+		entries = append(entries, e.Entry())
+	}
+	n := 100 + entryBytes*len(entries) + int(packedShare*float64(size(entries)))
 	f.mutex.Lock()
-	bytes := 100 + entryBytes*len(c.Events())
-	v.sent += bytes
-	if now := time.Now(); v.linkFree.Before(now) {
-		v.linkFree = now
+	now := time.Now()
+	done := peer.up.send(now, n)
+	if t := v.down.send(now, n); t.After(done) {
+		done = t
+	}
+	if peer.region != v.region {
+		between := f.between[v.region]
+		if between == nil {
+			between = f.between[peer.region]
+		}
+		if t := between.send(now, n); t.After(done) {
+			done = t
+		}
 	}
-	v.linkFree = v.linkFree.Add(time.Duration(float64(bytes) * 8 / v.mbps * float64(time.Microsecond)))
-	wait := time.Until(v.linkFree)
 	f.mutex.Unlock()
 	select {
-	case <-time.After(wait):
+	case <-time.After(time.Until(done)):
 		return c, nil
 	case <-ctx.Done():
 		return feed.Changes{}, ctx.Err()
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/store"
+	"clementinelink.example/clementinelink/internal/tree"
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 )
@@ -59,9 +60,8 @@
 	batchDelay time.Duration
 	selector   *Selector
 	log        *Log
-	// vms holds the VMs of the failure domain that Watch has not yet adopted,
-	// or nil.
-	vms atomic.Pointer[[]VM]
+	// vms holds the VMs that Watch has not yet adopted, or nil.
+	vms atomic.Pointer[[]tree.VM]
 	// list and watch call the store, and askPeer and listPeer call another VM.
 	list     func(ctx context.Context, prefix string) ([]store.Entry, uint64, error)
 	watch    func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error)
@@ -109,16 +109,16 @@
 	return r
 }
 
-// SetVMs sets the VMs of the failure domain, including the one itself. It may be
+// SetVMs sets the VMs, including the one itself. It may be
 // called concurrently.
-func (r *Reader) SetVMs(vms []VM) { r.vms.Store(&vms) }
+func (r *Reader) SetVMs(vms []tree.VM) { r.vms.Store(&vms) }
 
 // List returns the keys with a prefix and the revision of the list, from the first
 // source that answers. It returns the store's error if none does.
 func (r *Reader) List(ctx context.Context, prefix string) ([]store.Entry, uint64, error) {
 	r.adoptVMs()
 	sources, began := r.selector.ListSources(r.now()), r.now()
-	if at := slices.Index(sources, VM{}); at > 0 && r.log.Revision() == 0 {
+	if at := slices.Index(sources, tree.VM{}); at > 0 && r.log.Revision() == 0 {
 		if entries, revision, err := r.listPeers(ctx, prefix, sources[:at], began); err == nil || ctx.Err() != nil {
 			return entries, revision, err
 		}
@@ -130,7 +130,7 @@
 // same time, those that refuse the connection are about to serve, and those that
 // have no list are reading it. If each VM went to the store then, the answers
 // would delay each other on the links between regions.
-func (r *Reader) listPeers(ctx context.Context, prefix string, peers []VM, began time.Time) ([]store.Entry, uint64, error) {
+func (r *Reader) listPeers(ctx context.Context, prefix string, peers []tree.VM, began time.Time) ([]store.Entry, uint64, error) {
 	for round := 1; ; round++ {
 		entries, revision, err := r.listFirst(ctx, prefix, peers, began)
 		if err == nil || ctx.Err() != nil {
@@ -149,11 +149,11 @@
 // its list, else the error of the last VM. VMs that do not answer are skipped from
 // listPeerTime after began on, so that VMs without power delay the list no longer
 // than that.
-func (r *Reader) listFirst(ctx context.Context, prefix string, sources []VM, began time.Time) ([]store.Entry, uint64, error) {
+func (r *Reader) listFirst(ctx context.Context, prefix string, sources []tree.VM, began time.Time) ([]store.Entry, uint64, error) {
 	var failure, storeFailure error
 	reading := false
 	for i, v := range sources {
-		if v.name != "" && i > 0 && !reading && r.now().Sub(began) > listPeerTime {
+		if !v.IsStore() && i > 0 && !reading && r.now().Sub(began) > listPeerTime {
 			continue
 		}
 		entries, revision, age, err := r.listFrom(ctx, v, prefix)
@@ -166,7 +166,7 @@
 			r.logSource(v, revision)
 			r.log.Reset(entries, revision, age)
 			return entries, revision, nil
-		case v.name == "":
+		case v.IsStore():
 			storeFailure = err
 		default:
 			reading = reading || errors.Is(err, ErrNotListed)
@@ -184,8 +184,8 @@
 }
 
 // listFrom reads all keys from one source.
-func (r *Reader) listFrom(ctx context.Context, v VM, prefix string) ([]store.Entry, uint64, time.Duration, error) {
-	if v.name == "" {
+func (r *Reader) listFrom(ctx context.Context, v tree.VM, prefix string) ([]store.Entry, uint64, time.Duration, error) {
+	if v.IsStore() {
 		began := r.now()
 		entries, revision, err := r.list(ctx, prefix)
 		r.noteStore(began, err)
@@ -193,7 +193,7 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, listWait+listSlack)
 	defer cancel()
-	c, err := r.listPeer(limited, v.address, listWait)
+	c, err := r.listPeer(limited, v.Address(), listWait)
 	switch {
 	case err != nil:
 		return nil, 0, 0, err
@@ -232,7 +232,7 @@
 			r.selector.Answered(v)
 			if failure != nil {
 				// The store refuses this VM but serves others.
-				r.selector.Failed(r.now(), VM{})
+				r.selector.Failed(r.now(), tree.VM{})
 			}
 			r.logSource(v, c.revision)
 			r.logLarge(v, c)
@@ -243,7 +243,7 @@
 		case errors.Is(err, ErrTooOld):
 			// A list from that VM costs less than the changes from the store.
 			return nil, after, errors.Mark(err, store.ErrCompacted)
-		case v.name == "":
+		case v.IsStore():
 			failure = err
 		default:
 			r.peerFailed(v, after, err)
@@ -253,17 +253,17 @@
 }
 
 // peerFailed starts the backoff of another VM that did not deliver changes.
-func (r *Reader) peerFailed(v VM, after uint64, err error) {
+func (r *Reader) peerFailed(v tree.VM, after uint64, err error) {
 	if result(err) == "behind" {
 		r.selector.Behind(r.now(), v)
 	} else {
 		r.selector.Failed(r.now(), v)
 	}
-	r.logger.Info().Err(err).Str("peer", v.name).Uint64("revision", after).Msg("feed: A VM gives no changes.")
+	r.logger.Info().Err(err).Str("peer", v.Name()).Uint64("revision", after).Msg("feed: A VM gives no changes.")
 }
 
-func sourceKind(v VM) string {
-	if v.name == "" {
+func sourceKind(v tree.VM) string {
+	if v.IsStore() {
 		return "store"
 	}
 	return "vm"
@@ -281,8 +281,8 @@
 }
 
 // readFrom reads changes from one source.
-func (r *Reader) readFrom(ctx context.Context, v VM, prefix string, after uint64, wait time.Duration) (Changes, error) {
-	if v.name == "" {
+func (r *Reader) readFrom(ctx context.Context, v tree.VM, prefix string, after uint64, wait time.Duration) (Changes, error) {
+	if v.IsStore() {
 		if r.selector.Shared() {
 			wait = min(wait, r.scaled(storeWaitFactor))
 		}
@@ -293,7 +293,7 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, r.scaled(peerWaitFactor+peerSlackFactor))
 	defer cancel()
-	c, err := r.askPeer(limited, v.address, after, r.scaled(peerWaitFactor))
+	c, err := r.askPeer(limited, v.Address(), after, r.scaled(peerWaitFactor))
 	if err == nil && c.age > r.scaled(maxAgeFactor) {
 		err = errors.Wrapf(ErrStale, "%s", c.age)
 	}
@@ -312,18 +312,18 @@
 func (r *Reader) LostAt() time.Time { return r.lostAt }
 
 // logSource logs if v is not the source that answered last.
-func (r *Reader) logSource(v VM, revision uint64) {
-	if r.source == v.name {
+func (r *Reader) logSource(v tree.VM, revision uint64) {
+	if r.source == v.Name() {
 		return
 	}
-	r.source = v.name
-	r.logger.Info().Str("peer", v.name).Uint64("revision", revision).Msg("feed: Changes come from another source.")
+	r.source = v.Name()
+	r.logger.Info().Str("peer", v.Name()).Uint64("revision", revision).Msg("feed: Changes come from another source.")
 }
 
 // logLarge logs changes that occupy the links of the VMs for a while.
-func (r *Reader) logLarge(v VM, c Changes) {
+func (r *Reader) logLarge(v tree.VM, c Changes) {
 	if n := c.size(); n >= largeChanges {
-		r.logger.Info().Str("peer", v.name).Uint64("revision", c.revision).Int("bytes", n).Int64("ms", c.transfer.Milliseconds()).
+		r.logger.Info().Str("peer", v.Name()).Uint64("revision", c.revision).Int("bytes", n).Int64("ms", c.transfer.Milliseconds()).
 			Msg("feed: Large changes arrived.")
 	}
 }
--- a/internal/feed/script_test.go
+++ b/internal/feed/script_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/store"
+	"clementinelink.example/clementinelink/internal/tree"
 	"github.com/cockroachdb/datadriven"
 )
 
@@ -21,9 +22,7 @@
 	var o *Selector
 	datadriven.RunTest(t, "testdata/selector", func(t *testing.T, d *datadriven.TestData) string {
 		now := base.Add(time.Duration(number(t, d, "at")) * time.Millisecond)
-		v := VM{
-			name: text(t, d, "vm"),
-		}
+		v := tree.NewVM(text(t, d, "vm"), "", 0)
 		switch d.Cmd {
 		case "vms":
 			o = NewSelector(text(t, d, "self"))
@@ -31,10 +30,11 @@
 		case "sources":
 			var names []string
 			for _, v := range o.Sources(now) {
-				if v.name == "" {
-					v.name = "store"
+				name := v.Name()
+				if v.IsStore() {
+					name = "store"
 				}
-				names = append(names, v.name)
+				names = append(names, name)
 			}
 			return strings.Join(names, " ") + "\n"
 		case "failed":
@@ -82,11 +82,11 @@
 // vms parses lines "NAME LINK" with the link's bandwidth in Mbit/s. A VM's
 // address is its name. The argument count adds VMs n0, n1 and so on with ever
 // narrower links.
-func vms(t *testing.T, d *datadriven.TestData) []VM {
-	var list []VM
+func vms(t *testing.T, d *datadriven.TestData) []tree.VM {
+	var list []tree.VM
 	for i := range number(t, d, "count") {
 		name := fmt.Sprintf("n%d", i)
-		list = append(list, NewVM(name, name, float64(1000-i)))
+		list = append(list, tree.NewVM(name, name, float64(1000-i)))
 	}
 	for l := range strings.Lines(d.Input) {
 		f := strings.Fields(l)
@@ -94,7 +94,7 @@
 		if err != nil {
 			t.Fatalf("%s: %v", d.Pos, err)
 		}
-		list = append(list, NewVM(f[0], f[0], link))
+		list = append(list, tree.NewVM(f[0], f[0], link))
 	}
 	return list
 }
--- a/internal/feed/spread_test.go
+++ b/internal/feed/spread_test.go
@@ -45,8 +45,10 @@
 	s.fleet.running.Wait()
 }
 
-// run runs one command. The arguments listed, known, lists, watches and sent are
-// bounds, which it checks; it prints the figures that exceed them.
+// run runs one command. The arguments listed, known, lists, watches, sent, carried and
+// held are bounds, which it checks; it prints the figures that exceed them. sent is in
+// KB by one VM, carried in KB over the links between regions, and held the longest time
+// that a small message would have waited on one of those.
 func (s *spread) run(t *testing.T, d *datadriven.TestData) string {
 	var out strings.Builder
 	f := s.fleet
@@ -80,14 +82,24 @@
 		f.store.mutex.Unlock()
 		f.mutex.Lock()
 		for _, v := range f.order {
-			v.sent = 0
+			v.up.sent = 0
+		}
+		for _, l := range f.between {
+			l.sent, l.held = 0, 0
 		}
 		f.mutex.Unlock()
 	}
 	switch d.Cmd {
 	case "start":
 		s.stop()
-		s.fleet = newFleet(number("vms"), number("upstreams"))
+		s.fleet = newFleet(plan{
+			vms:         number("vms"),
+			upstreams:   number("upstreams"),
+			domains:     number("domains"),
+			regions:     number("regions"),
+			mbps:        number("mbps"),
+			betweenMbps: number("between"),
+		})
 		f = s.fleet
 		for _, v := range f.order {
 			f.start(v, time.Duration(s.rng.Int64N(int64(startSpread))))
@@ -101,13 +113,16 @@
 		}
 		s.checkListed(&out, duration("listed"))
 	case "put":
-		revision := f.store.put("conf")
+		revision := f.store.putValue("conf", make([]byte, number("size")))
 		if took := until(30*time.Second, func() bool { return f.knows("conf", revision) }); took > duration("known") {
 			fmt.Fprintf(&out, "known after %s\n", took)
 		}
 	case "freeze", "thaw", "stop", "dark":
-		// VMs are numbered by the width of their links.
+		// VMs are numbered by the width of their links, or in the order of their names.
 		v := f.vms[rankedName(len(f.order), number("rank"))]
+		if d.HasArg("vm") {
+			v = f.order[number("vm")]
+		}
 		if d.Cmd == "stop" {
 			f.stop(v)
 			break
@@ -134,12 +149,21 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, v := range f.order {
-		sent = max(sent, v.sent)
+		sent = max(sent, v.up.sent)
 		if v.wentBack {
 			fmt.Fprintf(&out, "%s went back\n", v.name)
 		}
 	}
 	bound("sent", sent/1000)
+	carried, held := 0, time.Duration(0)
+	for _, l := range f.between {
+		carried += l.sent
+		held = max(held, l.held)
+	}
+	bound("carried", carried/1000)
+	if d.HasArg("held") && held > duration("held") {
+		fmt.Fprintf(&out, "held %s\n", held)
+	}
 	return out.String()
 }
 
