feed: Pace what a VM passes on to a part of its link

Cause: answers to other VMs took the whole link of the VM that sends them. Five VMs that ask one on 10 Mbit/s for a configuration of 2,800 routes, 51 KB packed, hold its link for 200 ms (calculated), longer than the query of an engine may take.

Small answers are not delayed.

--- a/cmd/clementinedge/main.go
+++ b/cmd/clementinedge/main.go
@@ -44,6 +44,7 @@
 	MaxEvent  int64         `long:"max-event" env:"CLEMENTINE_MAX_EVENT" default:"262144" description:"largest event of a worker's stream in bytes"`
 	MaxHeld   int64         `long:"max-held" env:"CLEMENTINE_MAX_HELD" default:"33554432" description:"bytes that all incomplete answers of workers may take together"`
 	MaxRest   time.Duration `long:"max-rest" env:"CLEMENTINE_MAX_REST" default:"10m" description:"longest rest that a worker may ask for with Retry-After"`
+	Control   float64       `long:"control-share" env:"CLEMENTINE_CONTROL_SHARE" default:"0.5" description:"part of the VM's link that changes of the store may take on their way to other VMs"`
 	Version   bool          `long:"version" description:"print the version and exit"`
 }
 
@@ -83,6 +84,9 @@
 			return usageError(fmt.Errorf("--%s: %d is less than %d bytes", name, n, minBound))
 		}
 	}
+	if !(o.Control > 0 && o.Control <= 1) {
+		return usageError(fmt.Errorf("--control-share: %g is not above 0 and at most 1", o.Control))
+	}
 	if o.MaxRest < minMaxRest {
 		return usageError(fmt.Errorf("--max-rest: %s is less than %s", o.MaxRest, minMaxRest))
 	}
@@ -115,7 +119,7 @@
 		Held:   o.MaxHeld,
 		Rest:   o.MaxRest,
 	}
-	vm := platform.NewVM(s, metrics, bounds, log.Logger)
+	vm := platform.NewVM(s, metrics, bounds, log.Logger).WithControlShare(o.Control)
 	log.RegisterMetrics(vm.Metrics())
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -128,6 +128,9 @@
 	feed  *feed.Log
 	// account bounds what is held on behalf of callers and upstreams.
 	account *ledger.Account
+	// controlShare is the part of the VM's link that changes of the store may use on
+	// their way to other VMs. It is 0 for no limit.
+	controlShare float64
 	// lease is the lease of the VM's own key, or "". Only enrol uses it.
 	lease string
 }
@@ -181,6 +184,13 @@
 // Hold returns a holding for what a request makes the VM hold.
 func (v *VM) Hold() *ledger.Holding { return v.account.Open() }
 
+// WithControlShare limits the changes of the store that the VM passes on to a part of
+// its link, from 0 to 1. Call it before Start.
+func (v *VM) WithControlShare(share float64) *VM {
+	v.controlShare = share
+	return v
+}
+
 // Metrics returns the VM's metrics.
 func (v *VM) Metrics() *meter.Registry { return v.metrics }
 
@@ -295,7 +305,7 @@
 		return errors.Wrap(err, "edge: feed")
 	}
 	handlers := http.NewServeMux()
-	handlers.Handle(wire.FeedPathPrefix, feed.NewServer(v.feed).Handler())
+	handlers.Handle(wire.FeedPathPrefix, feed.NewServer(v.feed).WithPace(v.settings.LinkMbps, v.controlShare).Handler())
 	handlers.Handle(wire.BlamePathPrefix, accord.NewServer(v.accord).Handler())
 	server := &http.Server{
 		Handler:           handlers,
--- a/internal/feed/peer.go
+++ b/internal/feed/peer.go
@@ -29,6 +29,10 @@
 type Server struct {
 	log    *Log
 	packer *packer
+	// linkMbps is the bandwidth of the VM's link in Mbit/s, or 0 for no limit, and share
+	// the part of it that answers may use.
+	linkMbps float64
+	share    float64
 }
 
 // NewServer returns a server that serves the changes in l.
@@ -39,8 +43,17 @@
 	}
 }
 
+// WithPace limits all answers together to a share of a link of the given bandwidth in
+// Mbit/s, if that is known. Call it before Handler.
+func (s *Server) WithPace(linkMbps, share float64) *Server {
+	s.linkMbps, s.share = linkMbps, share
+	return s
+}
+
 // Handler returns the HTTP handler of the service.
-func (s *Server) Handler() http.Handler { return wire.NewFeedServer(s) }
+func (s *Server) Handler() http.Handler {
+	return paced(wire.NewFeedServer(s), s.linkMbps, s.share)
+}
 
 // Changes implements wire.Feed.
 func (s *Server) Changes(ctx context.Context, in *wire.ChangesRequest) (*wire.ChangesReply, error) {
