pool: Remove incarnations that the registry never listed

An engine that names another incarnation in each answer made every VM keep all of them, until the VM ran out of memory.

Cause: an incarnation that answers at an engine's address is added to the pool before the registry lists it. One that was never listed got no more work after 15 s, but stayed, with its id of up to 64 KB and its state.

Change: it is removed if it runs no attempt and was replaced, or its time is over.

Evidence: testdata/unlisted, 1,000 incarnations at one address, fails before with "leaving:1000"; 1 remains now.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -137,6 +137,18 @@
 	u := p.Upsert(now, old.entry.withIncarnation(id, s.spec.StartedAt))
 	u.provisionalUntil = now.Add(provisionalTimeout)
 	p.UpdateState(now, u, s)
+	p.removeUnlisted(now)
+}
+
+// removeUnlisted removes the incarnations that the registry never listed, that run no
+// attempts, and that were replaced or whose time to be listed is over. A broken upstream
+// may name another one in each answer.
+func (p *Pool) removeUnlisted(now time.Time) {
+	for id, u := range p.byID {
+		if !u.provisionalUntil.IsZero() && u.attempts == 0 && (u.gone || !now.Before(u.provisionalUntil)) {
+			p.Remove(id)
+		}
+	}
 }
 
 // Remove removes an upstream that the registry no longer lists. Attempts in
--- a/internal/pool/script_test.go
+++ b/internal/pool/script_test.go
@@ -98,6 +98,12 @@
 		as := ""
 		d.ScanArgs(t, "as", &as)
 		p.AddProvisional(now, u, as, NewState(StateSpec{}))
+	case "replaced":
+		// Each of some incarnations is replaced at its address by the next one.
+		for i := range number(t, d, "count") {
+			id := fmt.Sprintf("%s-%d", u.ID(), i)
+			p.AddProvisional(now.Add(time.Duration(i)*time.Millisecond), u.Latest(), id, NewState(StateSpec{}))
+		}
 	case "hear":
 		hear(t, p, now, u, d)
 	case "quiet":
