feed, delta: Send large values as differences between VMs

Cause: each version of the configuration crossed all links between VMs as a whole, also if one key of a workspace had changed.

Change: a VM says which large values it has, and gets the difference from the VM that it asks: zstd with the earlier value as the dictionary and a checksum of the result. VMs keep the four last large values that were replaced. A difference that does not fit, or exceeds the largest answer, is refused with a log line, and the whole value is asked for.

--- /dev/null
+++ b/internal/feed/diff_test.go
@@ -0,0 +1,80 @@
+package feed
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"clementinelink.example/clementinelink/internal/store"
+	"clementinelink.example/clementinelink/internal/wire"
+	"github.com/cockroachdb/datadriven"
+)
+
+// TestDiff guards against a small change of the configuration that crosses the links
+// between VMs as a whole, and against a difference that is applied to another value
+// than that it was made from.
+func TestDiff(t *testing.T) {
+	served, own := NewLog(), NewLog()
+	s := httptest.NewServer(NewServer(served).Handler())
+	defer s.Close()
+	client := NewClient(own)
+	value, revision := sampleValue(2800, false), uint64(0)
+	put := func(v []byte) {
+		value = v
+		revision++
+		served.Append([]store.Event{store.NewEvent(store.NewEntry("conf", bytes.Clone(v), revision, ""), false)}, revision, 0)
+	}
+	datadriven.RunTest(t, "testdata/diff", func(t *testing.T, d *datadriven.TestData) string {
+		var out strings.Builder
+		switch d.Cmd {
+		case "change":
+			// Each change replaces one byte.
+			for i := range max(1, number(t, d, "times")) {
+				v := bytes.Clone(value)
+				v[1000*(i+1)+int(revision)] ^= 1
+				put(v)
+			}
+		case "list":
+			c, err := client.List(t.Context(), s.Listener.Addr().String(), time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			own.Append(c.Events(), c.Revision(), 0)
+		case "spoil":
+			// The VM's copy differs from the value that the store has at its revision.
+			e := own.large()[0]
+			e.Value()[5000] ^= 1
+		case "ask":
+			c, err := client.Changes(t.Context(), s.Listener.Addr().String(), own.Revision(), time.Second)
+			if err != nil {
+				t.Fatal(err)
+			}
+			own.Append(c.Events(), c.Revision(), 0)
+			for _, e := range c.Events() {
+				fmt.Fprintf(&out, "%s at revision %d: right %t, at most 1 KB %t, asked again %t\n", e.Entry().Key(), e.Entry().Revision(),
+					bytes.Equal(e.Entry().Value(), value), c.wireBytes <= 1<<10, c.mismatch != nil)
+			}
+		case "forged":
+			// An answer names a value that the VM does not have.
+			_, err := decode(&wire.ChangesReply{
+				Changes: []*wire.StoreChange{{
+					Key:      "conf",
+					Revision: 9,
+					Diff:     []byte("x"),
+					Base:     uint64(number(t, d, "base")),
+				}},
+			}, own.value)
+			fmt.Fprintf(&out, "refused: %t\n", err != nil)
+		default:
+			t.Fatalf("%s: unknown command %q", d.Pos, d.Cmd)
+		}
+		return out.String()
+	})
+	if _, err := client.Changes(context.Background(), s.Listener.Addr().String(), own.Revision(), 0); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/feed/endless_test.go
+++ b/internal/feed/endless_test.go
@@ -17,7 +17,7 @@
 			t.Fatal(err)
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
-		if _, err := NewClient().Changes(ctx, s.Address(), 1, time.Second); err == nil || ctx.Err() != nil {
+		if _, err := NewClient(NewLog()).Changes(ctx, s.Address(), 1, time.Second); err == nil || ctx.Err() != nil {
 			t.Errorf("%s: %v", kind, err)
 		}
 		cancel()
--- a/internal/feed/log.go
+++ b/internal/feed/log.go
@@ -35,6 +35,8 @@
 	latest map[string]store.Event
 	// deleted is the number of deleted keys in latest.
 	deleted int
+	// older holds the large values that were replaced lately.
+	older history
 	// completeAfter is the revision after which no change is missing from the log.
 	completeAfter uint64
 	revision      uint64
@@ -71,6 +73,9 @@
 	}
 	for key, e := range l.latest {
 		latest, ok := listed[key]
+		if ok && latest.Entry().Revision() > e.Entry().Revision() {
+			l.older.add(e.Entry())
+		}
 		switch {
 		case e.Entry().Revision() > revision && e.Entry().Revision() > latest.Entry().Revision():
 			listed[key] = e
@@ -104,6 +109,9 @@
 		if known && old.Deleted() {
 			l.deleted--
 		}
+		if old.Entry().Revision() < e.Entry().Revision() {
+			l.older.add(old.Entry())
+		}
 		if e.Deleted() {
 			l.deleted++
 		}
@@ -153,6 +161,29 @@
 	return l.revision
 }
 
+// large returns the present large values.
+func (l *Log) large() []store.Entry {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var list []store.Entry
+	for _, e := range l.latest {
+		if len(e.Entry().Value()) >= minPacked {
+			list = append(list, e.Entry())
+		}
+	}
+	return list
+}
+
+// value returns the value that a key had at a revision, or nil if it is not kept.
+func (l *Log) value(key string, revision uint64) []byte {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if e := l.latest[key].Entry(); e.Revision() == revision {
+		return e.Value()
+	}
+	return l.older.value(key, revision)
+}
+
 // Confirmed returns when the store confirmed the revision, or the zero time before
 // the first list.
 func (l *Log) Confirmed() time.Time {
@@ -169,6 +200,11 @@
 	// transfer is the time from the first byte of the answer to its last one, or 0 if
 	// it was not measured.
 	transfer time.Duration
+	// wireBytes is the size of the values as they were sent by another VM, or 0.
+	wireBytes int
+	// mismatch is the error of differences that did not fit and were asked for again as
+	// whole values, or nil.
+	mismatch error
 }
 
 // NewChanges returns an answer with the changes up to revision, which the store
--- a/internal/feed/pack.go
+++ b/internal/feed/pack.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"clementinelink.example/clementinelink/internal/bound"
+	"clementinelink.example/clementinelink/internal/delta"
 	"clementinelink.example/clementinelink/internal/store"
 	"github.com/cockroachdb/errors"
 )
@@ -30,6 +31,9 @@
 type packedValue struct {
 	revision uint64
 	bytes    []byte
+	// diffs holds the differences from earlier values, by their revision. A difference
+	// is nil if it can't be had or is no shorter than bytes.
+	diffs map[uint64][]byte
 }
 
 func newPacker() *packer {
@@ -43,20 +47,42 @@
 func (p *packer) pack(e store.Entry) []byte {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	return p.packed(e).bytes
+}
+
+// diff returns the difference of an entry's value from the earlier value base at a
+// revision, or nil if the packed value is as good.
+func (p *packer) diff(e store.Entry, base []byte, revision uint64) []byte {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	v := p.packed(e)
+	d, ok := v.diffs[revision]
+	if !ok {
+		if b, err := delta.Encode(base, e.Value()); err == nil && (v.bytes == nil || len(b) < len(v.bytes)) {
+			d = b
+		}
+		v.diffs[revision] = d
+	}
+	return d
+}
+
+// packed returns what is kept of an entry. The caller must hold the mutex.
+func (p *packer) packed(e store.Entry) packedValue {
 	if v, ok := p.values[e.Key()]; ok && v.revision == e.Revision() {
-		return v.bytes
+		return v
 	}
 	if _, ok := p.values[e.Key()]; !ok && len(p.values) >= maxPackedValues {
 		clear(p.values)
 	}
 	v := packedValue{
 		revision: e.Revision(),
+		diffs:    make(map[uint64][]byte),
 	}
 	if b, err := compress(e.Value()); err == nil && len(b) < len(e.Value()) {
 		v.bytes = b
 	}
 	p.values[e.Key()] = v
-	return v.bytes
+	return v
 }
 
 func compress(value []byte) ([]byte, error) {
--- a/internal/feed/pack_test.go
+++ b/internal/feed/pack_test.go
@@ -65,7 +65,7 @@
 // ask asks for all changes as another VM does, and compares the values.
 func ask(t *testing.T, address string, want map[string][]byte) string {
 	t.Helper()
-	c, err := NewClient().Changes(t.Context(), address, 0, time.Second)
+	c, err := NewClient(NewLog()).Changes(t.Context(), address, 0, time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/feed/peer.go
+++ b/internal/feed/peer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/bound"
+	"clementinelink.example/clementinelink/internal/delta"
 	"clementinelink.example/clementinelink/internal/store"
 	"clementinelink.example/clementinelink/internal/wire"
 	"github.com/cockroachdb/errors"
@@ -59,19 +60,24 @@
 func (s *Server) Changes(ctx context.Context, in *wire.ChangesRequest) (*wire.ChangesReply, error) {
 	wait := min(time.Duration(in.GetWaitMs())*time.Millisecond, maxWait)
 	c, err := s.log.Wait(ctx, in.GetAfter(), wait)
-	return s.encode(c, in.GetPacked(), err)
+	bases := make(map[string]uint64, len(in.GetBases()))
+	for _, b := range in.GetBases() {
+		bases[b.GetKey()] = b.GetRevision()
+	}
+	return s.encode(c, in.GetPacked(), bases, err)
 }
 
 // List implements wire.Feed.
 func (s *Server) List(ctx context.Context, in *wire.ListRequest) (*wire.ChangesReply, error) {
 	wait := min(time.Duration(in.GetWaitMs())*time.Millisecond, maxWait)
 	c, err := s.log.List(ctx, wait)
-	return s.encode(c, in.GetPacked(), err)
+	return s.encode(c, in.GetPacked(), nil, err)
 }
 
-// encode encodes an answer, with large values packed if the asker accepts that, or its
-// error.
-func (s *Server) encode(c Changes, packed bool, err error) (*wire.ChangesReply, error) {
+// encode encodes an answer, or its error. If the asker accepts that, large values are
+// packed, or sent as differences from the values that it has, of which bases holds the
+// revisions by key.
+func (s *Server) encode(c Changes, packed bool, bases map[string]uint64, err error) (*wire.ChangesReply, error) {
 	switch {
 	case errors.Is(err, ErrTooOld):
 		return nil, twirp.NewError(twirp.OutOfRange, err.Error())
@@ -91,26 +97,42 @@
 			Gone:     e.Deleted(),
 		}
 		if packed && len(change.Value) >= minPacked {
-			if change.Packed = s.packer.pack(e.Entry()); change.Packed != nil {
-				change.Value = nil
-			}
+			s.shorten(change, e.Entry(), bases[change.Key])
 		}
 		out.Changes = append(out.Changes, change)
 	}
 	return out, nil
 }
 
+// shorten replaces the value of a change by its difference from the value at revision
+// base, which may be 0, or by the packed value.
+func (s *Server) shorten(change *wire.StoreChange, e store.Entry, base uint64) {
+	if old := s.log.value(e.Key(), base); base > 0 && len(old) >= minPacked {
+		if d := s.packer.diff(e, old, base); d != nil {
+			change.Value, change.Diff, change.Base = nil, d, base
+			return
+		}
+	}
+	if b := s.packer.pack(e); b != nil {
+		change.Value, change.Packed = nil, b
+	}
+}
+
 // Client requests changes from other VMs. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
+	// log holds the values from which answers may be differences.
+	log *Log
 }
 
-// NewClient returns a client that keeps one idle connection per VM.
-func NewClient() *Client {
+// NewClient returns a client of a VM whose copy of the store's keys is l. It keeps one
+// idle connection per VM.
+func NewClient(l *Log) *Client {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
 	}
 	return &Client{
+		log: l,
 		http: &http.Client{
 			Transport: &progressTransport{
 				base: bound.NewTransport(&http.Transport{
@@ -145,19 +167,38 @@
 // address, which waits up to wait for some. The error is ErrTooOld or
 // ErrNotListed if the VM can't be used as a source.
 func (c *Client) Changes(ctx context.Context, address string, after uint64, wait time.Duration) (Changes, error) {
-	var first time.Time
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotFirstResponseByte: func() { first = time.Now() },
-	})
-	out, err := wire.NewFeedProtobufClient("http://"+address, c.http).Changes(ctx, &wire.ChangesRequest{
+	in := &wire.ChangesRequest{
 		After:  after,
 		WaitMs: wait.Milliseconds(),
 		Packed: true,
+	}
+	for _, e := range c.log.large() {
+		in.Bases = append(in.Bases, &wire.Base{
+			Key:      e.Key(),
+			Revision: e.Revision(),
+		})
+	}
+	changes, err := c.changes(ctx, address, in)
+	if errors.Is(err, delta.ErrMismatch) {
+		in.Bases = nil
+		whole, failure := c.changes(ctx, address, in)
+		whole.mismatch = err
+		return whole, failure
+	}
+	return changes, err
+}
+
+// changes performs one call for changes.
+func (c *Client) changes(ctx context.Context, address string, in *wire.ChangesRequest) (Changes, error) {
+	var first time.Time
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotFirstResponseByte: func() { first = time.Now() },
 	})
+	out, err := wire.NewFeedProtobufClient("http://"+address, c.http).Changes(ctx, in)
 	if err != nil {
 		return Changes{}, errors.Wrapf(markError(err), "feed: changes from %s", address)
 	}
-	changes, err := decode(out)
+	changes, err := decode(out, c.log.value)
 	changes.transfer = time.Since(first)
 	return changes, err
 }
@@ -172,29 +213,36 @@
 	if err != nil {
 		return Changes{}, errors.Wrapf(markError(err), "feed: list from %s", address)
 	}
-	return decode(out)
+	return decode(out, c.log.value)
 }
 
-// decode checks and decodes an answer of another VM.
-func decode(out *wire.ChangesReply) (Changes, error) {
+// decode checks and decodes an answer of another VM. value returns the value that a key
+// had at a revision, or nil.
+func decode(out *wire.ChangesReply, value func(key string, revision uint64) []byte) (Changes, error) {
 	if out.GetAgeMs() < 0 {
 		return Changes{}, errors.Newf("feed: negative age %d ms", out.GetAgeMs())
 	}
 	events := make([]store.Event, 0, len(out.GetChanges()))
-	left := int(maxAnswerBytes)
+	left, wireBytes := int(maxAnswerBytes), 0
 	for _, e := range out.GetChanges() {
 		if e.GetKey() == "" || e.GetRevision() == 0 {
 			return Changes{}, errors.Newf("feed: change of key %q at revision %d", e.GetKey(), e.GetRevision())
 		}
-		value := e.GetValue()
-		if len(e.GetPacked()) > 0 {
-			var err error
-			if value, err = unpack(e.GetPacked(), left); err != nil {
-				return Changes{}, errors.Wrapf(err, "feed: value of %q", e.GetKey())
-			}
-			left -= len(value)
+		v, err := e.GetValue(), error(nil)
+		switch {
+		case len(e.GetDiff()) > 0:
+			v, err = delta.Decode(value(e.GetKey(), e.GetBase()), e.GetDiff(), left)
+		case len(e.GetPacked()) > 0:
+			v, err = unpack(e.GetPacked(), left)
+		}
+		if err != nil {
+			return Changes{}, errors.Wrapf(err, "feed: value of %q", e.GetKey())
 		}
-		events = append(events, store.NewEvent(store.NewEntry(e.GetKey(), value, e.GetRevision(), e.GetLease()), e.GetGone()))
+		left -= len(v)
+		wireBytes += len(e.GetValue()) + len(e.GetPacked()) + len(e.GetDiff())
+		events = append(events, store.NewEvent(store.NewEntry(e.GetKey(), v, e.GetRevision(), e.GetLease()), e.GetGone()))
 	}
-	return NewChanges(events, out.GetRevision(), time.Duration(out.GetAgeMs())*time.Millisecond), nil
+	c := NewChanges(events, out.GetRevision(), time.Duration(out.GetAgeMs())*time.Millisecond)
+	c.wireBytes = wireBytes
+	return c, nil
 }
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -88,7 +88,7 @@
 // NewReader returns a reader for the VM named self. It adds what it reads to l.
 // Its pause after an answer from the store is batchDelay.
 func NewReader(self string, c *store.Client, l *Log, batchDelay time.Duration, logger zerolog.Logger) *Reader {
-	peers := NewClient()
+	peers := NewClient(l)
 	return &Reader{
 		batchDelay: batchDelay,
 		selector:   NewSelector(self),
@@ -327,8 +327,11 @@
 
 // logLarge logs changes that occupy the links of the VMs for a while.
 func (r *Reader) logLarge(v tree.VM, c Changes) {
+	if c.mismatch != nil {
+		r.logger.Warn().Err(c.mismatch).Str("peer", v.Name()).Uint64("revision", c.revision).Msg("feed: Whole values take the place of differences.")
+	}
 	if n := c.size(); n >= largeChanges {
-		r.logger.Info().Str("peer", v.Name()).Uint64("revision", c.revision).Int("bytes", n).Int64("ms", c.transfer.Milliseconds()).
+		r.logger.Info().Str("peer", v.Name()).Uint64("revision", c.revision).Int("bytes", n).Int("sent", c.wireBytes).Int64("ms", c.transfer.Milliseconds()).
 			Msg("feed: Large changes arrived.")
 	}
 }
