proxy, heard: Give up a stalled stream only if there is a repeat for it

What callers saw: beside a storm of configurations, and without one, streams stood still for up to 11 s or were broken off ("no upstream"), although their engine would have gone on.

Cause: a stream that is silent for 455 ms is given up in favour of its copy, at an engine that answers queries. Only then the budget of repeats was asked. Where it was used up, the caller had neither the run nor the copy, and a later repeat read the whole prompt again.

Change: a stall is no reason to give up an attempt while the budget has no repeat. A resume from a copy that waits for a repeat keeps the copy, and tries it first. What a VM knows of the paths to its upstreams moved to internal/heard, unchanged.

--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -11,6 +11,7 @@
 	"clementinelink.example/clementinelink/internal/blame"
 	"clementinelink.example/clementinelink/internal/budget"
 	"clementinelink.example/clementinelink/internal/errs"
+	"clementinelink.example/clementinelink/internal/heard"
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/reap"
@@ -61,7 +62,9 @@
 	// stateQueries holds the start time of each state query in flight, keyed by
 	// the engine's id and the incarnation that the query is about.
 	stateQueries map[string]time.Time
-	witnesses    witnesses
+	paths        *heard.Paths
+	// witnessAskedAt is when a witness was last queried.
+	witnessAskedAt time.Time
 	// awaitingID holds the ids of the engines that another one has replaced whose id or
 	// state is being queried.
 	awaitingID map[string]bool
@@ -112,7 +115,7 @@
 		limits:       b,
 		cancelled:    reap.New(),
 		stateQueries: make(map[string]time.Time),
-		witnesses:    newWitnesses(),
+		paths:        heard.NewPaths(queryTimeout, maxPatience),
 		awaitingID:   make(map[string]bool),
 		random:       rand.New(rand.NewPCG(seed, 1)).Float64,
 	}
@@ -200,7 +203,7 @@
 	case Members:
 		for _, id := range e.unlisted {
 			c.pool.Remove(id)
-			delete(c.witnesses.silences, id)
+			c.paths.Forget(id)
 		}
 		for _, l := range e.listed {
 			c.pool.Upsert(now, l)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -74,6 +74,9 @@
 	// none is scheduled.
 	hedgeAt time.Time
 	retryAt time.Time
+	// awaitedCopy is the resume from a copy that waits for a repeat until retryAt, or
+	// nil.
+	awaitedCopy *Action
 	// denied is true once the budget has denied a repeat since the latest attempt.
 	denied bool
 	// returnAt is when the request is sent after a wait for an upstream that rests,
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -62,7 +62,7 @@
 		kind:     QueryState,
 		upstream: u,
 		instance: instance,
-		timeout:  c.witnesses.patience(),
+		timeout:  c.paths.Timeout(),
 		reason:   reason,
 	})
 	return true
@@ -94,7 +94,7 @@
 	case u != nil && !c.atFault(now, u, began):
 		c.checkAgain(now, u)
 	default:
-		delete(c.witnesses.silences, e.upstream)
+		c.paths.Forget(e.upstream)
 		if u != nil {
 			c.upstreamUnreachable(now, u)
 		}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -148,6 +148,13 @@
 	return false
 }
 
+// repeatsLeft reports whether the budget has a repeat for a stream whose engine may be
+// alive. Without one, the stream is better off with its present attempt.
+func (c *Core) repeatsLeft(now time.Time, x *exchange) bool {
+	left, _ := c.budget(x.need.Service()).Left(now)
+	return left > 0
+}
+
 // reportDenied reports that the budget denies a repeat, once for each wait.
 func (c *Core) reportDenied(now time.Time, x *exchange, b *budget.Window) {
 	if x.denied {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -69,7 +69,7 @@
 		return x.deadline
 	}
 	at := a.lastProgress.Add(x.probeAfter(a))
-	switch stop, resume := later(x.lastDelivered.Add(x.stallAfter()), x.stallPostponed), a.sent.Add(x.resumeTimeout()); {
+	switch stop, resume := x.stallCheck(), a.sent.Add(x.resumeTimeout()); {
 	case a.begun && !x.stallHandled && stop.Before(at):
 		return stop
 	case !a.begun && x.headSent && !a.overdue && resume.Before(at):
@@ -79,6 +79,14 @@
 	}
 }
 
+// stallCheck returns the earliest time of the next check of a stall.
+func (x *exchange) stallCheck() time.Time {
+	if at := x.lastDelivered.Add(x.stallAfter()); at.After(x.stallPostponed) {
+		return at
+	}
+	return x.stallPostponed
+}
+
 // stallAfter returns the silence after which a stream resumes from its standby
 // copy.
 func (x *exchange) stallAfter() time.Duration { return time.Duration(stallShare * float64(x.maxGap())) }
@@ -119,7 +127,7 @@
 			x.retryAt = now.Add(retryPause)
 			return
 		}
-		c.startAttempt(now, x, "retry")
+		c.retryStream(now, x)
 	}
 	for _, a := range x.running() {
 		if x.stream() && !now.Before(x.nextCheck(a)) {
@@ -128,11 +136,23 @@
 	}
 }
 
+// retryStream starts an attempt of a stream that had to wait for one, from the copy of
+// its run if that may still be there. An engine without the copy refuses to run.
+func (c *Core) retryStream(now time.Time, x *exchange) {
+	from := x.awaitedCopy
+	x.awaitedCopy = nil
+	if from == nil || x.fence.closed || x.fence.excludes(from.upstream) || !available(now, from.upstream) || c.versionFull(x, from.upstream) {
+		c.startAttempt(now, x, "retry")
+		return
+	}
+	c.sendFrom(now, x, from.upstream, *from)
+}
+
 // handleSilence handles an attempt that has made no progress until its check
 // was due.
 func (c *Core) handleSilence(now time.Time, x *exchange, a *attempt) {
 	if reason := c.stallReason(now, x, a); reason != "" {
-		if x.mayRepeat() {
+		if x.mayRepeat() && c.repeatsLeft(now, x) {
 			c.giveUp(now, x, a, Stalled, reason)
 			return
 		}
@@ -284,7 +304,7 @@
 	}
 	if !c.allowed(now, x) {
 		if x.headSent {
-			x.retryAt = now.Add(retryPause)
+			x.retryAt, x.awaitedCopy = now.Add(retryPause), from
 			return
 		}
 		c.fail(now, x, "budget of repeats used up", errs.Upstream)
--- a/internal/proxy/witness.go
+++ b/internal/proxy/witness.go
@@ -12,65 +12,13 @@
 // nothing.
 const maxPatience = time.Second
 
-// witnesses is what the answers to state queries tell about the paths from the VM to
-// its upstreams. An engine that does not answer is dead only if others on its path
-// do: a busy or broken link silences all of them.
-type witnesses struct {
-	// answered holds the latest start of a query that an upstream of the region
-	// answered.
-	answered map[string]time.Time
-	// silences counts the queries in a row that an engine did not answer without
-	// being taken for dead, by its id.
-	silences map[string]int
-	// askedAt is when a witness was last queried.
-	askedAt time.Time
-	// unheard counts the rounds of queries without an answer of any upstream, of which
-	// the latest ended at unheardAt.
-	unheard   int
-	unheardAt time.Time
-}
-
-func newWitnesses() witnesses {
-	return witnesses{
-		answered: make(map[string]time.Time),
-		silences: make(map[string]int),
-	}
-}
-
-// latest returns the latest start of a query that any upstream answered.
-func (w *witnesses) latest() time.Time {
-	var t time.Time
-	for _, u := range w.answered {
-		t = later(t, u)
-	}
-	return t
-}
-
-// countRound counts a silence towards the rounds without an answer. Queries that began
-// together belong to one round.
-func (w *witnesses) countRound(now time.Time) {
-	if now.Sub(w.unheardAt) >= queryTimeout/2 {
-		w.unheard++
-		w.unheardAt = now
-	}
-}
-
-// patience returns the timeout of a state query.
-func (w *witnesses) patience() time.Duration {
-	t := queryTimeout
-	for range w.unheard - 1 {
-		t = min(2*t, maxPatience)
-	}
-	return t
-}
-
 // checkAlive queries the state of an engine that may be dead, and that of another one
 // as a witness, in another failure domain of its region if there is one.
 func (c *Core) checkAlive(now time.Time, u *pool.Upstream, reason string) {
-	if !c.queryState(now, u, "", reason) || c.witnesses.askedAt.Equal(now) {
+	if !c.queryState(now, u, "", reason) || c.witnessAskedAt.Equal(now) {
 		return
 	}
-	c.witnesses.askedAt = now
+	c.witnessAskedAt = now
 	if !c.queryWitness(now, u, besides(now, u)) {
 		c.queryWitness(now, u, anywhere)
 	}
@@ -80,10 +28,9 @@
 // to be the engine's, if attempts run there. A second witness in another region tells
 // the silence of a region from that of all upstreams.
 func (c *Core) checkAgain(now time.Time, u *pool.Upstream) {
-	c.witnesses.countRound(now)
-	c.witnesses.silences[u.ID()]++
+	c.paths.Silent(now, u.ID())
 	if !c.hasAttempts(u) {
-		delete(c.witnesses.silences, u.ID())
+		c.paths.Forget(u.ID())
 		return
 	}
 	if c.queryState(now, u, "", "unheard") {
@@ -124,13 +71,11 @@
 // noteAnswer records that an upstream answered a query that began at a time. A refused
 // connection is an answer as well.
 func (c *Core) noteAnswer(u *pool.Upstream, began time.Time) {
-	w := &c.witnesses
-	w.unheard = 0
-	if u != nil {
-		delete(w.silences, u.ID())
-		region := u.Entry().Region()
-		w.answered[region] = later(w.answered[region], began)
+	if u == nil {
+		c.paths.Answered("", "", began)
+		return
 	}
+	c.paths.Answered(u.ID(), u.Entry().Region(), began)
 }
 
 // atFault reports whether the silence of an engine to a query that began at a time is
@@ -138,12 +83,11 @@
 // earlier. One of another region suffices if the engine was silent before or its region
 // has no other failure domain, and nothing is needed if there is no other engine.
 func (c *Core) atFault(now time.Time, u *pool.Upstream, began time.Time) bool {
-	w := &c.witnesses
 	switch {
-	case !w.answered[u.Entry().Region()].Before(began):
+	case !c.paths.Region(u.Entry().Region()).Before(began):
 		return true
-	case w.silences[u.ID()] > 0 || c.pool.Witness(now, u, besides(now, u)) == nil:
-		return !w.latest().Before(began) || c.pool.Witness(now, u, anywhere) == nil
+	case c.paths.WasSilent(u.ID()) || c.pool.Witness(now, u, besides(now, u)) == nil:
+		return !c.paths.Latest().Before(began) || c.pool.Witness(now, u, anywhere) == nil
 	default:
 		return false
 	}
@@ -153,13 +97,5 @@
 // that the upstream is not out of reach: a message of its own, or an answer from its
 // region to a query that began since then.
 func (c *Core) heardSince(u *pool.Upstream, t time.Time) bool {
-	return !c.witnesses.answered[u.Entry().Region()].Before(t) || u.LastActivity().After(t)
-}
-
-// later returns the later one of two times.
-func later(t, u time.Time) time.Time {
-	if u.After(t) {
-		return u
-	}
-	return t
+	return !c.paths.Region(u.Entry().Region()).Before(t) || u.LastActivity().After(t)
 }
