proxy, expect: Hedge a stream only if the second attempt can be in time

What callers saw: where all engines are busy, most streams were sent to a second engine, so that the engines read each prompt twice and all streams were slower.

Cause: a second engine reads the prompt 2.475 s after the first one, whatever that can bring.

Change: internal/expect keeps the usual time of a run to its first piece, by service. A second attempt starts only if it is expected to begin within the route's goal, or once the first one seems stuck: after three times the usual time, and not before the goal. Lookups are as before.

--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -11,6 +11,7 @@
 	"clementinelink.example/clementinelink/internal/blame"
 	"clementinelink.example/clementinelink/internal/budget"
 	"clementinelink.example/clementinelink/internal/errs"
+	"clementinelink.example/clementinelink/internal/expect"
 	"clementinelink.example/clementinelink/internal/heard"
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/pool"
@@ -62,7 +63,9 @@
 	// stateQueries holds the start time of each state query in flight, keyed by
 	// the engine's id and the incarnation that the query is about.
 	stateQueries map[string]time.Time
-	paths        *heard.Paths
+	// beginnings holds how long runs take to their first piece, by service.
+	beginnings map[string]*expect.Times
+	paths      *heard.Paths
 	// witnessAskedAt is when a witness was last queried.
 	witnessAskedAt time.Time
 	// awaitingID holds the ids of the engines that another one has replaced whose id or
@@ -115,6 +118,7 @@
 		limits:       b,
 		cancelled:    reap.New(),
 		stateQueries: make(map[string]time.Time),
+		beginnings:   make(map[string]*expect.Times),
 		paths:        heard.NewPaths(queryTimeout, maxPatience),
 		awaitingID:   make(map[string]bool),
 		random:       rand.New(rand.NewPCG(seed, 1)).Float64,
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -38,7 +38,12 @@
 	if !c.canHedge(x) {
 		return
 	}
-	x.running()[0].upstream.RecordFault(now)
+	first, due := x.running()[0], x.arrived.Add(x.route.Goal())
+	if times := c.beginnings[x.need.Service()]; times != nil && x.stream() && !times.Pays(now, first.sent, due) {
+		x.hedgeAt = times.StuckAt(first.sent, due)
+		return
+	}
+	first.upstream.RecordFault(now)
 	if x.need.Memory() > 0 {
 		c.placeOnEngine(now, x, "hedge")
 		return
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -126,6 +126,29 @@
 			Models:     []string{s.text(d, "model", "m")},
 			StartedAt:  int64(s.number(d, "started", 0)),
 		})))
+	case "begin":
+		// Requests arrive one after the other, and each takes the same time from its
+		// sending to its first piece. Their actions are not printed.
+		for i := range s.number(d, "times", 1) {
+			n := uint64(s.number(d, "first", 1) + i)
+			arrived := s.now
+			s.step(NewArrive(NewRequest(RequestSpec{
+				Number: n,
+				ID:     "q" + strconv.FormatUint(n, 10),
+				Host:   "h",
+				Path:   "/",
+				Prompt: 5000,
+				Output: 1100,
+				Wait:   25 * time.Second,
+			})))
+			s.now = s.now.Add(placementTimeout)
+			s.step(Event{})
+			s.now = s.now.Add(time.Duration(s.number(d, "took", 0)) * time.Millisecond)
+			s.step(NewPiece(n, 1, 1, []byte("x")))
+			s.step(NewFinish(n, 1))
+			s.now = arrived.Add(4 * time.Second)
+		}
+		return ""
 	case "show-retry":
 		s.showsRetry = true
 		return ""
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/errs"
+	"clementinelink.example/clementinelink/internal/expect"
 )
 
 const (
@@ -218,6 +219,7 @@
 	if !a.begun {
 		a.begun = true
 		a.timeToFirst = now.Sub(a.sent)
+		c.observeBeginning(x, a)
 		a.upstream.FinishPrefill()
 		a.upstream.RecordSuccess(now)
 		// A stream lasts for seconds, and the evidence about a version must not
@@ -253,6 +255,19 @@
 	})
 }
 
+// observeBeginning notes how long a new run took to its first piece.
+func (c *Core) observeBeginning(x *exchange, a *attempt) {
+	if x.headSent {
+		return
+	}
+	times := c.beginnings[x.need.Service()]
+	if times == nil {
+		times = &expect.Times{}
+		c.beginnings[x.need.Service()] = times
+	}
+	times.Observe(a.timeToFirst)
+}
+
 // sendHead sends the caller the head of the stream unless it already has one.
 func (c *Core) sendHead(x *exchange, a *attempt) {
 	if x.headSent {
