--- a/internal/feed/pace.go
+++ b/internal/bulk/pace.go
@@ -1,4 +1,4 @@
-package feed
+package bulk
 
 import (
 	"context"
@@ -11,11 +11,11 @@
 // link of 10 Mbit/s.
 const pieceBytes = 8 << 10
 
-// paced returns a handler whose answers together use at most share of a link of the
-// given bandwidth in Mbit/s, so that the messages of requests pass between their pieces.
-// Answers of one piece are not delayed.
-func paced(next http.Handler, linkMbps, share float64) http.Handler {
-	if linkMbps <= 0 {
+// Paced returns a handler whose answers together use at most share of a link of the
+// given bandwidth in Mbit/s, so that other messages pass between their pieces. Answers of one
+// piece are not delayed, and without a bandwidth or a share none is.
+func Paced(next http.Handler, linkMbps, share float64) http.Handler {
+	if linkMbps <= 0 || share <= 0 {
 		return next
 	}
 	limiter := rate.NewLimiter(rate.Limit(share*linkMbps*1e6/8), pieceBytes)
--- a/internal/feed/pack.go
+++ b/internal/bulk/pack.go
@@ -1,4 +1,4 @@
-package feed
+package bulk
 
 import (
 	"bytes"
@@ -13,16 +13,16 @@
 )
 
 const (
-	// minPacked is the size in bytes from which values are packed for other VMs.
+	// MinSize is the size in bytes from which values are packed for other VMs.
 	// Smaller ones take a few ms on a link of 10 Mbit/s.
-	minPacked = 4 << 10
+	MinSize = 4 << 10
 	// maxPackedValues bounds the packed values that are kept.
 	maxPackedValues = 64
 )
 
-// packer compresses values and keeps the results, since many VMs ask for each. It is
+// Packer compresses values and keeps the results, since many VMs ask for each. It is
 // safe for concurrent use.
-type packer struct {
+type Packer struct {
 	mutex sync.Mutex
 	// values holds the latest packed value of each key.
 	values map[string]packedValue
@@ -36,23 +36,24 @@
 	diffs map[uint64][]byte
 }
 
-func newPacker() *packer {
-	return &packer{
+// NewPacker returns a packer that keeps nothing yet.
+func NewPacker() *Packer {
+	return &Packer{
 		values: make(map[string]packedValue),
 	}
 }
 
-// pack returns the packed value of an entry, or nil if that is no shorter. VMs that ask
+// Pack returns the packed value of an entry, or nil if that is no shorter. VMs that ask
 // at the same time wait for one compression.
-func (p *packer) pack(e store.Entry) []byte {
+func (p *Packer) Pack(e store.Entry) []byte {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	return p.packed(e).bytes
 }
 
-// diff returns the difference of an entry's value from the earlier value base at a
+// Diff returns the difference of an entry's value from the earlier value base at a
 // revision, or nil if the packed value is as good.
-func (p *packer) diff(e store.Entry, base []byte, revision uint64) []byte {
+func (p *Packer) Diff(e store.Entry, base []byte, revision uint64) []byte {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	v := p.packed(e)
@@ -67,7 +68,7 @@
 }
 
 // packed returns what is kept of an entry. The caller must hold the mutex.
-func (p *packer) packed(e store.Entry) packedValue {
+func (p *Packer) packed(e store.Entry) packedValue {
 	if v, ok := p.values[e.Key()]; ok && v.revision == e.Revision() {
 		return v
 	}
@@ -78,14 +79,15 @@
 		revision: e.Revision(),
 		diffs:    make(map[uint64][]byte),
 	}
-	if b, err := compress(e.Value()); err == nil && len(b) < len(e.Value()) {
+	if b, err := Compress(e.Value()); err == nil && len(b) < len(e.Value()) {
 		v.bytes = b
 	}
 	p.values[e.Key()] = v
 	return v
 }
 
-func compress(value []byte) ([]byte, error) {
+// Compress returns the packed form of a value.
+func Compress(value []byte) ([]byte, error) {
 	var b bytes.Buffer
 	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
 	if err != nil {
@@ -100,19 +102,19 @@
 	return b.Bytes(), nil
 }
 
-// unpack returns the value that was packed. It fails with bound.ErrTooLarge if the
+// Unpack returns the value that was packed. It fails with bound.ErrTooLarge if the
 // value has more than limit bytes.
-func unpack(packed []byte, limit int) ([]byte, error) {
+func Unpack(packed []byte, limit int) ([]byte, error) {
 	r, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
-		return nil, errors.Wrap(err, "unpack")
+		return nil, errors.Wrap(err, "bulk: unpack")
 	}
 	value, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
 	if err != nil {
-		return nil, errors.Wrap(err, "unpack")
+		return nil, errors.Wrap(err, "bulk: unpack")
 	}
 	if len(value) > limit {
-		return nil, errors.Wrapf(bound.ErrTooLarge, "unpack: over %d bytes", limit)
+		return nil, errors.Wrapf(bound.ErrTooLarge, "bulk: unpack: over %d bytes", limit)
 	}
 	return value, nil
 }
--- a/internal/feed/stall.go
+++ b/internal/bulk/progress.go
@@ -1,4 +1,4 @@
-package feed
+package bulk
 
 import (
 	"context"
@@ -11,10 +11,10 @@
 // progressKey is the context key of the function that notes progress.
 type progressKey struct{}
 
-// withProgress returns a context that ends when limit has passed without progress, and
+// WithProgress returns a context that ends when limit has passed without progress, and
 // when total has passed. Its error is then context.Canceled, and its cause
 // context.DeadlineExceeded.
-func withProgress(ctx context.Context, limit, total time.Duration) (context.Context, context.CancelFunc) {
+func WithProgress(ctx context.Context, limit, total time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	end := time.Now().Add(total)
 	var mutex sync.Mutex
@@ -37,43 +37,51 @@
 	return context.WithValue(ctx, progressKey{}, note), stop
 }
 
-// progressed notes that a part of an answer has arrived.
-func progressed(ctx context.Context) {
+// Progressed notes that a part of an answer has arrived.
+func Progressed(ctx context.Context) {
 	if note, ok := ctx.Value(progressKey{}).(func()); ok {
 		note()
 	}
 }
 
-// progressTransport notes each part of the answers to another transport's requests.
-type progressTransport struct {
+// Transport notes each part of the answers to another transport's requests as progress
+// of the request's context.
+type Transport struct {
 	base http.RoundTripper
 }
 
+// NewTransport returns a transport over base.
+func NewTransport(base http.RoundTripper) *Transport {
+	return &Transport{
+		base: base,
+	}
+}
+
 // RoundTrip implements http.RoundTripper.
-func (t *progressTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	resp, err := t.base.RoundTrip(req)
 	if err != nil {
 		return nil, err
 	}
-	progressed(req.Context())
-	resp.Body = &progressBody{
+	Progressed(req.Context())
+	resp.Body = &body{
 		ReadCloser: resp.Body,
 		ctx:        req.Context(),
 	}
 	return resp, nil
 }
 
-// progressBody is the body of an answer.
-type progressBody struct {
+// body is the body of an answer.
+type body struct {
 	io.ReadCloser
 	ctx context.Context
 }
 
 // Read implements io.Reader.
-func (b *progressBody) Read(p []byte) (int, error) {
+func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
-		progressed(b.ctx)
+		Progressed(b.ctx)
 	}
 	return n, err
 }
--- a/internal/feed/export_test.go
+++ b/internal/feed/export_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"clementinelink.example/clementinelink/internal/store"
@@ -34,11 +33,3 @@
 		observe: func(string, string) {},
 	}
 }
-
-// Paced returns next with its answers limited to a share of a link.
-func Paced(next http.Handler, linkMbps, share float64) http.Handler {
-	return paced(next, linkMbps, share)
-}
-
-// Progressed notes that a part of an answer to a reader's call has arrived.
-func Progressed(ctx context.Context) { progressed(ctx) }
--- a/internal/feed/history.go
+++ b/internal/feed/history.go
@@ -1,6 +1,9 @@
 package feed
 
-import "clementinelink.example/clementinelink/internal/store"
+import (
+	"clementinelink.example/clementinelink/internal/bulk"
+	"clementinelink.example/clementinelink/internal/store"
+)
 
 const (
 	// maxOlder is the number of values that a history keeps, of all keys together. A VM
@@ -20,7 +23,7 @@
 
 // add adds a value that was replaced, unless it is small.
 func (h *history) add(e store.Entry) {
-	if len(e.Value()) < minPacked {
+	if len(e.Value()) < bulk.MinSize {
 		return
 	}
 	h.entries = append(h.entries, e)
--- a/internal/feed/log.go
+++ b/internal/feed/log.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/bulk"
 	"clementinelink.example/clementinelink/internal/store"
 	"github.com/cockroachdb/errors"
 )
@@ -167,7 +168,7 @@
 	defer l.mutex.Unlock()
 	var list []store.Entry
 	for _, e := range l.latest {
-		if len(e.Entry().Value()) >= minPacked {
+		if len(e.Entry().Value()) >= bulk.MinSize {
 			list = append(list, e.Entry())
 		}
 	}
--- a/internal/feed/model_test.go
+++ b/internal/feed/model_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/bulk"
 	"clementinelink.example/clementinelink/internal/feed"
 	"clementinelink.example/clementinelink/internal/follow"
 	"clementinelink.example/clementinelink/internal/store"
@@ -409,7 +410,7 @@
 	for time.Now().Before(done) {
 		select {
 		case <-time.After(min(time.Until(done), partDelay)):
-			feed.Progressed(ctx)
+			bulk.Progressed(ctx)
 		case <-ctx.Done():
 			return feed.Changes{}, ctx.Err()
 		}
--- a/internal/feed/pace_test.go
+++ b/internal/feed/pace_test.go
@@ -10,7 +10,7 @@
 	"testing/synctest"
 	"time"
 
-	"clementinelink.example/clementinelink/internal/feed"
+	"clementinelink.example/clementinelink/internal/bulk"
 	"github.com/cockroachdb/datadriven"
 )
 
@@ -33,7 +33,7 @@
 // answerAll lets a number of VMs ask at once and reports when the last one has its
 // answer, and how long a small message would have waited at most.
 func answerAll(t *testing.T, vms, size int, mbps, share float64) string {
-	h := feed.Paced(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	h := bulk.Paced(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		if n, err := w.Write(make([]byte, size)); n != size || err != nil {
 			t.Errorf("%d bytes written: %v", n, err)
 		}
--- a/internal/feed/pack_test.go
+++ b/internal/feed/pack_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/bound"
+	"clementinelink.example/clementinelink/internal/bulk"
 	"clementinelink.example/clementinelink/internal/store"
 	"clementinelink.example/clementinelink/internal/wire"
 	"github.com/cockroachdb/datadriven"
@@ -49,11 +50,11 @@
 			}
 			return b.String()
 		case "unpack":
-			packed, err := compress(make([]byte, number(t, d, "bytes")))
+			packed, err := bulk.Compress(make([]byte, number(t, d, "bytes")))
 			if err != nil {
 				t.Fatal(err)
 			}
-			value, err := unpack(packed, number(t, d, "limit"))
+			value, err := bulk.Unpack(packed, number(t, d, "limit"))
 			return fmt.Sprintf("%d bytes, too large: %v\n", len(value), errors.Is(err, bound.ErrTooLarge))
 		default:
 			t.Fatalf("%s: unknown command %q", d.Pos, d.Cmd)
--- a/internal/feed/peer.go
+++ b/internal/feed/peer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/bound"
+	"clementinelink.example/clementinelink/internal/bulk"
 	"clementinelink.example/clementinelink/internal/delta"
 	"clementinelink.example/clementinelink/internal/store"
 	"clementinelink.example/clementinelink/internal/wire"
@@ -29,7 +30,7 @@
 // Server serves a VM's changes to other VMs.
 type Server struct {
 	log    *Log
-	packer *packer
+	packer *bulk.Packer
 	// linkMbps is the bandwidth of the VM's link in Mbit/s, or 0 for no limit, and share
 	// the part of it that answers may use.
 	linkMbps float64
@@ -40,7 +41,7 @@
 func NewServer(l *Log) *Server {
 	return &Server{
 		log:    l,
-		packer: newPacker(),
+		packer: bulk.NewPacker(),
 	}
 }
 
@@ -53,7 +54,7 @@
 
 // Handler returns the HTTP handler of the service.
 func (s *Server) Handler() http.Handler {
-	return paced(wire.NewFeedServer(s), s.linkMbps, s.share)
+	return bulk.Paced(wire.NewFeedServer(s), s.linkMbps, s.share)
 }
 
 // Changes implements wire.Feed.
@@ -96,7 +97,7 @@
 			Lease:    e.Entry().Lease(),
 			Gone:     e.Deleted(),
 		}
-		if packed && len(change.Value) >= minPacked {
+		if packed && len(change.Value) >= bulk.MinSize {
 			s.shorten(change, e.Entry(), bases[change.Key])
 		}
 		out.Changes = append(out.Changes, change)
@@ -107,13 +108,13 @@
 // shorten replaces the value of a change by its difference from the value at revision
 // base, which may be 0, or by the packed value.
 func (s *Server) shorten(change *wire.StoreChange, e store.Entry, base uint64) {
-	if old := s.log.value(e.Key(), base); base > 0 && len(old) >= minPacked {
-		if d := s.packer.diff(e, old, base); d != nil {
+	if old := s.log.value(e.Key(), base); base > 0 && len(old) >= bulk.MinSize {
+		if d := s.packer.Diff(e, old, base); d != nil {
 			change.Value, change.Diff, change.Base = nil, d, base
 			return
 		}
 	}
-	if b := s.packer.pack(e); b != nil {
+	if b := s.packer.Pack(e); b != nil {
 		change.Value, change.Packed = nil, b
 	}
 }
@@ -134,14 +135,12 @@
 	return &Client{
 		log: l,
 		http: &http.Client{
-			Transport: &progressTransport{
-				base: bound.NewTransport(&http.Transport{
-					DialContext:            dialer.DialContext,
-					MaxIdleConnsPerHost:    1,
-					IdleConnTimeout:        time.Minute,
-					MaxResponseHeaderBytes: bound.MaxHead,
-				}, maxAnswerBytes),
-			},
+			Transport: bulk.NewTransport(bound.NewTransport(&http.Transport{
+				DialContext:            dialer.DialContext,
+				MaxIdleConnsPerHost:    1,
+				IdleConnTimeout:        time.Minute,
+				MaxResponseHeaderBytes: bound.MaxHead,
+			}, maxAnswerBytes)),
 		},
 	}
 }
@@ -233,7 +232,7 @@
 		case len(e.GetDiff()) > 0:
 			v, err = delta.Decode(value(e.GetKey(), e.GetBase()), e.GetDiff(), left)
 		case len(e.GetPacked()) > 0:
-			v, err = unpack(e.GetPacked(), left)
+			v, err = bulk.Unpack(e.GetPacked(), left)
 		}
 		if err != nil {
 			return Changes{}, errors.Wrapf(err, "feed: value of %q", e.GetKey())
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/bulk"
 	"clementinelink.example/clementinelink/internal/store"
 	"clementinelink.example/clementinelink/internal/tree"
 	"github.com/cockroachdb/errors"
@@ -296,7 +297,7 @@
 		return NewChanges(events, revision, 0), err
 	}
 	begin := r.scaled(peerWaitFactor + peerSlackFactor)
-	limited, cancel := withProgress(ctx, begin, begin+r.scaled(transferFactor))
+	limited, cancel := bulk.WithProgress(ctx, begin, begin+r.scaled(transferFactor))
 	defer cancel()
 	c, err := r.askPeer(limited, v.Address(), after, r.scaled(peerWaitFactor))
 	if err == nil && c.age > r.scaled(maxAgeFactor) {
