feed: Count the bytes of changes by their source

feed_received_bytes_total shows an operator which VM reads from the store, and what configurations cost on links between VMs. Guarded by feed/testdata/reader; the lines that stood there are unchanged.

--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -174,6 +174,8 @@
 	if s.Feed != "" {
 		v.watcher.reader = feed.NewReader(s.Name, c, v.feed, s.BatchDelay, log).WithObserver(func(source, result string) {
 			m.Counter("feed_reads_total", "Reads of changes by the kind of source.", "source", source, "result", result).Inc()
+		}).WithReceived(func(source string, bytes int) {
+			m.Counter("feed_received_bytes_total", "Bytes of values in changes by the kind of source, as they were sent.", "source", source).Add(bytes)
 		})
 	}
 	v.watcher.apply, v.watcher.idle = v.applyChange, v.progress.confirm
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -78,6 +78,9 @@
 	// observe is called with the kind of each source that was asked, "vm" or
 	// "store", and the result, "ok", "behind" or "failed".
 	observe func(source, result string)
+	// received is called with the kind of a source and the size in bytes of the values
+	// that it sent. It may be nil.
+	received func(source string, bytes int)
 	// lostAt is the latest time at which the store is known not to have served this VM,
 	// or zero.
 	lostAt time.Time
@@ -114,6 +117,14 @@
 	return r
 }
 
+// WithReceived makes the reader call received after each watch with the kind of the
+// source, "vm" or "store", and the size in bytes of the values as they were sent, before
+// the store's encoding. Call it before any other method.
+func (r *Reader) WithReceived(received func(source string, bytes int)) *Reader {
+	r.received = received
+	return r
+}
+
 // SetVMs sets the VMs, including the one itself. It may be
 // called concurrently.
 func (r *Reader) SetVMs(vms []tree.VM) { r.vms.Store(&vms) }
@@ -241,6 +252,7 @@
 			}
 			r.logSource(v, c.revision)
 			r.logLarge(v, c)
+			r.countReceived(v, c)
 			r.log.Append(c.events, c.revision, c.age)
 			return c.events, max(after, c.revision), nil
 		case errors.Is(err, store.ErrCompacted):
@@ -337,6 +349,17 @@
 	}
 }
 
+// countReceived reports the size of changes.
+func (r *Reader) countReceived(v tree.VM, c Changes) {
+	switch {
+	case r.received == nil:
+	case v.IsStore():
+		r.received(sourceKind(v), c.size())
+	default:
+		r.received(sourceKind(v), c.wireBytes)
+	}
+}
+
 // Confirmed returns when the store confirmed the latest answer.
 func (r *Reader) Confirmed() time.Time { return r.log.Confirmed() }
 
--- a/internal/feed/reader_test.go
+++ b/internal/feed/reader_test.go
@@ -75,14 +75,20 @@
 		if _, err := fmt.Sscanf(answers[name]+" age=0", "revision=%d age=%d", &revision, &age); err != nil {
 			t.Fatalf("%s: %s: %v", d.Pos, name, err)
 		}
-		return NewChanges(nil, revision, time.Duration(age)*time.Millisecond), nil
+		c := NewChanges(nil, revision, time.Duration(age)*time.Millisecond)
+		if d.HasArg("bytes") {
+			// The value is sent packed.
+			c.events = []store.Event{store.NewEvent(store.NewEntry("k", make([]byte, 10*number(t, d, "bytes")), revision, ""), false)}
+			c.wireBytes = number(t, d, "bytes")
+		}
+		return c, nil
 	}
 	r.askPeer = func(_ context.Context, address string, _ uint64, wait time.Duration) (Changes, error) {
 		return reply(address, wait)
 	}
 	r.watch = func(_ context.Context, _ string, _ uint64, wait time.Duration) ([]store.Event, uint64, error) {
 		c, err := reply("store", wait)
-		return nil, c.Revision(), err
+		return c.Events(), c.Revision(), err
 	}
 	r.listPeer = func(_ context.Context, address string, wait time.Duration) (Changes, error) {
 		return reply(address, wait)
@@ -91,6 +97,11 @@
 		c, err := reply("store", 0)
 		return nil, c.Revision(), err
 	}
+	r.received = func(source string, bytes int) {
+		if bytes > 0 {
+			fmt.Fprintf(&out, "%d bytes from %s\n", bytes, source)
+		}
+	}
 	call := func() (uint64, error) {
 		_, revision, err := r.Watch(context.Background(), "", 20, 3*time.Second)
 		return revision, err
