feed: Let a list of another VM take as long as its parts arrive

Cause: a first list had to arrive whole within 3 s. Five VMs that ask one on 10 Mbit/s for a list of 5,000 upstreams, 2 MB, get it in 8 s, and those that gave up read it from the store, all over the link between regions.

Change: the limit holds until the list begins and for each pause in it.

--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -39,9 +39,12 @@
 	// listWait is how long another VM is asked to wait until it has read the
 	// keys. When all VMs start at once, each waits for the one before it.
 	listWait = 500 * time.Millisecond
-	// listSlack is how long after that wait its answer may take. A registry of 3,000
-	// upstreams takes 1 s on a link of 10 Mbit/s.
+	// listSlack is how long after that wait its answer may take to begin, and how long
+	// it may pause. A registry of 3,000 upstreams takes 1 s on a link of 10 Mbit/s.
 	listSlack = 2500 * time.Millisecond
+	// listTransfer is how long the rest of it may take, if five VMs ask one on such a
+	// link.
+	listTransfer = 5 * time.Second
 	// listPatience is how long the first list is awaited from VMs that are reading
 	// theirs.
 	listPatience = 3 * time.Second
@@ -207,7 +210,7 @@
 		r.noteStore(began, err)
 		return entries, revision, 0, err
 	}
-	limited, cancel := context.WithTimeout(ctx, listWait+listSlack)
+	limited, cancel := bulk.WithProgress(ctx, listWait+listSlack, listWait+listSlack+listTransfer)
 	defer cancel()
 	c, err := r.listPeer(limited, v.Address(), listWait)
 	switch {
