--- a/internal/bulk/pace.go
+++ b/internal/bulk/pace.go
@@ -12,8 +12,8 @@
 const pieceBytes = 8 << 10
 
 // Paced returns a handler whose answers together use at most share of a link of the
-// given bandwidth in Mbit/s, so that other messages pass between their pieces. Answers of one
-// piece are not delayed, and without a bandwidth or a share none is.
+// given bandwidth in Mbit/s, so that other messages pass between their pieces. Answers
+// of one piece are not delayed, and without a bandwidth or a share none is.
 func Paced(next http.Handler, linkMbps, share float64) http.Handler {
 	if linkMbps <= 0 || share <= 0 {
 		return next
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -65,7 +65,8 @@
 	stateQueries map[string]time.Time
 	// beginnings holds how long runs take to their first piece, by service.
 	beginnings map[string]*expect.Times
-	paths      *heard.Paths
+	// paths tells the silence of an engine from that of the link to it.
+	paths *heard.Paths
 	// witnessAskedAt is when a witness was last queried.
 	witnessAskedAt time.Time
 	// awaitingID holds the ids of the engines that another one has replaced whose id or
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -38,6 +38,7 @@
 	if !c.canHedge(x) {
 		return
 	}
+	// A second read of a prompt that is not in time only delays the other runs there.
 	first, due := x.running()[0], x.arrived.Add(x.route.Goal())
 	if times := c.beginnings[x.need.Service()]; times != nil && x.stream() && !times.Pays(now, first.sent, due) {
 		x.hedgeAt = times.StuckAt(first.sent, due)
