edge, logger: Tell how long a version takes, and whether a query was late

The log of LOST beside a configuration does not tell whether a VM's own work made it stand still, or the link. Each version now has a line and a histogram with the time that it takes to decode, and a query without an answer has the time by which its timeout was noticed too late. The log itself is a package of its own, which leaves internal/edge smaller.

--- a/cmd/clementinedge/main.go
+++ b/cmd/clementinedge/main.go
@@ -14,7 +14,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
 
-	"clementinelink.example/clementinelink/internal/edge"
+	"clementinelink.example/clementinelink/internal/logger"
 	"clementinelink.example/clementinelink/platform"
 )
 
@@ -97,7 +97,7 @@
 	if err != nil {
 		return usageError(err)
 	}
-	log := edge.NewLog(os.Stdout, level, s.Node())
+	log := logger.New(os.Stdout, level, s.Node())
 	defer func() { _ = log.Close() }()
 	return serve(s, &o, log)
 }
@@ -107,7 +107,7 @@
 	return exitUsage
 }
 
-func serve(s *platform.Settings, o *options, log *edge.Log) int {
+func serve(s *platform.Settings, o *options, log *logger.Log) int {
 	metrics := ""
 	if host, _, err := net.SplitHostPort(s.Ready()); err == nil && o.Metrics > 0 {
 		metrics = net.JoinHostPort(host, strconv.Itoa(o.Metrics))
--- a/internal/edge/eventlog.go
+++ b/internal/edge/eventlog.go
@@ -72,7 +72,7 @@
 	case proxy.StateReported:
 		if !e.Responded() || e.Instance() != "" {
 			j.log.Info().Str("upstream", e.Upstream()).Str("instance", e.Instance()).Bool("alive", e.Responded()).
-				Str("service", c.IdentifiedService(e)).Str("detail", e.Detail()).Msg("pool: An engine was asked.")
+				Str("service", c.IdentifiedService(e)).Str("detail", e.Detail()).Int64("late", e.Lateness().Milliseconds()).Msg("pool: An engine was asked.")
 		}
 	}
 }
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"time"
 
 	"clementinelink.example/clementinelink/internal/follow"
 	"clementinelink.example/clementinelink/internal/pool"
@@ -66,10 +67,14 @@
 
 // configure decodes a routing table and passes it to the dispatcher.
 func (v *VM) configure(ctx context.Context, e store.Entry) {
+	began := time.Now()
 	t, err := v.sources.Table(e.Value())
+	took := time.Since(began)
+	v.metrics.Histogram("read_seconds", "Time that it took to read a version of the configuration.").Observe(took)
 	if err != nil {
 		v.log.Error().Err(err).Str("key", e.Key()).Uint64("revision", e.Revision()).Msg("config: A version can't be read.")
 		return
 	}
+	v.log.Info().Int64("version", t.Version()).Int("bytes", len(e.Value())).Int64("ms", took.Milliseconds()).Msg("config: A version was read.")
 	v.dispatcher.notify(ctx, proxy.NewConfigure(t))
 }
--- a/internal/edge/query.go
+++ b/internal/edge/query.go
@@ -43,12 +43,14 @@
 func (d *Dispatcher) queryState(ctx context.Context, id, address, instance string, wait time.Duration, c Contact) {
 	limited, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	due := d.now().Add(wait)
 	s, err := d.upstreams.State(limited, address, c)
 	switch {
 	case errors.Is(err, ErrMalformedAnswer):
 		d.log.logQueryFailure(id, err)
 	case err != nil:
-		d.notify(ctx, proxy.NewStateTimeout(id, instance, err.Error(), errors.Is(err, syscall.ECONNREFUSED)))
+		e := proxy.NewStateTimeout(id, instance, err.Error(), errors.Is(err, syscall.ECONNREFUSED))
+		d.notify(ctx, e.Late(max(d.now().Sub(due), 0)))
 		return
 	}
 	d.notify(ctx, proxy.NewStateReported(id, instance, s))
--- /dev/null
+++ b/internal/logger/doc.go
@@ -0,0 +1,3 @@
+// Package logger writes the structured log of a process, in bounded numbers of lines and
+// without ever blocking the caller.
+package logger
--- a/internal/edge/log.go
+++ b/internal/logger/logger.go
@@ -1,4 +1,4 @@
-package edge
+package logger
 
 import (
 	"io"
@@ -30,9 +30,9 @@
 	rateLimited atomic.Int64
 }
 
-// NewLog returns a log that writes lines of the given level and above to out,
+// New returns a log that writes lines of the given level and above to out,
 // each with the name of the VM.
-func NewLog(out io.Writer, level zerolog.Level, vm string) *Log {
+func New(out io.Writer, level zerolog.Level, vm string) *Log {
 	l := &Log{}
 	l.out = diode.NewWriter(out, logCap, 0, func(missed int) { l.dropped.Add(int64(missed)) })
 	sampler := &zerolog.BurstSampler{
--- a/internal/proxy/event.go
+++ b/internal/proxy/event.go
@@ -159,6 +159,8 @@
 	charges   []blame.Charge
 	// refused is true if the upstream's address refused the connection.
 	refused bool
+	// late is by how much a timeout was noticed too late.
+	late time.Duration
 	// held is true for HeldBack if the stream is no longer read.
 	held bool
 }
@@ -353,6 +355,16 @@
 	}
 }
 
+// Late returns a copy of a StateReported event without an answer whose timeout was
+// noticed too late by d.
+func (e Event) Late(d time.Duration) Event {
+	e.late = d
+	return e
+}
+
+// Lateness returns by how much the timeout of StateReported was noticed too late.
+func (e Event) Lateness() time.Duration { return e.late }
+
 // NewIDReported returns the event of the id under which the engine at the
 // address of an upstream answers.
 func NewIDReported(upstream, instance string) Event {
