--- a/internal/reuse/array.go
+++ b/internal/reuse/array.go
@@ -1,6 +1,7 @@
 package reuse
 
 import (
+	"clementinelink.example/clementinelink/internal/codec"
 	"github.com/cockroachdb/errors"
 	"github.com/go-json-experiment/json/jsontext"
 )
@@ -33,7 +34,7 @@
 		a.latest = nil
 		return nil, nil
 	}
-	d := newDecoder(array)
+	d := codec.NewDecoder(array)
 	if err := open(d, '['); err != nil {
 		return nil, err
 	}
--- a/internal/reuse/object.go
+++ b/internal/reuse/object.go
@@ -1,18 +1,17 @@
 package reuse
 
 import (
-	"bytes"
 	"io"
 
+	"clementinelink.example/clementinelink/internal/codec"
 	"github.com/cockroachdb/errors"
-	"github.com/go-json-experiment/json"
 	"github.com/go-json-experiment/json/jsontext"
 )
 
 // Members calls each with the name and the value of every member of a JSON object, in
 // order. The value is only valid during the call.
 func Members(object []byte, each func(name string, value jsontext.Value) error) error {
-	d := newDecoder(object)
+	d := codec.NewDecoder(object)
 	if err := open(d, '{'); err != nil {
 		return err
 	}
@@ -39,19 +38,6 @@
 	return nil
 }
 
-// Unmarshal decodes a JSON value as encoding/json does: names match whatever their case,
-// and the last one of several with the same name counts.
-func Unmarshal(value []byte, into any) error {
-	return json.Unmarshal(value, into, json.MatchCaseInsensitiveNames(true), lenient)
-}
-
-// lenient accepts what encoding/json accepts.
-var lenient = json.JoinOptions(jsontext.AllowDuplicateNames(true), jsontext.AllowInvalidUTF8(true))
-
-func newDecoder(value []byte) *jsontext.Decoder {
-	return jsontext.NewDecoder(bytes.NewBuffer(value), lenient)
-}
-
 // open reads the first token of a value, which must be of a kind.
 func open(d *jsontext.Decoder, kind jsontext.Kind) error {
 	token, err := d.ReadToken()
