proxy, edge, once, bulk: Do not take a pause of the VM for silence of others

Cause: a process that has used up its share of the processor stands still for some hundred ms. Its timers are overdue when it goes on, and fire before it has read what arrived meanwhile. VMs that read changes from another one gave that up in the same way.

Change: a timer that is late by 50 ms or more is a pause (package pause). After one no alarm of the core fires for 100 ms, a query whose timeout was late is asked again and says nothing, a connection is tried once more, and a read from another VM goes on for 100 ms.

--- a/internal/bulk/progress.go
+++ b/internal/bulk/progress.go
@@ -6,41 +6,89 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"clementinelink.example/clementinelink/internal/pause"
 )
 
-// progressKey is the context key of the function that notes progress.
+// progressKey is the context key of the watchdog.
 type progressKey struct{}
 
 // WithProgress returns a context that ends when limit has passed without progress, and
 // when total has passed. Its error is then context.Canceled, and its cause
-// context.DeadlineExceeded.
+// context.DeadlineExceeded. What arrived while the process had paused is progress, once
+// it has had the time to read it.
 func WithProgress(ctx context.Context, limit, total time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	end := time.Now().Add(total)
-	var mutex sync.Mutex
-	ended := false
-	timer := time.AfterFunc(limit, func() { cancel(context.DeadlineExceeded) })
-	note := func() {
-		mutex.Lock()
-		defer mutex.Unlock()
-		if !ended {
-			timer.Reset(min(limit, time.Until(end)))
-		}
+	w := &watchdog{
+		limit: limit,
+		end:   time.Now().Add(total),
+		due:   time.Now().Add(limit),
 	}
+	w.mutex.Lock()
+	w.timer = time.AfterFunc(limit, func() {
+		if w.expired(time.Now()) {
+			cancel(context.DeadlineExceeded)
+		}
+	})
+	w.mutex.Unlock()
 	stop := func() {
-		mutex.Lock()
-		defer mutex.Unlock()
-		ended = true
-		timer.Stop()
+		w.stop()
 		cancel(nil)
 	}
-	return context.WithValue(ctx, progressKey{}, note), stop
+	return context.WithValue(ctx, progressKey{}, w), stop
+}
+
+// watchdog ends a context without progress.
+type watchdog struct {
+	limit time.Duration
+	end   time.Time
+	mutex sync.Mutex
+	timer *time.Timer
+	// due is the time at which the timer fires.
+	due time.Time
+	// stopped is true once the timer must not be set again.
+	stopped bool
+}
+
+// expired reports whether the time is over, and else sets the timer again, which it does
+// after a pause of the process.
+func (w *watchdog) expired(now time.Time) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if _, paused := pause.Late(now, w.due); !paused || w.stopped {
+		return true
+	}
+	w.reset(now, pause.Settle)
+	return false
+}
+
+// note notes progress.
+func (w *watchdog) note(now time.Time) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if !w.stopped {
+		w.reset(now, min(w.limit, w.end.Sub(now)))
+	}
+}
+
+// reset sets the timer. The caller must hold the mutex.
+func (w *watchdog) reset(now time.Time, d time.Duration) {
+	w.due = now.Add(d)
+	w.timer.Reset(d)
+}
+
+// stop stops the timer for good.
+func (w *watchdog) stop() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.stopped = true
+	w.timer.Stop()
 }
 
 // Progressed notes that a part of an answer has arrived.
 func Progressed(ctx context.Context) {
-	if note, ok := ctx.Value(progressKey{}).(func()); ok {
-		note()
+	if w, ok := ctx.Value(progressKey{}).(*watchdog); ok {
+		w.note(time.Now())
 	}
 }
 
--- a/internal/edge/dispatcher.go
+++ b/internal/edge/dispatcher.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/blame"
+	"clementinelink.example/clementinelink/internal/pause"
 	"clementinelink.example/clementinelink/internal/proxy"
 	"clementinelink.example/clementinelink/internal/reap"
 	"clementinelink.example/clementinelink/internal/ring"
@@ -132,6 +133,7 @@
 		case <-ctx.Done():
 			return
 		case s := <-d.events.Out():
+			d.wake(ctx, due)
 			if s.arrival != nil {
 				d.requests[s.event.Number()] = &request{
 					arrival: *s.arrival,
@@ -144,8 +146,9 @@
 				s.applied(d.now())
 			}
 		case <-timer.C:
-			d.log.logLateness(d.now(), due)
-			d.step(ctx, proxy.Event{})
+			if !d.wake(ctx, due) {
+				d.step(ctx, proxy.Event{})
+			}
 		}
 		wait := d.sleep()
 		due = d.now().Add(wait)
@@ -153,6 +156,17 @@
 	}
 }
 
+// wake tells the core of a pause of the VM if its timer that was due at a time is late,
+// and reports whether it did.
+func (d *Dispatcher) wake(ctx context.Context, due time.Time) bool {
+	late, paused := pause.Late(d.now(), due)
+	d.log.logLateness(late, paused)
+	if paused {
+		d.step(ctx, proxy.Event{}.Late(late))
+	}
+	return paused
+}
+
 // sleep returns the time to the core's next timer or to the next update of the
 // statistics, whichever comes first.
 func (d *Dispatcher) sleep() time.Duration {
--- a/internal/edge/enrol.go
+++ b/internal/edge/enrol.go
@@ -47,7 +47,7 @@
 			v.log.Warn().Err(err).Msg("edge: Enrolment failed.")
 			v.watcher.join(nil)
 		}
-		pause(ctx, wait)
+		sleep(ctx, wait)
 	}
 }
 
--- a/internal/edge/eventlog.go
+++ b/internal/edge/eventlog.go
@@ -11,9 +11,6 @@
 	"github.com/rs/zerolog"
 )
 
-// minLoggedLateness is the lateness of a timer from which it is logged.
-const minLoggedLateness = 50 * time.Millisecond
-
 // eventLog logs and counts events and the decisions about requests. The log
 // writer is bounded and never blocks the dispatcher.
 type eventLog struct {
@@ -106,12 +103,10 @@
 		Int64("after", now.Sub(o.Cancelled()).Milliseconds()).AnErr("detail", err).Msg("proxy: A cancelled run was looked for.")
 }
 
-// logLateness observes by how much a timer that was due was late, and logs it if that
-// may make answers seem to be missing.
-func (j *eventLog) logLateness(now, due time.Time) {
-	late := now.Sub(due)
+// logLateness observes by how much the timer was late, and logs it if the VM has paused.
+func (j *eventLog) logLateness(late time.Duration, paused bool) {
 	j.lateness.Observe(late)
-	if late >= minLoggedLateness {
+	if paused {
 		j.log.Info().Int64("ms", late.Milliseconds()).Msg("edge: The dispatcher woke late.")
 	}
 }
--- a/internal/edge/query.go
+++ b/internal/edge/query.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/pause"
 	"clementinelink.example/clementinelink/internal/proxy"
 	"clementinelink.example/clementinelink/internal/reap"
 	"github.com/cockroachdb/errors"
@@ -50,7 +51,10 @@
 		d.log.logQueryFailure(id, err)
 	case err != nil:
 		e := proxy.NewStateTimeout(id, instance, err.Error(), errors.Is(err, syscall.ECONNREFUSED))
-		d.notify(ctx, e.Late(max(d.now().Sub(due), 0)))
+		if late, paused := pause.Late(d.now(), due); paused {
+			e = e.Late(late)
+		}
+		d.notify(ctx, e)
 		return
 	}
 	d.notify(ctx, proxy.NewStateReported(id, instance, s))
--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -382,9 +382,9 @@
 	v.log.Info().Int64("live", v.dispatcher.inFlight.Load()).Msg("edge: Stopping.")
 	limit, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	pause(limit, drainDelay)
+	sleep(limit, drainDelay)
 	for limit.Err() == nil && v.dispatcher.inFlight.Load() > 0 {
-		pause(limit, drainPollInterval)
+		sleep(limit, drainPollInterval)
 	}
 	err := v.front.shutdown(limit)
 	v.stop()
@@ -392,8 +392,8 @@
 	return err
 }
 
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/bound"
+	"clementinelink.example/clementinelink/internal/pause"
 	"github.com/cockroachdb/errors"
 )
 
@@ -41,6 +42,7 @@
 	// maxHead limits the bytes of a response's head, including informational
 	// heads before it.
 	maxHead int64
+	now     func() time.Time
 }
 
 // New returns a dialer over TCP that gives up a connection attempt after
@@ -58,6 +60,7 @@
 		dial:        d.DialContext,
 		dialTimeout: dialTimeout,
 		maxHead:     bound.MaxHead,
+		now:         time.Now,
 	}
 }
 
@@ -105,9 +108,7 @@
 
 // DoHooked is like Do and calls the functions in h.
 func (d *Dialer) DoHooked(ctx context.Context, address string, req *http.Request, body []byte, h Hooks) (*Answer, error) {
-	dialCtx, cancel := context.WithTimeout(ctx, d.dialTimeout)
-	conn, err := d.dial(dialCtx, "tcp", address)
-	cancel()
+	conn, err := d.connect(ctx, address)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "once: connect"), ErrNotSent)
 	}
@@ -133,6 +134,23 @@
 	}, nil
 }
 
+// connect opens a connection. It tries once more if the timeout was due while this
+// process had paused, since the connection may have been there in time.
+func (d *Dialer) connect(ctx context.Context, address string) (net.Conn, error) {
+	for again := false; ; again = true {
+		due := d.now().Add(d.dialTimeout)
+		limited, cancel := context.WithTimeout(ctx, d.dialTimeout)
+		conn, err := d.dial(limited, "tcp", address)
+		cancel()
+		if err == nil {
+			return conn, nil
+		}
+		if _, paused := pause.Late(d.now(), due); again || !paused || ctx.Err() != nil {
+			return nil, err
+		}
+	}
+}
+
 // exchange writes the request to conn and reads the header of the response.
 func exchange(conn net.Conn, req *http.Request, body []byte, maxHead int64, h Hooks) (*http.Response, error) {
 	setBody(req, body)
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -14,6 +14,7 @@
 	"clementinelink.example/clementinelink/internal/expect"
 	"clementinelink.example/clementinelink/internal/heard"
 	"clementinelink.example/clementinelink/internal/move"
+	"clementinelink.example/clementinelink/internal/pause"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/reap"
 	"clementinelink.example/clementinelink/internal/table"
@@ -85,7 +86,10 @@
 	random     func() float64
 	// charges holds the prompt parts that crash engines.
 	charges []blame.Charge
-	actions []Action
+	// settledAt is the time before which no alarm fires, since the VM has paused and
+	// reads what arrived meanwhile first.
+	settledAt time.Time
+	actions   []Action
 }
 
 // Budget limits extra attempts, that is retries and hedges. The limits apply to
@@ -176,6 +180,9 @@
 	if due, tracked := c.cancelled.Next(); tracked && (!ok || due.Before(at)) {
 		at, ok = due, true
 	}
+	if ok && at.Before(c.settledAt) {
+		at = c.settledAt
+	}
 	return at, ok
 }
 
@@ -185,6 +192,10 @@
 	c.actions = c.actions[:0]
 	c.pool.EndRests(now)
 	switch e.kind {
+	case Tick:
+		if e.late > 0 {
+			c.settledAt = now.Add(pause.Settle)
+		}
 	case Arrive:
 		c.arrive(now, e.request)
 	case CallerLeft:
@@ -240,6 +251,9 @@
 // fireAlarms expires pending requests and handles every exchange whose alarm is
 // due.
 func (c *Core) fireAlarms(now time.Time) {
+	if now.Before(c.settledAt) {
+		return
+	}
 	c.expirePending(now)
 	for {
 		n, ok := c.alarms.PopDue(now)
--- a/internal/proxy/event.go
+++ b/internal/proxy/event.go
@@ -159,7 +159,8 @@
 	charges   []blame.Charge
 	// refused is true if the upstream's address refused the connection.
 	refused bool
-	// late is by how much a timeout was noticed too late.
+	// late is by how much Tick, or the timeout of StateReported, is late if the VM has
+	// paused.
 	late time.Duration
 	// held is true for HeldBack if the stream is no longer read.
 	held bool
@@ -355,14 +356,14 @@
 	}
 }
 
-// Late returns a copy of a StateReported event without an answer whose timeout was
-// noticed too late by d.
+// Late returns a copy of a Tick, or of a StateReported event without an answer, that was
+// due earlier by d, since the VM has paused. What arrived meanwhile is not read yet.
 func (e Event) Late(d time.Duration) Event {
 	e.late = d
 	return e
 }
 
-// Lateness returns by how much the timeout of StateReported was noticed too late.
+// Lateness returns by how much the event is late, or 0 if the VM has not paused.
 func (e Event) Lateness() time.Duration { return e.late }
 
 // NewIDReported returns the event of the id under which the engine at the
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -91,6 +91,8 @@
 		c.queryID(u, e.state)
 	case e.responded && u != nil:
 		c.pool.UpdateState(now, u, e.state)
+	case u != nil && e.late > 0:
+		c.askAgain(now, u)
 	case u != nil && !c.atFault(now, u, began):
 		c.checkAgain(now, u)
 	default:
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -115,7 +115,7 @@
 	case "state-reported":
 		id, instance := s.text(d, "id", ""), s.text(d, "instance", "")
 		if d.HasArg("silent") {
-			return s.step(NewStateTimeout(id, instance, "", d.HasArg("refused")))
+			return s.step(NewStateTimeout(id, instance, "", d.HasArg("refused")).Late(time.Duration(s.number(d, "late", 0)) * time.Millisecond))
 		}
 		return s.step(NewStateReported(id, instance, pool.NewState(pool.StateSpec{
 			Running:    s.number(d, "running", 0),
@@ -157,7 +157,7 @@
 	case "drain":
 		return s.step(NewDrain(s.base.Add(time.Duration(s.number(d, "until", 0)) * time.Millisecond)))
 	case "tick":
-		return s.step(Event{})
+		return s.step(Event{}.Late(time.Duration(s.number(d, "late", 0)) * time.Millisecond))
 	case "old-in-flight":
 		return fmt.Sprintf("%d in flight\n", s.core.OldInFlight("desk"))
 	case "pool":
--- a/internal/proxy/witness.go
+++ b/internal/proxy/witness.go
@@ -39,6 +39,14 @@
 	}
 }
 
+// askAgain queries the state of an engine once more after a query whose timeout was due
+// while the VM had paused, if attempts run there. Its silence may have been the VM's.
+func (c *Core) askAgain(now time.Time, u *pool.Upstream) {
+	if c.hasAttempts(u) {
+		c.checkAlive(now, u, "paused")
+	}
+}
+
 // hasAttempts reports whether attempts are in progress at the upstream.
 func (c *Core) hasAttempts(u *pool.Upstream) bool {
 	return slices.ContainsFunc(slices.Collect(maps.Values(c.inFlight)), func(x *exchange) bool {
