proxy: Give up an attempt of a stream only if the stream can go on

What callers saw: streams without any attempt for 10 s, which were closed then although their callers would have waited on (LOST).

Cause: an engine that did not answer while another one did lost its runs at once, also when the budget had no repeat, or the route no further attempt. The engine may be silent for a second only, and the stream had nothing then: it waited for a repeat while its run and its copy ended, and was closed after 10 s without a piece. With the attempts used up, a run that seemed hung was cancelled and the stream closed at once.

Change: an attempt whose engine may be alive is given up only if the stream can go on elsewhere at that moment: another attempt runs, or the route and the budget permit one. Refused connections prove the end of an engine, and are as before. A stream that has begun waits for a repeat until its deadline; its caller may leave sooner.

--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -183,15 +183,16 @@
 	return c.table != nil && c.table.Identify(s.Memory(), s.Models()) == old.Entry().Service()
 }
 
-// engineDown ends all attempts of repeatable streams at an engine that does not
-// answer, or refuses connections.
+// engineDown ends the attempts of repeatable streams at an engine that does not answer,
+// or refuses connections. Streams that can't go on elsewhere keep theirs in the first
+// case, since the engine may be silent for a while only.
 func (c *Core) engineDown(now time.Time, id string, refused bool) {
 	for _, x := range c.sortedExchanges() {
 		if !x.stream() || !x.route.Repeatable() {
 			continue
 		}
 		for _, a := range x.running() {
-			if a.upstream.ID() == id {
+			if a.upstream.ID() == id && (refused || c.mayLeave(now, x, a)) {
 				a.refused = refused
 				c.giveUp(now, x, a, Silent, "engine dead")
 			}
--- a/internal/proxy/rest.go
+++ b/internal/proxy/rest.go
@@ -33,11 +33,8 @@
 	first, resting := c.firstReturn(now, x)
 	if x.stream() && x.headSent {
 		x.retryAt = now.Add(retryPause)
-		if silent := x.lastDelivered.Add(maxSilence); resting && first.After(x.retryAt) {
+		if resting && first.After(x.retryAt) {
 			x.retryAt = first
-			if silent.Before(first) {
-				x.retryAt = silent
-			}
 		}
 		return
 	}
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -298,6 +298,12 @@
 				s.t.Fatal(err)
 			}
 			r.Timeout = time.Duration(ms) * time.Millisecond
+		case "attempts":
+			attempts, err := strconv.Atoi(value)
+			if err != nil {
+				s.t.Fatal(err)
+			}
+			r.Attempts = attempts
 		case "priority":
 			priority, err := strconv.Atoi(value)
 			if err != nil {
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -148,9 +148,20 @@
 	return false
 }
 
-// repeatsLeft reports whether the budget has a repeat for a stream whose engine may be
-// alive. Without one, the stream is better off with its present attempt.
-func (c *Core) repeatsLeft(now time.Time, x *exchange) bool {
+// mayLeave reports whether an attempt of a stream whose engine may be alive may be given
+// up: another one runs, or the stream can go on elsewhere at once. Else it is better off
+// with its present attempt.
+func (c *Core) mayLeave(now time.Time, x *exchange, a *attempt) bool {
+	if len(x.running()) > 1 {
+		return true
+	}
+	runs := x.possibleRuns
+	if !a.copied {
+		runs++
+	}
+	if !x.route.Repeatable() || runs >= x.route.Attempts() && c.standbyUnusable(now, x, a) != "" {
+		return false
+	}
 	left, _ := c.budget(x.need.Service()).Left(now)
 	return left > 0
 }
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -42,8 +42,6 @@
 	// again after its answer broke off. Each takes two round trips of 24 ms
 	// between regions, out of the 700 ms that a pause may last.
 	maxCopyResends = 3
-	// maxSilence is the silence after which a started stream is aborted.
-	maxSilence = 10 * time.Second
 )
 
 // maxGap returns the longest pause between pieces that is on time.
@@ -120,10 +118,6 @@
 	}
 	if !x.retryAt.IsZero() && !now.Before(x.retryAt) {
 		x.retryAt = time.Time{}
-		if now.Sub(x.lastDelivered) >= maxSilence {
-			c.fail(now, x, "no upstream", errs.Upstream)
-			return
-		}
 		if !c.allowed(now, x) {
 			x.retryAt = now.Add(retryPause)
 			return
@@ -153,7 +147,7 @@
 // was due.
 func (c *Core) handleSilence(now time.Time, x *exchange, a *attempt) {
 	if reason := c.stallReason(now, x, a); reason != "" {
-		if x.mayRepeat() && c.repeatsLeft(now, x) {
+		if c.mayLeave(now, x, a) {
 			c.giveUp(now, x, a, Stalled, reason)
 			return
 		}
