--- a/internal/reuse/reuse_test.go
+++ b/internal/reuse/reuse_test.go
@@ -66,3 +66,27 @@
 		}
 	})
 }
+
+// FuzzArray guards against an array that is taken for another one because it begins or
+// ends with the same text as the one before.
+func FuzzArray(f *testing.F) {
+	for _, s := range [][2]string{
+		{`[1,2,3]`, `[1,2,34]`}, {`[1,2,3]`, `[1,22,3]`}, {`[12,2]`, `[2]`}, {`[1]`, `[1,1]`}, {`[1,1,1]`, `[1,1]`}, {`[ 1 , 2 ]`, `[1,2]`},
+		{`["a","],["]`, `["a","]"]`}, {`[{"a":1},{"b":2}]`, `[{"a":1},{"c":[3]},{"b":2}]`}, {`[1,2]`, `[1,,2]`}, {`[1,2]`, `[1,]`}, {`[1,2]`, `[]`}, {`[1,2]`, `[,2]`},
+		{`[]`, `[1]`}, {`null`, `[1]`}, {`[1,2]`, `null`}, {`[-1,1]`, `[1]`}, {`[[1],[2]]`, `[[1],[1],[2]]`}, {`[1,2]`, `[1,2,2]`},
+	} {
+		f.Add([]byte(s[0]), []byte(s[1]))
+	}
+	identity := func(text []byte) (string, error) { return string(text), nil }
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		a := NewArray(identity)
+		_, _ = a.Decode(jsontext.Value(first))
+		for _, text := range [][]byte{second, first, second} {
+			got, err := a.Decode(jsontext.Value(text))
+			want, wantErr := NewArray(identity).Decode(jsontext.Value(text))
+			if (err != nil) != (wantErr != nil) || (err != nil) == json.Valid(text) && bytes.HasPrefix(bytes.Trim(text, space), []byte("[")) || !slices.Equal(got, want) {
+				t.Fatalf("%q after %q: %q, %v, want %q, %v", text, first, got, err, want, wantErr)
+			}
+		}
+	})
+}
