--- a/internal/edge/log_test.go
+++ b/internal/edge/log_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/budget"
 	"clementinelink.example/clementinelink/internal/ledger"
 	"clementinelink.example/clementinelink/internal/meter"
 	"clementinelink.example/clementinelink/internal/pool"
@@ -18,7 +19,7 @@
 // not name the version and age of the table that caused the refusal.
 func TestRefusedByTable(t *testing.T) {
 	var out bytes.Buffer
-	core := proxy.New(pool.New("r", "a", 1), proxy.NewBudget(0.8, 180, time.Second), 1)
+	core := proxy.New(pool.New("r", "a", 1), budget.NewLimits(0.8, 180, time.Second), 1)
 	d := newDispatcher(core, Upstreams{}, newEventLog(zerolog.New(&out), meter.New("test")))
 	now := time.Unix(1_700_000_000, 0)
 	d.now = func() time.Time { return now }
--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -9,6 +9,7 @@
 
 	"clementinelink.example/clementinelink/internal/accord"
 	"clementinelink.example/clementinelink/internal/blame"
+	"clementinelink.example/clementinelink/internal/budget"
 	"clementinelink.example/clementinelink/internal/feed"
 	"clementinelink.example/clementinelink/internal/ledger"
 	"clementinelink.example/clementinelink/internal/meter"
@@ -70,7 +71,7 @@
 	// again.
 	SettleTime time.Duration
 	// Budget bounds the repeated attempts.
-	Budget proxy.Budget
+	Budget budget.Limits
 	// Exposure bounds the requests that an unproven version gets.
 	Exposure move.Exposure
 	// FirstStart is true if the whole system starts for the first time, so that
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -51,8 +51,7 @@
 	inFlight map[uint64]*exchange
 	alarms   *alarm.Set[uint64]
 	// budgets holds the retry budget of each service.
-	budgets map[string]*budget.Window
-	limits  Budget
+	budgets *budget.Shares
 	// returns holds the time by service at which the latest request that was refused
 	// because of limits was told to come back.
 	returns map[string]time.Time
@@ -92,35 +91,16 @@
 	actions   []Action
 }
 
-// Budget limits extra attempts, that is retries and hedges. The limits apply to
-// the sum over all VMs.
-type Budget struct {
-	ratio float64
-	slack float64
-	span  time.Duration
-}
-
-// NewBudget returns a limit of ratio extra attempts per request, plus slack extra
-// attempts, within any period of the length span.
-func NewBudget(ratio, slack float64, span time.Duration) Budget {
-	return Budget{
-		ratio: ratio,
-		slack: slack,
-		span:  span,
-	}
-}
-
 // New returns a core without a routing table. It takes ownership of the pool.
-func New(p *pool.Pool, b Budget, seed uint64) *Core {
+func New(p *pool.Pool, l budget.Limits, seed uint64) *Core {
 	return &Core{
 		pool:         p,
 		inFlight:     make(map[uint64]*exchange),
 		alarms:       alarm.New[uint64](),
-		budgets:      make(map[string]*budget.Window),
+		budgets:      budget.NewShares(l, move.MinVMs),
 		returns:      make(map[string]time.Time),
 		moves:        make(map[string]*serviceMove),
 		peers:        move.MinVMs,
-		limits:       b,
 		cancelled:    reap.New(),
 		stateQueries: make(map[string]time.Time),
 		beginnings:   make(map[string]*expect.Times),
@@ -327,7 +307,7 @@
 	}
 	c.assignVersion(now, x)
 	c.inFlight[q.Number()] = x
-	c.budget(x.need.Service()).CountFirst(now)
+	c.budgets.Of(x.need.Service()).CountFirst(now)
 	c.startAttempt(now, x, "first")
 	c.resetAlarm(x)
 }
@@ -384,25 +364,10 @@
 // caller states one.
 const defaultWait = 30 * time.Second
 
-// budget returns the retry budget of a service and creates it on first use.
-func (c *Core) budget(service string) *budget.Window {
-	b := c.budgets[service]
-	if b == nil {
-		b = budget.NewWindow(c.limits.ratio, c.slackShare(), c.limits.span)
-		c.budgets[service] = b
-	}
-	return b
-}
-
-// slackShare returns the part of the slack that this VM may use.
-func (c *Core) slackShare() float64 { return c.limits.slack / float64(c.peers) }
-
 // setPeers applies a new number of VMs to the retry budgets.
 func (c *Core) setPeers(peers int) {
 	c.peers = max(peers, move.MinVMs)
-	for _, b := range c.budgets {
-		b.SetSlack(c.slackShare())
-	}
+	c.budgets.SetVMs(c.peers)
 }
 
 // callerLeft ends the request of a caller that disconnected.
--- a/internal/proxy/ends_test.go
+++ b/internal/proxy/ends_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/budget"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/table"
 	"pgregory.net/rapid"
@@ -49,7 +50,7 @@
 
 func newEndsHarness() *endsHarness {
 	return &endsHarness{
-		core:     New(pool.New("r1", "a", 1), NewBudget(0.8, 180, 10*time.Second), 1),
+		core:     New(pool.New("r1", "a", 1), budget.NewLimits(0.8, 180, 10*time.Second), 1),
 		now:      time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
 		ends:     make(map[uint64]int),
 		attempts: make(map[uint64]int),
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/blame"
+	"clementinelink.example/clementinelink/internal/budget"
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/reap"
@@ -38,7 +39,7 @@
 		base := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 		s := &script{
 			t:     t,
-			core:  New(pool.New("r1", "a", 1), NewBudget(0.8, 180, 10*time.Second), 1).WithExposure(move.NewExposure(0.1, 50)),
+			core:  New(pool.New("r1", "a", 1), budget.NewLimits(0.8, 180, 10*time.Second), 1).WithExposure(move.NewExposure(0.1, 50)),
 			now:   base,
 			base:  base,
 			stops: make(map[string]reap.Order),
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -135,7 +135,7 @@
 // allowed takes one retry from the service's budget and reports whether it was
 // available.
 func (c *Core) allowed(now time.Time, x *exchange) bool {
-	b := c.budget(x.need.Service())
+	b := c.budgets.Of(x.need.Service())
 	switch {
 	case !x.stream() || x.headSent:
 		if b.Take(now) {
@@ -162,7 +162,7 @@
 	if !x.route.Repeatable() || runs >= x.route.Attempts() && c.standbyUnusable(now, x, a) != "" {
 		return false
 	}
-	left, _ := c.budget(x.need.Service()).Left(now)
+	left, _ := c.budgets.Of(x.need.Service()).Left(now)
 	return left > 0
 }
 
