proxy: Do not use up a repeat for a copy that has ended

What callers saw: a stream that stood still for 9 s, got a repeat, and was turned away (503) by an engine that no longer had the copy of its run; the next repeat was denied and the stream closed (LOST).

Cause: a resume from a copy that waits for a repeat was sent however long it had waited.

Change: once the copy's time is over, the prompt is read again.

--- a/internal/proxy/copy.go
+++ b/internal/proxy/copy.go
@@ -78,6 +78,13 @@
 	return h.Usable() && !h.BackingOff(now)
 }
 
+// copyEnded reports whether the holder no longer keeps the copy of the run that the
+// exchange waits to resume.
+func (c *Core) copyEnded(now time.Time, x *exchange) bool {
+	s := c.table.Service(x.need.Service())
+	return s != nil && s.Engine() != nil && s.Engine().CopyRetention() > 0 && now.Sub(x.awaitedSince) > s.Engine().CopyRetention()
+}
+
 // available reports whether the upstream may be sent work and is the latest
 // known incarnation at its address.
 func available(now time.Time, u *pool.Upstream) bool {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -75,8 +75,9 @@
 	hedgeAt time.Time
 	retryAt time.Time
 	// awaitedCopy is the resume from a copy that waits for a repeat until retryAt, or
-	// nil.
-	awaitedCopy *Action
+	// nil. The run ended at awaitedSince.
+	awaitedCopy  *Action
+	awaitedSince time.Time
 	// denied is true once the budget has denied a repeat since the latest attempt.
 	denied bool
 	// returnAt is when the request is sent after a wait for an upstream that rests,
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -136,7 +136,7 @@
 func (c *Core) retryStream(now time.Time, x *exchange) {
 	from := x.awaitedCopy
 	x.awaitedCopy = nil
-	if from == nil || x.fence.closed || x.fence.excludes(from.upstream) || !available(now, from.upstream) || c.versionFull(x, from.upstream) {
+	if from == nil || c.copyEnded(now, x) || x.fence.closed || x.fence.excludes(from.upstream) || !available(now, from.upstream) || c.versionFull(x, from.upstream) {
 		c.startAttempt(now, x, "retry")
 		return
 	}
@@ -313,7 +313,7 @@
 	}
 	if !c.allowed(now, x) {
 		if x.headSent {
-			x.retryAt, x.awaitedCopy = now.Add(retryPause), from
+			x.retryAt, x.awaitedCopy, x.awaitedSince = now.Add(retryPause), from, now
 			return
 		}
 		c.fail(now, x, "budget of repeats used up", errs.Upstream)
