--- a/internal/expect/expect.go
+++ b/internal/expect/expect.go
@@ -1,5 +1,5 @@
-// Package expect estimates how long upstreams take to begin an answer, and decides by
-// that whether a second attempt pays.
+// Package expect estimates how long upstreams take to answer, and decides by that whether
+// a second attempt pays and which answers are slow.
 package expect
 
 import "time"
--- a/internal/proxy/move.go
+++ b/internal/proxy/move.go
@@ -3,22 +3,11 @@
 import (
 	"time"
 
+	"clementinelink.example/clementinelink/internal/expect"
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/pool"
 )
 
-const (
-	// slowFactor is the multiple of the old version's typical latency above
-	// which an answer of either version counts as slow.
-	slowFactor = 3
-	// minSlowExcess is the least excess over the typical latency of a slow
-	// answer, so that short answers do not count as slow by chance.
-	minSlowExcess = 40 * time.Millisecond
-	// typicalWeight is the weight of a new sample in the moving average of the
-	// typical latency.
-	typicalWeight = 0.05
-)
-
 // VersionOutcome is the outcome of one attempt at a service whose traffic is
 // moving to another version.
 type VersionOutcome struct {
@@ -70,9 +59,8 @@
 	// oldInFlight counts the requests in flight that are assigned to the old
 	// version.
 	oldInFlight int
-	// typical holds the old version's typical latency by route: the moving
-	// average of its good answers.
-	typical map[string]time.Duration
+	// typical holds the old version's typical latencies.
+	typical *expect.Typical
 }
 
 // applyMove starts the move of a service to a new version, or updates its
@@ -84,7 +72,7 @@
 			target:  e.target,
 			gate:    move.NewGate(uint64(e.index)),
 			quota:   move.NewQuota(c.exposure, uint64(e.index)),
-			typical: make(map[string]time.Duration),
+			typical: expect.NewTypical(),
 		}
 		if e.resumes {
 			s.quota.Resume(e.taken)
@@ -258,17 +246,13 @@
 	if x.stream() && a.begun {
 		latency = a.timeToFirst
 	}
-	typical := x.move.typical[x.route.Name()]
-	if typical > 0 && latency > max(slowFactor*typical, typical+minSlowExcess) && len(bad) == 0 {
+	typical := x.move.typical.Of(x.route.Name())
+	if x.move.typical.Slow(x.route.Name(), latency) && len(bad) == 0 {
 		bad = append(bad, move.SlowFirst)
 	}
 	newVersion := a.upstream.Entry().Version() == x.move.target
 	if !newVersion && len(bad) == 0 {
-		base := typical
-		if base == 0 {
-			base = latency
-		}
-		x.move.typical[x.route.Name()] = base + time.Duration(typicalWeight*float64(latency-base))
+		x.move.typical.Observe(x.route.Name(), latency)
 	}
 	c.emit(x, Action{
 		kind: ReportOutcome,
