feed, store: Do not ask the store for what is on its way already

Cause: a VM rejects the answer of another one if the store confirmed it more than 1.7 batch delays (2.7 s) ago. So all VMs found all others old at the same time, and nine asked the store for 528 KB each, seven of them over the link between the regions. Engines there seemed dead, and the close of connections came late.

Change: an answer states when a part of an answer of the store last arrived at the VM or those that it reads from. While one does, VMs accept answers of up to 2.2 batch delays, which is the time after which a change of an unresponsive VM arrives by another way in any case.

--- a/internal/feed/log.go
+++ b/internal/feed/log.go
@@ -46,6 +46,9 @@
 	// confirmed is when the store answered that revision is its latest, or zero
 	// before the first list. Another VM may have received that answer.
 	confirmed time.Time
+	// heardAt is when a part of an answer of the store to a read of the keys reached this
+	// VM, or one that it reads from. It may be before confirmed.
+	heardAt time.Time
 	// changed is closed at the next change of the log.
 	changed chan struct{}
 	now     func() time.Time
@@ -157,6 +160,25 @@
 	l.changed = make(chan struct{})
 }
 
+// Hear notes that a part of an answer of the store arrived age ago. While a large answer
+// arrives, the store does not confirm a revision.
+func (l *Log) Hear(age time.Duration) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if at := l.now().Add(-age); at.After(l.heardAt) {
+		l.heardAt = at
+	}
+}
+
+// answer returns an answer with changes up to the log's revision. The caller must hold
+// the mutex.
+func (l *Log) answer(events []store.Event) Changes {
+	now := l.now()
+	c := NewChanges(events, l.revision, now.Sub(l.confirmed))
+	c.quiet = min(c.age, now.Sub(l.heardAt))
+	return c
+}
+
 // Revision returns the revision up to which the log is complete, or 0 before the
 // first list.
 func (l *Log) Revision() uint64 {
@@ -201,6 +223,8 @@
 	events   []store.Event
 	revision uint64
 	age      time.Duration
+	// quiet is the time since a part of an answer of the store arrived. It is at most age.
+	quiet time.Duration
 	// transfer is the time from the first byte of the answer to its last one, or 0 if
 	// it was not measured.
 	transfer time.Duration
@@ -218,6 +242,7 @@
 		events:   events,
 		revision: revision,
 		age:      age,
+		quiet:    age,
 	}
 }
 
@@ -299,7 +324,7 @@
 		}
 		slices.SortFunc(events, byRevision)
 	}
-	return NewChanges(events, l.revision, l.now().Sub(l.confirmed)), nil
+	return l.answer(events), nil
 }
 
 // list returns all present keys. The caller must hold the mutex.
@@ -314,5 +339,5 @@
 		}
 	}
 	slices.SortFunc(events, byRevision)
-	return NewChanges(events, l.revision, l.now().Sub(l.confirmed)), nil
+	return l.answer(events), nil
 }
--- a/internal/feed/peer.go
+++ b/internal/feed/peer.go
@@ -14,6 +14,7 @@
 	"clementinelink.example/clementinelink/internal/wire"
 	"github.com/cockroachdb/errors"
 	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
 )
 
 // maxWait is the longest wait that another VM may request.
@@ -87,6 +88,9 @@
 		Revision: c.revision,
 		AgeMs:    c.age.Milliseconds(),
 	}
+	if c.quiet < c.age {
+		out.QuietMs = proto.Int64(c.quiet.Milliseconds())
+	}
 	for _, e := range c.events {
 		change := &wire.StoreChange{
 			Key:      e.Entry().Key(),
@@ -244,5 +248,8 @@
 	}
 	c := NewChanges(events, out.GetRevision(), time.Duration(out.GetAgeMs())*time.Millisecond)
 	c.wireBytes = wireBytes
+	if out.QuietMs != nil {
+		c.quiet = min(c.age, max(0, time.Duration(out.GetQuietMs())*time.Millisecond))
+	}
 	return c, nil
 }
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -31,8 +31,9 @@
 	// 1 MB, packed, takes 0.8 s if five VMs ask one whose link has 10 Mbit/s.
 	transferFactor = 1
 	// maxAgeFactor is the largest accepted age of the store's latest answer to
-	// another VM.
-	maxAgeFactor = 1.7
+	// another VM, and maxArrivalFactor that while a further answer arrives.
+	maxAgeFactor     = 1.7
+	maxArrivalFactor = 2.2
 )
 
 const (
@@ -257,6 +258,7 @@
 			r.logLarge(v, c)
 			r.countReceived(v, c)
 			r.log.Append(c.events, c.revision, c.age)
+			r.log.Hear(c.quiet)
 			return c.events, max(after, c.revision), nil
 		case errors.Is(err, store.ErrCompacted):
 			return nil, after, err
@@ -307,7 +309,8 @@
 			wait = min(wait, r.scaled(storeWaitFactor))
 		}
 		began := r.now()
-		events, revision, err := r.watch(ctx, prefix, after, wait)
+		heard := store.WithProgress(ctx, func() { r.log.Hear(0) })
+		events, revision, err := r.watch(heard, prefix, after, wait)
 		r.noteStore(began, err)
 		return NewChanges(events, revision, 0), err
 	}
@@ -315,12 +318,18 @@
 	limited, cancel := bulk.WithProgress(ctx, begin, begin+r.scaled(transferFactor))
 	defer cancel()
 	c, err := r.askPeer(limited, v.Address(), after, r.scaled(peerWaitFactor))
-	if err == nil && c.age > r.scaled(maxAgeFactor) {
-		err = errors.Wrapf(ErrStale, "%s", c.age)
+	if err == nil && r.stale(c) {
+		err = errors.Wrapf(ErrStale, "%s, quiet for %s", c.age, c.quiet)
 	}
 	return c, err
 }
 
+// stale reports whether the store's latest answer to another VM is too old. If all VMs
+// asked the store as soon as a large answer takes long, their answers would take longer.
+func (r *Reader) stale(c Changes) bool {
+	return c.age > r.scaled(maxArrivalFactor) || c.quiet > r.scaled(maxAgeFactor)
+}
+
 // noteStore notes the result of a call of the store that began at the given time.
 func (r *Reader) noteStore(began time.Time, err error) {
 	if err != nil && !errors.Is(err, store.ErrCompacted) {
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -319,9 +319,10 @@
 	timer.Reset(stallTimeout)
 	defer func() { _ = resp.Body.Close() }()
 	body := &stallReader{
-		source: resp.Body,
-		end:    time.Now().Add(bodyTimeout),
-		timer:  timer,
+		source:   resp.Body,
+		end:      time.Now().Add(bodyTimeout),
+		timer:    timer,
+		progress: progressOf(ctx),
 	}
 	if err := statusError(resp.StatusCode, resp.Header); err != nil {
 		_, _ = io.CopyN(io.Discard, body, 4096)
@@ -346,9 +347,10 @@
 // stallReader reads a body and restarts a timer with each part that arrives, so
 // that the timer expires after stallTimeout without one, or at the end time.
 type stallReader struct {
-	source io.Reader
-	end    time.Time
-	timer  *time.Timer
+	source   io.Reader
+	end      time.Time
+	timer    *time.Timer
+	progress func()
 }
 
 // Read implements io.Reader.
@@ -356,6 +358,7 @@
 	n, err := r.source.Read(p)
 	if n > 0 {
 		r.timer.Reset(min(stallTimeout, time.Until(r.end)))
+		r.progress()
 	}
 	return n, err
 }
--- /dev/null
+++ b/internal/store/progress.go
@@ -0,0 +1,20 @@
+package store
+
+import "context"
+
+// progressKey is the context key of the function that notes progress.
+type progressKey struct{}
+
+// WithProgress returns a context whose calls of the store call progress with each part of
+// the body of an answer that arrives.
+func WithProgress(ctx context.Context, progress func()) context.Context {
+	return context.WithValue(ctx, progressKey{}, progress)
+}
+
+// progressOf returns the function that notes the progress of calls with ctx.
+func progressOf(ctx context.Context) func() {
+	if progress, ok := ctx.Value(progressKey{}).(func()); ok {
+		return progress
+	}
+	return func() {}
+}
