proxy: Fire the alarms after each of several pauses

Cause: each late tick put all alarms off for 100 ms more. A VM that pauses all the time would not have fired any: no deadline would have passed, and no engine would have been checked. Found by reading, not seen in a play.

Change: after a pause the alarms fire before another one can put them off.

proxy/testdata/paused has the case; on the code before, the alarms are put off to 3,260 ms by the second pause.

--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -86,7 +86,8 @@
 	// charges holds the prompt parts that crash engines.
 	charges []blame.Charge
 	// settledAt is the time before which no alarm fires, since the VM has paused and
-	// reads what arrived meanwhile first.
+	// reads what arrived meanwhile first. It is zero once the alarms have fired after a
+	// pause, so that pauses in a row do not put them off for good.
 	settledAt time.Time
 	actions   []Action
 }
@@ -173,7 +174,7 @@
 	c.pool.EndRests(now)
 	switch e.kind {
 	case Tick:
-		if e.late > 0 {
+		if e.late > 0 && c.settledAt.IsZero() {
 			c.settledAt = now.Add(pause.Settle)
 		}
 	case Arrive:
@@ -234,6 +235,7 @@
 	if now.Before(c.settledAt) {
 		return
 	}
+	c.settledAt = time.Time{}
 	c.expirePending(now)
 	for {
 		n, ok := c.alarms.PopDue(now)
