--- a/internal/reuse/array.go
+++ b/internal/reuse/array.go
@@ -20,6 +20,8 @@
 	elements []element[T]
 	// known holds their values by their text.
 	known map[string]T
+	// unchanged is true if the array before had the same elements.
+	unchanged bool
 }
 
 // element is an element of an array.
@@ -44,6 +46,7 @@
 func (a *Array[T]) Decode(array jsontext.Value) ([]T, error) {
 	array = bytes.Trim(array, space)
 	if array.Kind() == 'n' {
+		a.unchanged = len(a.elements) == 0
 		a.text, a.elements = nil, nil
 		clear(a.known)
 		return nil, nil
@@ -68,6 +71,10 @@
 	return values, nil
 }
 
+// Unchanged reports whether the latest array has the elements of the one before it, with
+// the same texts.
+func (a *Array[T]) Unchanged() bool { return a.unchanged }
+
 // change tells how an array differs from the latest one: the text from from to before to
 // replaces the elements from first to before last.
 type change struct {
@@ -189,6 +196,7 @@
 
 // replace applies a change with the elements that were found.
 func (a *Array[T]) replace(array []byte, c change, found []element[T]) {
+	a.unchanged = len(found) == 0 && c.first == c.last
 	for _, e := range a.elements[c.first:c.last] {
 		delete(a.known, string(a.text[e.start:e.end]))
 	}
--- a/internal/reuse/reuse_test.go
+++ b/internal/reuse/reuse_test.go
@@ -32,7 +32,7 @@
 		if err != nil {
 			return "an error\n"
 		}
-		return fmt.Sprintf("values: %s\ndecoded: %s\n", cmp.Or(strings.Join(values, " "), "none"), cmp.Or(strings.Join(decoded, " "), "none"))
+		return fmt.Sprintf("values: %s\ndecoded: %s\nunchanged: %t\n", cmp.Or(strings.Join(values, " "), "none"), cmp.Or(strings.Join(decoded, " "), "none"), a.Unchanged())
 	})
 }
 
@@ -80,10 +80,16 @@
 	identity := func(text []byte) (string, error) { return string(text), nil }
 	f.Fuzz(func(t *testing.T, first, second []byte) {
 		a := NewArray(identity)
-		_, _ = a.Decode(jsontext.Value(first))
+		before, _ := a.Decode(jsontext.Value(first))
 		for _, text := range [][]byte{second, first, second} {
 			got, err := a.Decode(jsontext.Value(text))
 			want, wantErr := NewArray(identity).Decode(jsontext.Value(text))
+			if err == nil {
+				if a.Unchanged() && !slices.Equal(got, before) {
+					t.Fatalf("%q after %q: %q is not unchanged", text, first, got)
+				}
+				before = got
+			}
 			if (err != nil) != (wantErr != nil) || (err != nil) == json.Valid(text) && bytes.HasPrefix(bytes.Trim(text, space), []byte("[")) || !slices.Equal(got, want) {
 				t.Fatalf("%q after %q: %q, %v, want %q, %v", text, first, got, err, want, wantErr)
 			}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -183,6 +183,12 @@
 	}
 }
 
+// ShareRoutes takes the routes of an earlier table, which have not changed since.
+func (t *Table) ShareRoutes(earlier *Table) { t.hosts, t.top = earlier.hosts, earlier.top }
+
+// ShareWorkspaces takes the workspaces of an earlier table, which have not changed since.
+func (t *Table) ShareWorkspaces(earlier *Table) { t.keys, t.keyed = earlier.keys, earlier.keyed }
+
 // AddService adds a service, and replaces one of the same name.
 func (t *Table) AddService(s *Service) { t.services[s.name] = s }
 
