follow: Compute the change of a list in the time that its length takes

Cause: for each entry of a list, the whole change so far was searched for its key. Found by the review of this work.

Change: the keys of the change are in a map. The scripts of TestState are unchanged.

--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -102,6 +102,8 @@
 	// missing holds the keys that are missing from the store but still kept, with
 	// the time until which they are. A later outage does not prolong that.
 	missing map[string]time.Time
+	// changed holds the keys of the change that is being computed.
+	changed map[string]bool
 }
 
 // NewState returns a state without known keys.
@@ -129,6 +131,7 @@
 func (s *State) Listed(now time.Time, entries []store.Entry, revision uint64) Change {
 	s.resetFailures(now)
 	s.synced, s.revision = true, revision
+	s.changed = make(map[string]bool, len(entries))
 	var c Change
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
@@ -147,6 +150,7 @@
 func (s *State) Watched(now time.Time, events []store.Event, revision uint64) Change {
 	s.resetFailures(now)
 	s.revision = max(s.revision, revision)
+	s.changed = make(map[string]bool, len(events))
 	var c Change
 	for _, e := range events {
 		key := e.Entry().Key()
@@ -241,10 +245,18 @@
 		return
 	}
 	s.revisions[e.Key()] = e.Revision()
-	c.discard(e.Key())
+	s.discard(c, e.Key())
 	c.put = append(c.put, e)
 }
 
+// discard removes a key that is about to be added to the change, if it has it already.
+func (s *State) discard(c *Change, key string) {
+	if s.changed[key] {
+		c.discard(key)
+	}
+	s.changed[key] = true
+}
+
 // remove adds a deleted key to the change, or keeps the key as missing after an
 // outage. A write of a kept key in the same change remains: it may tell that the
 // upstream leaves.
@@ -260,6 +272,6 @@
 	}
 	delete(s.revisions, key)
 	delete(s.missing, key)
-	c.discard(key)
+	s.discard(c, key)
 	c.deleted = append(c.deleted, key)
 }
