pause, once, feed: Dial once more after a pause, between VMs as well

Cause: the timeout of 250 ms for a connection to another VM fired after a pause like those of engines, so that the VM that changes were read from was given up.

Change: package pause has the function that once had, and feed uses it. A refused connection is not tried again.

--- a/internal/feed/peer.go
+++ b/internal/feed/peer.go
@@ -10,6 +10,7 @@
 	"clementinelink.example/clementinelink/internal/bound"
 	"clementinelink.example/clementinelink/internal/bulk"
 	"clementinelink.example/clementinelink/internal/delta"
+	"clementinelink.example/clementinelink/internal/pause"
 	"clementinelink.example/clementinelink/internal/store"
 	"clementinelink.example/clementinelink/internal/wire"
 	"github.com/cockroachdb/errors"
@@ -131,14 +132,12 @@
 // NewClient returns a client of a VM whose copy of the store's keys is l. It keeps one
 // idle connection per VM.
 func NewClient(l *Log) *Client {
-	dialer := &net.Dialer{
-		Timeout: dialTimeout,
-	}
+	dial := pause.Dial(new(net.Dialer).DialContext).Within(dialTimeout, time.Now)
 	return &Client{
 		log: l,
 		http: &http.Client{
 			Transport: bulk.NewTransport(bound.NewTransport(&http.Transport{
-				DialContext:            dialer.DialContext,
+				DialContext:            dial,
 				MaxIdleConnsPerHost:    1,
 				IdleConnTimeout:        time.Minute,
 				MaxResponseHeaderBytes: bound.MaxHead,
--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -37,12 +37,10 @@
 // Dialer sends requests, each on a new connection. It is safe for concurrent
 // use. The zero value is not usable; use New.
 type Dialer struct {
-	dial        func(ctx context.Context, network, address string) (net.Conn, error)
-	dialTimeout time.Duration
+	dial pause.Dial
 	// maxHead limits the bytes of a response's head, including informational
 	// heads before it.
 	maxHead int64
-	now     func() time.Time
 }
 
 // New returns a dialer over TCP that gives up a connection attempt after
@@ -57,10 +55,8 @@
 		},
 	}
 	return &Dialer{
-		dial:        d.DialContext,
-		dialTimeout: dialTimeout,
-		maxHead:     bound.MaxHead,
-		now:         time.Now,
+		dial:    pause.Dial(d.DialContext).Within(dialTimeout, time.Now),
+		maxHead: bound.MaxHead,
 	}
 }
 
@@ -108,7 +104,7 @@
 
 // DoHooked is like Do and calls the functions in h.
 func (d *Dialer) DoHooked(ctx context.Context, address string, req *http.Request, body []byte, h Hooks) (*Answer, error) {
-	conn, err := d.connect(ctx, address)
+	conn, err := d.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "once: connect"), ErrNotSent)
 	}
@@ -134,23 +130,6 @@
 	}, nil
 }
 
-// connect opens a connection. It tries once more if the timeout was due while this
-// process had paused, since the connection may have been there in time.
-func (d *Dialer) connect(ctx context.Context, address string) (net.Conn, error) {
-	for again := false; ; again = true {
-		due := d.now().Add(d.dialTimeout)
-		limited, cancel := context.WithTimeout(ctx, d.dialTimeout)
-		conn, err := d.dial(limited, "tcp", address)
-		cancel()
-		if err == nil {
-			return conn, nil
-		}
-		if _, paused := pause.Late(d.now(), due); again || !paused || ctx.Err() != nil {
-			return nil, err
-		}
-	}
-}
-
 // exchange writes the request to conn and reads the header of the response.
 func exchange(conn net.Conn, req *http.Request, body []byte, maxHead int64, h Hooks) (*http.Response, error) {
 	setBody(req, body)
