bulk: End a read neither just after progress nor after its time

Two faults of the watchdog of this series, found by its review: if the timer fired and a part arrived before it was looked at, the read ended; and pauses in a row prolonged a read beyond its total time. TestPausedRead has both cases and fails on the code before.

--- a/internal/bulk/progress.go
+++ b/internal/bulk/progress.go
@@ -55,10 +55,17 @@
 func (w *watchdog) expired(now time.Time) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if _, paused := pause.Late(now, w.due); !paused || w.stopped {
+	if w.stopped || !now.Before(w.end) {
 		return true
 	}
-	w.reset(now, pause.Settle)
+	if now.Before(w.due) {
+		// Progress came first, and has set the timer again.
+		return false
+	}
+	if _, paused := pause.Late(now, w.due); !paused {
+		return true
+	}
+	w.reset(now, min(pause.Settle, w.end.Sub(now)))
 	return false
 }
 
--- a/internal/bulk/progress_test.go
+++ b/internal/bulk/progress_test.go
@@ -27,6 +27,16 @@
 	if !w.expired(w.due) {
 		t.Error("the read goes on without progress after the pause")
 	}
+	// Progress was noted after the timer had fired.
+	w.note(now.Add(time.Second))
+	if w.expired(now.Add(time.Second + time.Millisecond)) {
+		t.Error("the read ends although a part has just arrived")
+	}
+	// Pauses do not prolong the read beyond its end.
+	w.end = now.Add(time.Minute)
+	if !w.expired(now.Add(time.Minute)) {
+		t.Error("the read goes on after its end")
+	}
 	w.stop()
 	if !w.expired(w.due.Add(time.Second)) {
 		t.Error("the read goes on although it was stopped")
