--- a/internal/edge/dispatcher.go
+++ b/internal/edge/dispatcher.go
@@ -247,9 +247,9 @@
 	r := d.requests[a.Number()]
 	d.log.logAction(now, a, r)
 	if a.Kind() == proxy.ReportOutcome {
-		v := a.VersionOutcome()
+		v := a.Judged()
 		d.reports.Put(ctx, dispatcherReport{
-			versionOutcome: &v,
+			judged: &v,
 		})
 		return true
 	}
--- a/internal/edge/mover.go
+++ b/internal/edge/mover.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/follow"
+	"clementinelink.example/clementinelink/internal/judge"
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/proxy"
@@ -66,8 +67,8 @@
 // version outcome, or the number of requests in flight at old versions by
 // service, see proxy.Core.OldInFlight.
 type dispatcherReport struct {
-	versionOutcome *proxy.VersionOutcome
-	oldInFlight    map[string]int
+	judged      *judge.Attempt
+	oldInFlight map[string]int
 }
 
 // writeResult is the result of writing a key about the move of a service.
@@ -194,8 +195,8 @@
 		case n := <-m.updates.Out():
 			m.apply(ctx, n)
 		case t := <-m.reports.Out():
-			if t.versionOutcome != nil {
-				m.countVersionOutcome(t.versionOutcome)
+			if t.judged != nil {
+				m.countAttempt(t.judged)
 			} else {
 				m.oldInFlight = t.oldInFlight
 			}
@@ -333,8 +334,8 @@
 	m.step(ctx, t)
 }
 
-// countVersionOutcome adds the outcome of a request that this VM served.
-func (m *mover) countVersionOutcome(v *proxy.VersionOutcome) {
+// countAttempt adds the outcome of a request that this VM served.
+func (m *mover) countAttempt(v *judge.Attempt) {
 	t := m.moves[v.Service()]
 	if t == nil {
 		return
--- a/internal/proxy/action.go
+++ b/internal/proxy/action.go
@@ -5,6 +5,7 @@
 
 	"clementinelink.example/clementinelink/internal/blame"
 	"clementinelink.example/clementinelink/internal/errs"
+	"clementinelink.example/clementinelink/internal/judge"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/reap"
 	"clementinelink.example/clementinelink/internal/stand"
@@ -96,12 +97,12 @@
 	route     string
 	class     string
 
-	answer         *Answer
-	bytes          []byte
-	problem        *errs.Problem
-	versionOutcome VersionOutcome
-	stop           reap.Order
-	run            blame.Run
+	answer  *Answer
+	bytes   []byte
+	problem *errs.Problem
+	judged  judge.Attempt
+	stop    reap.Order
+	run     blame.Run
 }
 
 // Kind returns what the driver has to do.
@@ -181,8 +182,8 @@
 // Answer returns the answer of SendHead and Deliver.
 func (a Action) Answer() *Answer { return a.answer }
 
-// VersionOutcome returns the outcome that ReportOutcome reports.
-func (a Action) VersionOutcome() VersionOutcome { return a.versionOutcome }
+// Judged returns the attempt whose outcome ReportOutcome reports.
+func (a Action) Judged() judge.Attempt { return a.judged }
 
 // Stop returns the order of StopRun.
 func (a Action) Stop() reap.Order { return a.stop }
--- a/internal/proxy/move.go
+++ b/internal/proxy/move.go
@@ -4,47 +4,11 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/expect"
+	"clementinelink.example/clementinelink/internal/judge"
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/pool"
 )
 
-// VersionOutcome is the outcome of one attempt at a service whose traffic is
-// moving to another version.
-type VersionOutcome struct {
-	service    string
-	route      string
-	newVersion bool
-	outcome    move.Outcome
-	// upstream is the id of the upstream that served the attempt.
-	upstream string
-	// latency is what the attempt is judged by, and typical the old version's
-	// typical latency, or 0 if that is unknown.
-	latency time.Duration
-	typical time.Duration
-}
-
-// Service returns the service's name.
-func (v VersionOutcome) Service() string { return v.service }
-
-// Route returns the name of the route.
-func (v VersionOutcome) Route() string { return v.route }
-
-// NewVersion reports whether the new version served the attempt.
-func (v VersionOutcome) NewVersion() bool { return v.newVersion }
-
-// Outcome returns the metrics that the attempt failed, if any.
-func (v VersionOutcome) Outcome() move.Outcome { return v.outcome }
-
-// Upstream returns the id of the upstream that served the attempt.
-func (v VersionOutcome) Upstream() string { return v.upstream }
-
-// Latency returns the attempt's time to the first piece of a stream or to the
-// whole answer of another request.
-func (v VersionOutcome) Latency() time.Duration { return v.latency }
-
-// Typical returns the old version's typical latency, or 0 if it is unknown.
-func (v VersionOutcome) Typical() time.Duration { return v.typical }
-
 // serviceMove is the gradual transfer of a service's traffic to another
 // version.
 type serviceMove struct {
@@ -256,15 +220,15 @@
 	}
 	c.emit(x, Action{
 		kind: ReportOutcome,
-		versionOutcome: VersionOutcome{
-			service:    x.need.Service(),
-			route:      x.route.Name(),
-			newVersion: newVersion,
-			outcome:    move.NewOutcome(bad...),
-			upstream:   a.upstream.ID(),
-			latency:    latency,
-			typical:    typical,
-		},
+		judged: judge.NewAttempt(judge.Spec{
+			Service:    x.need.Service(),
+			Route:      x.route.Name(),
+			NewVersion: newVersion,
+			Outcome:    move.NewOutcome(bad...),
+			Upstream:   a.upstream.ID(),
+			Latency:    latency,
+			Typical:    typical,
+		}),
 	})
 }
 
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -211,7 +211,7 @@
 				fmt.Fprintf(&b, " retry=%d", a.Problem().Retry().Milliseconds())
 			}
 		case ReportOutcome:
-			fmt.Fprintf(&b, " new-version=%v good=%v", a.VersionOutcome().NewVersion(), a.VersionOutcome().Outcome() == move.NewOutcome())
+			fmt.Fprintf(&b, " new-version=%v good=%v", a.Judged().NewVersion(), a.Judged().Outcome() == move.NewOutcome())
 		case ReportCrash, ReportSurvival:
 			fmt.Fprintf(&b, " engine=%s version=%s session=%s parts=%s", a.Run().Engine(), a.Run().Version(), a.Run().Session(), strings.Join(a.Run().Parts(), "+"))
 		case Deliver:
