proxy: Put off only judgements by silence after a pause

Cause: after a pause of the VM all alarms waited for 100 ms, also those that judge nobody: deadlines, repeats, the orders to stop runs that were left, and the answers of a VM that is about to stop. And a second pause within that time fired them all before anything was read: a sound engine was given up again.

Change: after a pause, checks of silent attempts and hedges wait, as often as the VM pauses. All else is as on time. A refused connection proves the end of an engine, late or not.

--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -85,9 +85,8 @@
 	random     func() float64
 	// charges holds the prompt parts that crash engines.
 	charges []blame.Charge
-	// settledAt is the time before which no alarm fires, since the VM has paused and
-	// reads what arrived meanwhile first. It is zero once the alarms have fired after a
-	// pause, so that pauses in a row do not put them off for good.
+	// settledAt is the time before which no attempt is judged by its silence, since the
+	// VM has paused and reads what arrived meanwhile first.
 	settledAt time.Time
 	actions   []Action
 }
@@ -161,9 +160,6 @@
 	if due, tracked := c.cancelled.Next(); tracked && (!ok || due.Before(at)) {
 		at, ok = due, true
 	}
-	if ok && at.Before(c.settledAt) {
-		at = c.settledAt
-	}
 	return at, ok
 }
 
@@ -174,7 +170,7 @@
 	c.pool.EndRests(now)
 	switch e.kind {
 	case Tick:
-		if e.late > 0 && c.settledAt.IsZero() {
+		if e.late > 0 {
 			c.settledAt = now.Add(pause.Settle)
 		}
 	case Arrive:
@@ -232,10 +228,6 @@
 // fireAlarms expires pending requests and handles every exchange whose alarm is
 // due.
 func (c *Core) fireAlarms(now time.Time) {
-	if now.Before(c.settledAt) {
-		return
-	}
-	c.settledAt = time.Time{}
 	c.expirePending(now)
 	for {
 		n, ok := c.alarms.PopDue(now)
@@ -260,7 +252,7 @@
 // resetAlarm updates the alarm of an exchange after a change of its state.
 func (c *Core) resetAlarm(x *exchange) {
 	if c.inFlight[x.q.Number()] == x {
-		c.alarms.Schedule(x.q.Number(), x.nextDue())
+		c.alarms.Schedule(x.q.Number(), x.nextDue(c.settledAt))
 	}
 }
 
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -153,24 +153,42 @@
 	return x.route.Repeatable() && x.possibleRuns < x.route.Attempts()
 }
 
-// nextDue returns the time of the next timer event of the exchange.
-func (x *exchange) nextDue() time.Time {
+// nextDue returns the time of the next timer event of the exchange. No attempt is judged by
+// its silence before the time settled.
+func (x *exchange) nextDue(settled time.Time) time.Time {
 	at := x.deadline
-	if x.placement != nil && x.placement.deadline.Before(at) {
-		at = x.placement.deadline
+	if x.placement != nil {
+		at = earlier(at, x.placement.deadline)
 	}
-	for _, t := range []time.Time{x.hedgeAt, x.retryAt, x.returnAt} {
-		if !t.IsZero() && t.Before(at) {
-			at = t
+	if !x.hedgeAt.IsZero() {
+		at = earlier(at, later(x.hedgeAt, settled))
+	}
+	for _, t := range []time.Time{x.retryAt, x.returnAt} {
+		if !t.IsZero() {
+			at = earlier(at, t)
 		}
 	}
 	for _, a := range x.attempts {
 		if a.ended {
 			continue
 		}
-		if t := x.nextCheck(a); t.Before(at) {
-			at = t
-		}
+		at = earlier(at, later(x.nextCheck(a), settled))
 	}
 	return at
 }
+
+// earlier returns the earlier one of two times.
+func earlier(t, u time.Time) time.Time {
+	if u.Before(t) {
+		return u
+	}
+	return t
+}
+
+// later returns the later one of two times.
+func later(t, u time.Time) time.Time {
+	if t.Before(u) {
+		return u
+	}
+	return t
+}
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -91,7 +91,7 @@
 		c.queryID(u, e.state)
 	case e.responded && u != nil:
 		c.pool.UpdateState(now, u, e.state)
-	case u != nil && e.late > 0:
+	case u != nil && e.late > 0 && !e.refused:
 		c.askAgain(now, u)
 	case u != nil && !c.atFault(now, u, began):
 		c.checkAgain(now, u)
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -109,7 +109,7 @@
 		return
 	}
 	c.decidePlacement(now, x)
-	if !x.hedgeAt.IsZero() && !now.Before(x.hedgeAt) {
+	if !x.hedgeAt.IsZero() && !now.Before(later(x.hedgeAt, c.settledAt)) {
 		c.hedge(now, x)
 	}
 	if !x.returnAt.IsZero() && !now.Before(x.returnAt) {
@@ -125,7 +125,7 @@
 		c.retryStream(now, x)
 	}
 	for _, a := range x.running() {
-		if x.stream() && !now.Before(x.nextCheck(a)) {
+		if x.stream() && !now.Before(later(x.nextCheck(a), c.settledAt)) {
 			c.handleSilence(now, x, a)
 		}
 	}
