proxy, budget: Ask what the repeat will ask before a run is given up

Cause: whether a stream can go on elsewhere was decided by other means than the repeat itself. The ordered copy of a run was not seen, so that a stream whose engine had lost power stood still to its deadline although it had a copy. And a stream without output was given up for the part of the budget that is left to others, and refused at once.

Change: both use the same conditions.

--- a/internal/budget/window.go
+++ b/internal/budget/window.go
@@ -47,14 +47,19 @@
 // TakeAbove is Take for an attempt that leaves a share of the limit, from 0 to 1, to
 // others.
 func (w *Window) TakeAbove(now time.Time, share float64) bool {
-	limit, extra := w.count(now)
-	if float64(extra+1) > limit*(1-share) {
+	if !w.Permits(now, share) {
 		return false
 	}
 	w.extra[w.newest]++
 	return true
 }
 
+// Permits reports whether TakeAbove would allow an attempt.
+func (w *Window) Permits(now time.Time, share float64) bool {
+	limit, extra := w.count(now)
+	return float64(extra+1) <= limit*(1-share)
+}
+
 // Left returns the number of extra attempts that are allowed, and the time after which
 // the earliest ones leave the period, or 0 if there are none in it.
 func (w *Window) Left(now time.Time) (int, time.Duration) {
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -136,12 +136,7 @@
 // available.
 func (c *Core) allowed(now time.Time, x *exchange) bool {
 	b := c.budgets.Of(x.need.Service())
-	switch {
-	case !x.stream() || x.headSent:
-		if b.Take(now) {
-			return true
-		}
-	case b.TakeAbove(now, begunShare):
+	if b.TakeAbove(now, x.budgetShare()) {
 		return true
 	}
 	c.reportDenied(now, x, b)
@@ -159,11 +154,18 @@
 	if !a.copied {
 		runs++
 	}
-	if !x.route.Repeatable() || runs >= x.route.Attempts() && c.standbyUnusable(now, x, a) != "" {
+	if !x.route.Repeatable() || runs >= x.route.Attempts() && c.standbyUnusable(now, x, a) != "" && !c.orderedUsable(now, x, a) {
 		return false
 	}
-	left, _ := c.budgets.Of(x.need.Service()).Left(now)
-	return left > 0
+	return c.budgets.Of(x.need.Service()).Permits(now, x.budgetShare())
+}
+
+// budgetShare returns the share of the budget of repeats that the exchange leaves to others.
+func (x *exchange) budgetShare() float64 {
+	if x.stream() && !x.headSent {
+		return begunShare
+	}
+	return 0
 }
 
 // reportDenied reports that the budget denies a repeat, once for each wait.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -372,7 +372,7 @@
 			copied:   true,
 			reason:   "copy after " + e.cause.String(),
 		}
-	case o.handle != "" && available(now, o.holder) && !c.versionFull(x, o.holder):
+	case c.orderedUsable(now, x, a):
 		return &Action{
 			upstream: o.holder,
 			copied:   true,
@@ -385,6 +385,12 @@
 	}
 }
 
+// orderedUsable reports whether there is an ordered copy of an attempt's run to resume from.
+func (c *Core) orderedUsable(now time.Time, x *exchange, a *attempt) bool {
+	o := &a.onDemandCopy
+	return o.handle != "" && available(now, o.holder) && !c.versionFull(x, o.holder)
+}
+
 // standbyUnusable returns why an attempt's standby copy can't be used, or "" if
 // it can. A copy exists only once the run has produced output.
 func (c *Core) standbyUnusable(now time.Time, x *exchange, a *attempt) string {
