proxy: Count the time of a copy from the latest piece

Cause: an attempt that is kept since there is no repeat may outlive the copy of its run, which is kept for a time after its latest part. The repeat that came at last was sent to the holder of the copy, 10.5 s after the latest piece, where copies are kept for 4 s.

Change: the age of a copy counts from the latest piece that the caller got, wherever one is chosen.

proxy/testdata/outlived; before the change it resumes from the copy.

--- a/internal/proxy/copy.go
+++ b/internal/proxy/copy.go
@@ -78,11 +78,11 @@
 	return h.Usable() && !h.BackingOff(now)
 }
 
-// copyEnded reports whether the holder no longer keeps the copy of the run that the
-// exchange waits to resume.
+// copyEnded reports whether copies of the exchange's run are kept no longer. They are for
+// a time after their latest part, which is no older than the latest piece.
 func (c *Core) copyEnded(now time.Time, x *exchange) bool {
 	s := c.table.Service(x.need.Service())
-	return s != nil && s.Engine() != nil && s.Engine().CopyRetention() > 0 && now.Sub(x.awaitedSince) > s.Engine().CopyRetention()
+	return s != nil && s.Engine() != nil && s.Engine().CopyRetention() > 0 && now.Sub(x.lastDelivered) > s.Engine().CopyRetention()
 }
 
 // available reports whether the upstream may be sent work and is the latest
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -75,9 +75,8 @@
 	hedgeAt time.Time
 	retryAt time.Time
 	// awaitedCopy is the resume from a copy that waits for a repeat until retryAt, or
-	// nil. The run ended at awaitedSince.
-	awaitedCopy  *Action
-	awaitedSince time.Time
+	// nil.
+	awaitedCopy *Action
 	// denied is true once the budget has denied a repeat since the latest attempt.
 	denied bool
 	// returnAt is when the request is sent after a wait for an upstream that rests,
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -313,7 +313,7 @@
 	}
 	if !c.allowed(now, x) {
 		if x.headSent {
-			x.retryAt, x.awaitedCopy, x.awaitedSince = now.Add(retryPause), from, now
+			x.retryAt, x.awaitedCopy = now.Add(retryPause), from
 			return
 		}
 		c.fail(now, x, "budget of repeats used up", errs.Upstream)
@@ -388,7 +388,7 @@
 // orderedUsable reports whether there is an ordered copy of an attempt's run to resume from.
 func (c *Core) orderedUsable(now time.Time, x *exchange, a *attempt) bool {
 	o := &a.onDemandCopy
-	return o.handle != "" && available(now, o.holder) && !c.versionFull(x, o.holder)
+	return o.handle != "" && available(now, o.holder) && !c.versionFull(x, o.holder) && !c.copyEnded(now, x)
 }
 
 // standbyUnusable returns why an attempt's standby copy can't be used, or "" if
@@ -400,6 +400,9 @@
 	if a.holder == nil {
 		return "no holder"
 	}
+	if c.copyEnded(now, x) {
+		return "copy ended"
+	}
 	switch h := a.holder.Latest(); {
 	case h.Gone():
 		return "holder gone"
