proxy, pool: Use up no repeat where there is no upstream

Cause: a stream that had begun and whose service had no upstream at present took a repeat each 150 ms and sent nothing. The budget was used up when an engine was listed, and the stream, and others of the service, waited for up to 10 s. Found by the review of this work; it was there before.

Change: the stream waits for an upstream first.

--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -114,6 +114,11 @@
 	})
 }
 
+// HasUpstream reports whether Pick would return an upstream.
+func (p *Pool) HasUpstream(now time.Time, n Need, skip func(*Upstream) bool) bool {
+	return slices.ContainsFunc(p.byService[n.service], func(u *Upstream) bool { return p.eligible(now, n, u) && !skip(u) })
+}
+
 // Best returns the upstream of the list with the lowest score, or nil if none
 // may be sent work. The result of extra is added to an upstream's score; extra
 // may be nil.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -118,6 +118,9 @@
 	}
 	if !x.retryAt.IsZero() && !now.Before(x.retryAt) {
 		x.retryAt = time.Time{}
+		if c.awaitUpstream(now, x) {
+			return
+		}
 		if !c.allowed(now, x) {
 			x.retryAt = now.Add(retryPause)
 			return
@@ -131,6 +134,16 @@
 	}
 }
 
+// awaitUpstream makes a stream that has begun wait if there is no upstream for it, before
+// it uses up a repeat, and reports whether it did.
+func (c *Core) awaitUpstream(now time.Time, x *exchange) bool {
+	if !x.headSent || c.pool.HasUpstream(now, x.need, x.fence.excludes) {
+		return false
+	}
+	c.noUpstream(now, x)
+	return true
+}
+
 // retryStream starts an attempt of a stream that had to wait for one, from the copy of
 // its run if that may still be there. An engine without the copy refuses to run.
 func (c *Core) retryStream(now time.Time, x *exchange) {
@@ -311,6 +324,9 @@
 		c.fail(now, x, "refused by engines", errs.Upstream)
 		return
 	}
+	if from == nil && c.awaitUpstream(now, x) {
+		return
+	}
 	if !c.allowed(now, x) {
 		if x.headSent {
 			x.retryAt, x.awaitedCopy = now.Add(retryPause), from
