proxy: Look at an overdue resume again

Cause: a resume that had not begun in time was looked at once. If the budget had no repeat at that moment, the stream stayed in the queue of that engine until its deadline.

Change: it is looked at with each check of the attempt.

proxy/testdata/overdue; before the change nothing is sent when there is a repeat again.

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -184,7 +184,7 @@
 func (c *Core) stallReason(now time.Time, x *exchange, a *attempt) string {
 	silence := now.Sub(x.lastDelivered)
 	switch {
-	case !a.begun && (!x.headSent || a.overdue || now.Sub(a.sent) < x.resumeTimeout()):
+	case !a.begun && (!x.headSent || now.Sub(a.sent) < x.resumeTimeout()):
 		return ""
 	case !a.begun:
 		a.overdue = true
