proxy, edge, platform: Do not count attempts that never left

What callers saw: streams closed 1 to 8 s after their run had been cut, with most of the time of their deadline left (LOST).

Cause: an attempt that is given up for silence counts as one that may have run, since the core can't know whether it left.

Change: the attempt tells when it ended before any byte was sent, and the count is taken back. A byte that may have left still counts.

--- a/internal/edge/dispatcher.go
+++ b/internal/edge/dispatcher.go
@@ -310,6 +310,9 @@
 		Rank:      a.Rank(),
 		Workspace: a.Workspace(),
 		Contact:   d.contact(ctx, a, a.Instance()),
+		Unsent: func() {
+			d.notify(ctx, proxy.NewLost(a.Number(), a.Attempt(), proxy.Unsent, "given up before it was sent"))
+		},
 	}
 	o.Contact.Gate = a.Gate()
 	if a.Copied() {
--- a/internal/edge/message.go
+++ b/internal/edge/message.go
@@ -84,6 +84,9 @@
 	// Workspace is the name of the caller's workspace, or "".
 	Workspace string
 	Contact   Contact
+	// Unsent is called if the attempt ended with its context before any byte of the
+	// message was sent.
+	Unsent func()
 }
 
 // Contact connects a message that a goroutine sends to the state of its upstream,
@@ -107,7 +110,7 @@
 type Upstreams struct {
 	// Send performs an attempt and reports its progress through emit: Head and
 	// Piece events for a stream, and finally one Finish, Reply or Lost event.
-	// It emits nothing further once ctx has ended. The other functions, too, pass
+	// It emits nothing further once ctx has ended, but calls Unsent if that applies. The other functions, too, pass
 	// what any answer states about the upstream to Contact.Heard.
 	Send func(ctx context.Context, o AttemptSpec, emit func(proxy.Event))
 	// Copy requests that the engine at address copy the run of the request id
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -394,6 +394,7 @@
 	}
 	a := x.attempts[e.attempt-1]
 	if a.ended {
+		x.discount(a, e)
 		return
 	}
 	if e.load.known {
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"clementinelink.example/clementinelink/internal/alarm"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/table"
 )
@@ -36,6 +37,8 @@
 	timeToFirst time.Duration
 	head        *Answer
 	ended       bool
+	// counted is true once the attempt has ended and counts as one that may have run.
+	counted bool
 	// pieces counts the pieces of the attempt, of which the first arrived at
 	// firstPiece. survived is true once the engine has survived the prompt.
 	pieces     int
@@ -157,37 +160,21 @@
 func (x *exchange) nextDue(settled time.Time) time.Time {
 	at := x.deadline
 	if x.placement != nil {
-		at = earlier(at, x.placement.deadline)
+		at = alarm.Earlier(at, x.placement.deadline)
 	}
 	if !x.hedgeAt.IsZero() {
-		at = earlier(at, later(x.hedgeAt, settled))
+		at = alarm.Earlier(at, alarm.Later(x.hedgeAt, settled))
 	}
 	for _, t := range []time.Time{x.retryAt, x.returnAt} {
 		if !t.IsZero() {
-			at = earlier(at, t)
+			at = alarm.Earlier(at, t)
 		}
 	}
 	for _, a := range x.attempts {
 		if a.ended {
 			continue
 		}
-		at = earlier(at, later(x.nextCheck(a), settled))
+		at = alarm.Earlier(at, alarm.Later(x.nextCheck(a), settled))
 	}
 	return at
 }
-
-// earlier returns the earlier one of two times.
-func earlier(t, u time.Time) time.Time {
-	if u.Before(t) {
-		return u
-	}
-	return t
-}
-
-// later returns the later one of two times.
-func later(t, u time.Time) time.Time {
-	if t.Before(u) {
-		return u
-	}
-	return t
-}
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -213,6 +213,7 @@
 			// An attempt that resumes from a copy belongs to a run that is
 			// already counted.
 			x.possibleRuns++
+			a.counted = true
 		}
 		x.consecutiveNotRun = 0
 		a.upstream.RecordFault(now)
@@ -229,6 +230,15 @@
 	c.retryPlain(now, x, e)
 }
 
+// discount takes back the count of an attempt that was given up while its connection was
+// being made, once it is known that nothing was sent.
+func (x *exchange) discount(a *attempt, e Event) {
+	if e.kind == Lost && !e.cause.mayHaveRun() && a.counted {
+		a.counted = false
+		x.possibleRuns--
+	}
+}
+
 // upstreamUnreachable records that an upstream does not answer. If its failure
 // domain seems to be affected, it queries the other engines of the domain that
 // run attempts.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"clementinelink.example/clementinelink/internal/alarm"
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/expect"
 )
@@ -109,7 +110,7 @@
 		return
 	}
 	c.decidePlacement(now, x)
-	if !x.hedgeAt.IsZero() && !now.Before(later(x.hedgeAt, c.settledAt)) {
+	if !x.hedgeAt.IsZero() && !now.Before(alarm.Later(x.hedgeAt, c.settledAt)) {
 		c.hedge(now, x)
 	}
 	if !x.returnAt.IsZero() && !now.Before(x.returnAt) {
@@ -128,7 +129,7 @@
 		c.retryStream(now, x)
 	}
 	for _, a := range x.running() {
-		if x.stream() && !now.Before(later(x.nextCheck(a), c.settledAt)) {
+		if x.stream() && !now.Before(alarm.Later(x.nextCheck(a), c.settledAt)) {
 			c.handleSilence(now, x, a)
 		}
 	}
