simeng, memnet: Run the scripts of the engine on a clock of their own

Cause: the scripts ran in real time over the kernel's network. Traced beside eight busy processes, where 3 of 15 runs of TestScripts/batch failed, all in the same line: "waiting":1 in place of 2 in GET /load. Four requests, a sleep of 20 ms and a load report must fit into the 120 ms of the first stream (4 tokens, 30 ms each); when they take longer, that stream has ended and the next one runs, as it should. The order of the scheduler was right in all three ("0 1 length@2", then "0"). So the test measured the machine.

Change: the scripts run in testing/synctest, whose clock advances only while all goroutines wait, over pipes (package memnet), as TestNotRunProof of package plain does. The engine's listener is a function field. The data files are unchanged, and so are all waits. TestKill is new: it keeps what only a connection of the machine shows, that a kill resets it and that the engine restarts on the same address.

Result: the whole package passed 15 of 15 with -race beside eight busy processes. Planted faults fail in TestScripts/batch, and were not kept: the reverse order of priorities gives "silent" for "0 1 length@2 end" and "finished":1; a queue that is one longer gives 200 for 429 and "refused":0; a report of one stream too few gives "waiting":1. In TestKill a kill without the reset gives "stream of a killed engine: unexpected EOF".

--- a/internal/simeng/engine.go
+++ b/internal/simeng/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,8 @@
 	loadTime          time.Duration
 	fencing           bool
 	pullWeights       func(ctx context.Context, model, version string) error
+	// listen binds the address; nil for a port of the machine.
+	listen func(address string) (net.Listener, error)
 }
 
 // Option changes a setting of an engine.
@@ -114,6 +117,12 @@
 	}
 }
 
+// WithListen sets the function that binds the address; default a port of the
+// machine.
+func WithListen(listen func(address string) (net.Listener, error)) Option {
+	return func(s *settings) { s.listen = listen }
+}
+
 // Engine is a simulated model engine. Its methods may be called concurrently.
 type Engine struct {
 	name     string
@@ -162,11 +171,15 @@
 	for _, o := range opts {
 		o(s)
 	}
+	h := host.New(s.address)
+	if s.listen != nil {
+		h.WithListen(s.listen)
+	}
 	return &Engine{
 		name:     name,
 		settings: s,
 		counters: &counters{},
-		host:     host.New(s.address),
+		host:     h,
 	}
 }
 
--- a/internal/simeng/engine_test.go
+++ b/internal/simeng/engine_test.go
@@ -9,11 +9,15 @@
 	"net/http"
 	"regexp"
 	"strings"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/memnet"
 	"clementinelink.example/clementinelink/internal/simeng"
 	"github.com/cockroachdb/datadriven"
+	"github.com/cockroachdb/errors"
 	"go.uber.org/goleak"
 )
 
@@ -26,27 +30,36 @@
 
 // TestScripts guards against a simulated engine that deviates from the engine
 // contract: wrong scheduling order, lost retained streams, faults without effect.
+// The clock advances only while all goroutines wait, so that a busy machine can't
+// let streams end between two lines of a script.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
-		h := &harness{
-			streams: map[string]*stream{},
-			client: &http.Client{
-				Transport: &http.Transport{
-					DisableKeepAlives: true,
-				},
+		synctest.Test(t, func(t *testing.T) { runScript(t, path) })
+	})
+}
+
+func runScript(t *testing.T, path string) {
+	network := memnet.New()
+	h := &harness{
+		network: network,
+		streams: map[string]*stream{},
+		client: &http.Client{
+			Transport: &http.Transport{
+				DialContext:       network.Dial,
+				DisableKeepAlives: true,
 			},
+		},
+	}
+	defer func() { h.engine.Close() }()
+	datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+		if d.Cmd == "engine" {
+			return h.start(t, d)
 		}
-		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			if d.Cmd == "engine" {
-				return h.start(t, d)
-			}
-			var out strings.Builder
-			for _, line := range strings.Split(d.Input, "\n") {
-				out.WriteString(strings.TrimSpace(h.runLine(t, line)) + "\n")
-			}
-			return out.String()
-		})
-		h.engine.Close()
+		var out strings.Builder
+		for _, line := range strings.Split(d.Input, "\n") {
+			out.WriteString(strings.TrimSpace(h.runLine(t, line)) + "\n")
+		}
+		return out.String()
 	})
 }
 
@@ -67,8 +80,46 @@
 	}
 }
 
+// TestKill guards against a kill that ends connections of the machine regularly,
+// and against a restart on another address. The scripts run on pipes.
+func TestKill(t *testing.T) {
+	h := &harness{
+		engine: simeng.New("e1", simeng.WithGap(time.Millisecond, 0)),
+		client: &http.Client{
+			Transport: &http.Transport{
+				DisableKeepAlives: true,
+			},
+		},
+	}
+	if err := h.engine.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer h.engine.Close()
+	address := h.engine.Address()
+	h.engine.HoldAfter(1)
+	resp, err := h.send(t.Context(), "POST", "/v1/completions", openBody("a", `"max_tokens":9`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	lines := bufio.NewScanner(resp.Body)
+	if !lines.Scan() {
+		t.Fatal(lines.Err())
+	}
+	h.engine.Kill()
+	for lines.Scan() {
+	}
+	if !errors.Is(lines.Err(), syscall.ECONNRESET) {
+		t.Errorf("stream of a killed engine: %v", lines.Err())
+	}
+	if err := h.engine.Restart(); err != nil || h.engine.Address() != address {
+		t.Errorf("restart on %s, want %s: %v", h.engine.Address(), address, err)
+	}
+}
+
 // harness is the engine of a script, its client and the open streams by name.
 type harness struct {
+	network *memnet.Network
 	engine  *simeng.Engine
 	client  *http.Client
 	streams map[string]*stream
@@ -85,6 +136,7 @@
 	d.MaybeScanArgs(t, "retain", &retain)
 	d.MaybeScanArgs(t, "prefill", &prefill)
 	h.engine = simeng.New("e1",
+		simeng.WithListen(h.network.Listen),
 		simeng.WithSlots(slots, queue),
 		simeng.WithGap(time.Duration(gap)*time.Millisecond, 0.5),
 		simeng.WithPrefill(time.Duration(prefill)*time.Millisecond),
--- a/internal/simeng/host/host.go
+++ b/internal/simeng/host/host.go
@@ -27,6 +27,8 @@
 	mu sync.Mutex
 	// address is host:port; the port is fixed by the first Start.
 	address string
+	// listen binds an address.
+	listen func(address string) (net.Listener, error)
 	// server is nil while the host is down.
 	server *http.Server
 	// conns holds the open connections as keys.
@@ -37,9 +39,16 @@
 func New(address string) *Host {
 	return &Host{
 		address: address,
+		listen:  listen,
 	}
 }
 
+// WithListen replaces the function that binds an address. Call it before Start.
+func (h *Host) WithListen(listen func(address string) (net.Listener, error)) *Host {
+	h.listen = listen
+	return h
+}
+
 // Address returns host:port, with the chosen port after the first Start.
 func (h *Host) Address() string {
 	h.mu.Lock()
@@ -55,7 +64,7 @@
 	if h.server != nil {
 		return errors.Newf("host: %s is already running", h.address)
 	}
-	listener, err := listen(h.address)
+	listener, err := h.listen(h.address)
 	if err != nil {
 		return err
 	}
