lab, node, memnet: Run the bookings on a clock of their own

Cause: TestBookings ran in real time over the kernel's network. Traced on its own clock, the retry at VM b of script k5 (and of k6) is answered 1.91 s after it began, and its deadline is 2 s: the first call's claim expires 2 s after its start, b may settle it as unknown 2 s after that, and b's call begins 2.53 s after the first one and asks again in steps. 90 ms are left for polls, store and processes; when the machine takes more, b answers 409 "in progress, repeat", which is right at that time. So the test measured the machine.

Change: the deployment of TestBookings listens and dials through function fields on the pipes of package memnet, in testing/synctest, whose clock advances only while all goroutines wait. The script is unchanged, with all its waits, delays and deadlines. A pipe can be reset like a TCP connection, so that "reset-before" and the like stay resets. TestBookingsUnderRandomFaults and the other tests of the package go on over TCP.

Planted faults fail in k5, and were not kept: a grace period of 4 s in place of 2 s gives "b 409 unknown" for "b 504 unknown"; a claim without an outcome that is stated as not run gives "b 504 not-run".

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -46,34 +46,48 @@
 	// emit passes an event to the dispatcher. It blocks while the dispatcher's
 	// ring is full.
 	emit func(ctx context.Context, ev router.Event)
+	// dial connects to an engine.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // NewClient returns a client that passes the events of its streams to emit, which
 // may be called concurrently.
 func NewClient(emit func(ctx context.Context, ev router.Event)) *Client {
 	d := &net.Dialer{Timeout: dialTimeout}
-	return &Client{
-		polls: &http.Client{
-			Transport: &http.Transport{
-				DialContext:         d.DialContext,
-				MaxIdleConnsPerHost: maxIdle,
-				IdleConnTimeout:     idleTimeout,
-				DisableCompression:  true,
+	c := &Client{
+		dial: d.DialContext,
+		emit: emit,
+	}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		return c.dial(ctx, network, address)
+	}
+	c.polls = &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dial,
+			MaxIdleConnsPerHost: maxIdle,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
 
-				MaxResponseHeaderBytes: bound.MaxHead,
-			},
+			MaxResponseHeaderBytes: bound.MaxHead,
 		},
-		single: &http.Client{
-			Transport: &http.Transport{
-				DialContext:        d.DialContext,
-				DisableKeepAlives:  true,
-				DisableCompression: true,
+	}
+	c.single = &http.Client{
+		Transport: &http.Transport{
+			DialContext:        dial,
+			DisableKeepAlives:  true,
+			DisableCompression: true,
 
-				MaxResponseHeaderBytes: bound.MaxHead,
-			},
+			MaxResponseHeaderBytes: bound.MaxHead,
 		},
-		emit: emit,
 	}
+	return c
+}
+
+// WithDial replaces the function that connects to engines. Call it before any other
+// method.
+func (c *Client) WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
+	c.dial = dial
+	return c
 }
 
 // Open starts the attempt of an Open action and reads its stream until the stream
--- a/internal/lab/bookingclient.go
+++ b/internal/lab/bookingclient.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -61,22 +62,34 @@
 	addresses   []string
 	token       string
 	client      *http.Client
+	transport   *http.Transport
 	nextAddress atomic.Uint64
 }
 
 // NewBookingClient returns a client for entry VM addresses host:port with the
 // bearer token of a workspace.
 func NewBookingClient(addresses []string, token string) *BookingClient {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: 64,
+	}
 	return &BookingClient{
 		addresses: addresses,
 		token:     token,
 		client: &http.Client{
 			Timeout:   bookingTimeout,
-			Transport: &http.Transport{MaxIdleConnsPerHost: 64},
+			Transport: transport,
 		},
+		transport: transport,
 	}
 }
 
+// WithDial replaces the function that connects to entry VMs. Call it before any
+// other method.
+func (b *BookingClient) WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) *BookingClient {
+	b.transport.DialContext = dial
+	return b
+}
+
 // Close closes the idle connections.
 func (b *BookingClient) Close() { b.client.CloseIdleConnections() }
 
--- a/internal/lab/bookings_test.go
+++ b/internal/lab/bookings_test.go
@@ -7,10 +7,12 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/lab"
+	"clementinelink.example/clementinelink/internal/memnet"
 	"clementinelink.example/clementinelink/internal/simkv"
 	"clementinelink.example/clementinelink/internal/simsvc"
 	"github.com/cockroachdb/datadriven"
@@ -25,6 +27,8 @@
 	t      *testing.T
 	site   *lab.Site
 	client *lab.BookingClient
+	// http sends what is not a booking.
+	http *http.Client
 	// calls receives the results of calls started in the background.
 	calls    chan string
 	revision uint64
@@ -33,10 +37,11 @@
 }
 
 func newBookingFixture(t *testing.T) *bookingFixture {
+	network := memnet.New()
 	site := lab.NewSite([]lab.Zone{
 		lab.NewZone("home", "gabrovo", 0, 0),
 		lab.NewZone("cell", "gabrovo", 2, 0).WithPlainServices(2),
-	}, zerolog.Nop()).WithDelays(30*time.Millisecond, 0)
+	}, zerolog.Nop()).WithDelays(30*time.Millisecond, 0).WithNetwork(network.Listen, network.Dial)
 	if err := site.Start(context.Background()); err != nil {
 		t.Fatal(err)
 	}
@@ -46,14 +51,23 @@
 	return &bookingFixture{
 		t:      t,
 		site:   site,
-		client: lab.NewBookingClient(site.EntryAddrs(), lab.Token(0)),
-		calls:  make(chan string, 1),
+		client: lab.NewBookingClient(site.EntryAddrs(), lab.Token(0)).WithDial(network.Dial),
+		http: &http.Client{
+			Transport: &http.Transport{
+				DialContext:       network.Dial,
+				DisableKeepAlives: true,
+			},
+		},
+		calls: make(chan string, 1),
 	}
 }
 
 // TestBookings guards against work that runs twice under one key, and against
-// false outcomes, under each fault.
-func TestBookings(t *testing.T) {
+// false outcomes, under each fault. The clock advances only while all goroutines
+// wait, so that a busy machine can't take a call past its deadline.
+func TestBookings(t *testing.T) { synctest.Test(t, testBookings) }
+
+func testBookings(t *testing.T) {
 	fixture := newBookingFixture(t)
 	defer fixture.site.Close()
 	defer fixture.client.Close()
@@ -96,7 +110,7 @@
 		f.t.Fatal(err)
 	}
 	f.waitUntil(func() bool {
-		resp, err := http.Get("http://" + f.site.EntryAddrs()[i] + "/readyz")
+		resp, err := f.http.Get("http://" + f.site.EntryAddrs()[i] + "/readyz")
 		if err != nil {
 			return false
 		}
@@ -217,7 +231,7 @@
 // callRunning reports whether a plain service is running a call.
 func (f *bookingFixture) callRunning() bool {
 	for _, p := range f.site.PlainServices() {
-		resp, err := http.Get("http://" + p.Address() + "/load")
+		resp, err := f.http.Get("http://" + p.Address() + "/load")
 		if err != nil {
 			continue
 		}
--- a/internal/lab/link.go
+++ b/internal/lab/link.go
@@ -33,10 +33,25 @@
 	cut   atomic.Bool
 	// carried counts the bytes of both directions.
 	carried atomic.Int64
+	// listen and dial are the network, by default that of the machine.
+	listen func(address string) (net.Listener, error)
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // NewLink returns a link with a one-way delay.
-func NewLink(delay time.Duration) *Link { return &Link{delay: delay} }
+func NewLink(delay time.Duration) *Link {
+	return &Link{
+		delay:  delay,
+		listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+		dial:   (&net.Dialer{}).DialContext,
+	}
+}
+
+// WithNetwork replaces the network of the machine. Call it before Forward.
+func (l *Link) WithNetwork(listen func(address string) (net.Listener, error), dial func(ctx context.Context, network, address string) (net.Conn, error)) *Link {
+	l.listen, l.dial = listen, dial
+	return l
+}
 
 // Cut cuts the link, or restores it if cut is false.
 func (l *Link) Cut(cut bool) { l.cut.Store(cut) }
@@ -54,7 +69,7 @@
 // Forward listens on loopback and forwards each connection over the link to the
 // target until ctx is canceled. It returns the listening address.
 func (l *Link) Forward(ctx context.Context, tasks *sync.WaitGroup, target string) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := l.listen("127.0.0.1:0")
 	if err != nil {
 		return "", errors.Wrap(err, "lab: link")
 	}
@@ -77,10 +92,12 @@
 	if !l.wait(ctx, l.delay) {
 		return
 	}
-	server, err := (&net.Dialer{}).DialContext(ctx, "tcp", target)
+	server, err := l.dial(ctx, "tcp", target)
 	if err != nil {
 		// Passes a refused connection on as a reset.
-		_ = client.(*net.TCPConn).SetLinger(0)
+		if t, ok := client.(interface{ SetLinger(sec int) error }); ok {
+			_ = t.SetLinger(0)
+		}
 		return
 	}
 	defer server.Close()
@@ -131,7 +148,7 @@
 			// Passes a reset on as a reset. An orderly close is delivered after
 			// the data.
 			if !errors.Is(err, io.EOF) {
-				if t, ok := to.(*net.TCPConn); ok {
+				if t, ok := to.(interface{ SetLinger(sec int) error }); ok {
 					_ = t.SetLinger(0)
 				}
 			}
--- a/internal/lab/machines.go
+++ b/internal/lab/machines.go
@@ -19,30 +19,30 @@
 // startPlatform starts the store, the VM lists and the links.
 func (s *Site) startPlatform(ctx context.Context) error {
 	s.store = simkv.New()
-	at, err := s.listen(func(l net.Listener) { _ = s.store.Serve(ctx, l) })
+	at, err := s.serve(func(l net.Listener) { _ = s.store.Serve(ctx, l) })
 	if err != nil {
 		return err
 	}
 	s.storeAddr = at
 	for i, z := range s.zones {
 		list := simvms.New(0)
-		at, err := s.listen(func(l net.Listener) { _ = list.Serve(ctx, l) })
+		at, err := s.serve(func(l net.Listener) { _ = list.Serve(ctx, l) })
 		if err != nil {
 			return err
 		}
 		s.vmLists[z.name] = list
 		s.vmListAddrs[z.name] = at
 		for _, o := range s.zones[:i] {
-			s.links[[2]string{min(z.name, o.name), max(z.name, o.name)}] = NewLink(s.delay(z, o))
+			s.links[[2]string{min(z.name, o.name), max(z.name, o.name)}] = NewLink(s.delay(z, o)).WithNetwork(s.listen, s.dial)
 		}
 	}
 	return nil
 }
 
-// listen opens a loopback listener for a simulated service and returns its
+// serve opens a loopback listener for a simulated service and returns its
 // address.
-func (s *Site) listen(serve func(l net.Listener)) (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func (s *Site) serve(serve func(l net.Listener)) (string, error) {
+	l, err := s.listen("127.0.0.1:0")
 	if err != nil {
 		return "", errors.Wrap(err, "lab: listen")
 	}
@@ -70,7 +70,7 @@
 
 func (s *Site) addEngine(ctx context.Context, z Zone, i int) error {
 	name := fmt.Sprintf("%s-engine-%d", z.name, i)
-	e := simeng.New(name, append([]simeng.Option{simeng.WithAddress(s.hostIP + ":0")}, s.options...)...)
+	e := simeng.New(name, append([]simeng.Option{simeng.WithAddress(s.hostIP + ":0"), simeng.WithListen(s.listen)}, s.options...)...)
 	if err := e.Start(); err != nil {
 		return errors.Wrapf(err, "lab: engine %s", name)
 	}
@@ -99,6 +99,7 @@
 		Level:        "warn",
 		Format:       "json",
 	}
+	settings.WithNetwork(s.listen, s.dial)
 	if err := settings.Check(); err != nil {
 		return errors.Wrapf(err, "lab: entry VM %s", name)
 	}
--- a/internal/lab/plain.go
+++ b/internal/lab/plain.go
@@ -49,7 +49,7 @@
 
 func (s *Site) addPlainService(ctx context.Context, z Zone, i int) error {
 	name := fmt.Sprintf("%s-plain-%d", z.name, i)
-	p := simsvc.New(name, simsvc.WithAddress(s.hostIP+":0"))
+	p := simsvc.New(name, simsvc.WithAddress(s.hostIP+":0"), simsvc.WithListen(s.listen))
 	if err := p.Start(); err != nil {
 		return errors.Wrapf(err, "lab: plain service %s", name)
 	}
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -95,6 +96,9 @@
 	hostIP      string
 	storeAddr   string
 	vmListAddrs map[string]string
+	// listen and dial are the network, by default that of the machine.
+	listen func(address string) (net.Listener, error)
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // siteCount counts the deployments of this process.
@@ -122,9 +126,18 @@
 		log:         log,
 		options:     options,
 		hostIP:      hostAddress(),
+		listen:      func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
+		dial:        (&net.Dialer{}).DialContext,
 	}
 }
 
+// WithNetwork replaces the network of the machine. Clients of the deployment must
+// use the same one. Call it before Start.
+func (s *Site) WithNetwork(listen func(address string) (net.Listener, error), dial func(ctx context.Context, network, address string) (net.Conn, error)) *Site {
+	s.listen, s.dial = listen, dial
+	return s
+}
+
 // WithDelays sets the one-way delays between failure domains of one region
 // and between regions.
 func (s *Site) WithDelays(domains, regions time.Duration) *Site {
@@ -256,7 +269,13 @@
 	}
 	ctx, stop := context.WithTimeout(ctx, applyTimeout)
 	defer stop()
-	c := submit.NewClient(s.nodes[0].AdminAddr(), http.DefaultClient)
+	transport := &http.Transport{
+		DialContext: s.dial,
+	}
+	defer transport.CloseIdleConnections()
+	c := submit.NewClient(s.nodes[0].AdminAddr(), &http.Client{
+		Transport: transport,
+	})
 	r, _, err := c.Apply(ctx, submit.NewRequest(fmt.Sprintf("lab-%d", revision), "lab", revision-1, parts))
 	if err != nil {
 		return errors.Wrap(err, "lab: apply")
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -68,7 +68,7 @@
 	if l == nil {
 		return nil, errors.Wrap(ErrRefused, address)
 	}
-	near, far := net.Pipe()
+	near, far := pair()
 	select {
 	case l.conns <- far:
 		return near, nil
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -68,9 +68,14 @@
 		requests:  ring.New[func(ctx context.Context)](claimRequestCap, ring.Refuse),
 		entries:   initialEntries,
 	}
-	c.slots = newSlotStore(store.New(s.Store, incarnation).
+	slotClient := store.New(s.Store, incarnation).
 		WithBudget(claimReadLimit/initialEntries, claimWriteLimit/initialEntries).
-		WithDeadline(slotOpTimeout))
+		WithDeadline(slotOpTimeout)
+	if s.dial != nil {
+		slotClient.WithDial(s.dial)
+		c.client.WithDial(s.dial)
+	}
+	c.slots = newSlotStore(slotClient)
 	claims := claim.New(s.Name, incarnation, claim.Slots, claimRate(initialEntries)).WithOwner(c.directory.owner)
 	retries := budget.NewRetry(budget.DefaultRatio, budget.DefaultFloor, budget.DefaultBurst)
 	c.server = call.NewServer(claims, call.New(c.directory.upstreams, retries), c.client).
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -159,6 +159,12 @@
 }
 
 func newNode(deps dependencies) *Node {
+	if dial := deps.Settings.dial; dial != nil {
+		deps.Engine.WithDial(dial)
+		deps.Members.WithDial(dial)
+		deps.Store.WithDial(dial)
+		deps.Peers.WithDial(dial)
+	}
 	n := &Node{
 		settings:    deps.Settings,
 		log:         deps.Log,
@@ -258,12 +264,16 @@
 
 // listen opens all listeners, or none of them.
 func (n *Node) listen() error {
+	listen := n.settings.listen
+	if listen == nil {
+		listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
 	for name, address := range map[string]string{
 		"callers":   n.settings.Listen,
 		"operators": n.settings.Admin,
 		"peers":     n.settings.Peer,
 	} {
-		l, err := net.Listen("tcp", address)
+		l, err := listen(address)
 		if err != nil {
 			for _, open := range n.listeners {
 				_ = open.Close()
@@ -280,6 +290,9 @@
 	// A submission writes up to 35 parts at once and is rare, so submissions have
 	// a separate budget.
 	submissions := store.New(n.settings.Store, n.incarnation).WithBudget(submitReads, submitWrites)
+	if n.settings.dial != nil {
+		submissions.WithDial(n.settings.dial)
+	}
 	h := submit.NewHandler(submit.NewSubmitter(submit.NewClientStore(submissions)), submit.Sources{
 		Now:   time.Now,
 		Head:  n.head,
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"net"
 	"net/url"
 	"time"
@@ -28,6 +29,15 @@
 	PullInterval time.Duration `long:"pulls" env:"CLEMENTINE_PULLS" default:"1s" description:"shortest time between two load orders of one move, as the weight store's rate allows"`
 	Level        string        `long:"level" env:"CLEMENTINE_LEVEL" default:"info" description:"least severe log level: debug, info, warn or error"`
 	Format       string        `long:"format" env:"CLEMENTINE_FORMAT" default:"json" description:"log format: json or text"`
+	// listen and dial replace the network of the machine if they are not nil.
+	listen func(address string) (net.Listener, error)
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// WithNetwork replaces the network of the machine. Call it before New.
+func (s *Settings) WithNetwork(listen func(address string) (net.Listener, error), dial func(ctx context.Context, network, address string) (net.Conn, error)) *Settings {
+	s.listen, s.dial = listen, dial
+	return s
 }
 
 // Check returns an error that names the first invalid setting, or nil.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -26,7 +27,8 @@
 
 // Client calls other entry VMs. It is safe for concurrent use.
 type Client struct {
-	http *http.Client
+	http      *http.Client
+	transport *http.Transport
 	// countBytes is called with the size of each request body, to measure the
 	// control traffic.
 	countBytes func(bytes int)
@@ -35,18 +37,27 @@
 // NewClient returns a client that calls countBytes with the size of each request
 // body. countBytes must be safe for concurrent use.
 func NewClient(countBytes func(bytes int)) *Client {
+	transport := &http.Transport{
+		MaxIdleConnsPerHost:    2,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: bound.MaxHead,
+	}
 	return &Client{
 		http: &http.Client{
-			Transport: bound.NewTransport(&http.Transport{
-				MaxIdleConnsPerHost:    2,
-				IdleConnTimeout:        time.Minute,
-				MaxResponseHeaderBytes: bound.MaxHead,
-			}, maxAnswerBytes),
+			Transport: bound.NewTransport(transport, maxAnswerBytes),
 		},
+		transport:  transport,
 		countBytes: countBytes,
 	}
 }
 
+// WithDial replaces the function that connects to other VMs. Call it before any other
+// method.
+func (c *Client) WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
+	c.transport.DialContext = dial
+	return c
+}
+
 // Exchange sends this VM's state to the peer at address and returns the peer's
 // state.
 func (c *Client) Exchange(ctx context.Context, address string, in *wire.ExchangeRequest) (*wire.ExchangeReply, error) {
--- a/internal/plain/client.go
+++ b/internal/plain/client.go
@@ -62,9 +62,8 @@
 	d := &net.Dialer{
 		Timeout: dialTimeout,
 	}
-	return &Client{
+	c := &Client{
 		lookups: &http.Transport{
-			DialContext:            d.DialContext,
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
 			ExpectContinueTimeout:  time.Second,
@@ -74,6 +73,17 @@
 		dial:   d.DialContext,
 		now:    time.Now,
 	}
+	c.lookups.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		return c.dial(ctx, network, address)
+	}
+	return c
+}
+
+// WithDial replaces the function that connects to upstreams. Call it before any other
+// method.
+func (c *Client) WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
+	c.dial = dial
+	return c
 }
 
 // Close closes the idle connections.
--- a/internal/simeng/host/host.go
+++ b/internal/simeng/host/host.go
@@ -137,7 +137,7 @@
 
 // closeWithReset closes c with a TCP reset instead of a regular shutdown.
 func closeWithReset(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
+	if t, ok := c.(interface{ SetLinger(sec int) error }); ok {
 		_ = t.SetLinger(0)
 	}
 	_ = c.Close()
--- a/internal/simsvc/service.go
+++ b/internal/simsvc/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -15,6 +16,8 @@
 	address string
 	work    time.Duration
 	slots   int
+	// listen binds the address; nil for a port of the machine.
+	listen func(address string) (net.Listener, error)
 }
 
 // Option changes a setting of a service.
@@ -30,6 +33,12 @@
 // and X-Not-Run. Default 64.
 func WithSlots(n int) Option { return func(s *settings) { s.slots = n } }
 
+// WithListen sets the function that binds the address; default a port of the
+// machine.
+func WithListen(listen func(address string) (net.Listener, error)) Option {
+	return func(s *settings) { s.listen = listen }
+}
+
 // Service is a simulated plain service. Its methods may be called concurrently.
 type Service struct {
 	name     string
@@ -57,11 +66,15 @@
 	for _, o := range opts {
 		o(opt)
 	}
+	h := host.New(opt.address)
+	if opt.listen != nil {
+		h.WithListen(opt.listen)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Service{
 		name:     name,
 		settings: opt,
-		host:     host.New(opt.address),
+		host:     h,
 		state:    newState(opt.slots),
 		ctx:      ctx,
 		cancel:   cancel,
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -62,6 +62,7 @@
 	send func(*http.Request) (*http.Response, error)
 	// closeIdle closes the connections that no call uses.
 	closeIdle func()
+	transport *http.Transport
 	// observe is called with the verb and the result of each exchange.
 	observe func(verb, result string)
 	// sleep waits for a time and returns ctx's error if that ends first.
@@ -100,6 +101,7 @@
 		sleep:    sleep,
 
 		closeIdle: transport.CloseIdleConnections,
+		transport: transport,
 	}
 	return c.WithBudget(200, 30)
 }
@@ -158,6 +160,13 @@
 	return c
 }
 
+// WithDial replaces the function that connects to the store. Call it before any other
+// method.
+func (c *Client) WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
+	c.transport.DialContext = dial
+	return c
+}
+
 // Get returns the entry of a key; an absent key is the zero Entry.
 func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
 	var found Entry
--- a/internal/vmlist/client.go
+++ b/internal/vmlist/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -30,7 +31,8 @@
 type Client struct {
 	base string
 	// send performs one HTTP exchange.
-	send func(*http.Request) (*http.Response, error)
+	send      func(*http.Request) (*http.Response, error)
+	transport *http.Transport
 	// cached is the list that was read last, or nil.
 	cached atomic.Pointer[cachedList]
 }
@@ -44,17 +46,26 @@
 
 // New returns a client of the list at base, such as http://127.0.0.1:7001.
 func New(base string) *Client {
+	transport := &http.Transport{
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: bound.MaxHead,
+	}
 	return &Client{
 		base: base,
 		send: (&http.Client{
-			Transport: &http.Transport{
-				IdleConnTimeout:        idleTimeout,
-				MaxResponseHeaderBytes: bound.MaxHead,
-			},
+			Transport: transport,
 		}).Do,
+		transport: transport,
 	}
 }
 
+// WithDial replaces the function that connects to the list. Call it before any other
+// method.
+func (c *Client) WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
+	c.transport.DialContext = dial
+	return c
+}
+
 // listBody is the JSON encoding of the list.
 type listBody struct {
 	VMs []struct {
