--- a/internal/feed/peer.go
+++ b/internal/feed/peer.go
@@ -125,6 +125,8 @@
 // Client requests changes from other VMs. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
+	// dial connects to another VM. It is set before the first call.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// log holds the values from which answers may be differences.
 	log *Log
 }
@@ -132,18 +134,21 @@
 // NewClient returns a client of a VM whose copy of the store's keys is l. It keeps one
 // idle connection per VM.
 func NewClient(l *Log) *Client {
-	dial := pause.Dial(new(net.Dialer).DialContext).Within(dialTimeout, time.Now)
-	return &Client{
-		log: l,
-		http: &http.Client{
-			Transport: bulk.NewTransport(bound.NewTransport(&http.Transport{
-				DialContext:            dial,
-				MaxIdleConnsPerHost:    1,
-				IdleConnTimeout:        time.Minute,
-				MaxResponseHeaderBytes: bound.MaxHead,
-			}, maxAnswerBytes)),
-		},
+	c := &Client{
+		dial: pause.Dial(new(net.Dialer).DialContext).Within(dialTimeout, time.Now),
+		log:  l,
+	}
+	c.http = &http.Client{
+		Transport: bulk.NewTransport(bound.NewTransport(&http.Transport{
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				return c.dial(ctx, network, address)
+			},
+			MaxIdleConnsPerHost:    1,
+			IdleConnTimeout:        time.Minute,
+			MaxResponseHeaderBytes: bound.MaxHead,
+		}, maxAnswerBytes)),
 	}
+	return c
 }
 
 // markError marks an error from another VM as ErrTooOld or ErrNotListed
