proxy, edge: Judge no engine by a query that a pause fell into

Cause: a pause that lies within the 130 ms of a query and ends before its timeout was not seen.

Change: the VM tells the core of a version that took 50 ms or more, and the core asks again where a query began before the end of a pause.

--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/follow"
+	"clementinelink.example/clementinelink/internal/pause"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/proxy"
 	"clementinelink.example/clementinelink/internal/store"
@@ -75,6 +76,9 @@
 		v.log.Error().Err(err).Str("key", e.Key()).Uint64("revision", e.Revision()).Msg("config: A version can't be read.")
 		return
 	}
+	if took >= pause.Shortest {
+		v.dispatcher.notify(ctx, proxy.Event{}.Late(took))
+	}
 	v.log.Info().Int64("version", t.Version()).Int("bytes", len(e.Value())).Int64("ms", took.Milliseconds()).Msg("config: A version was read.")
 	v.dispatcher.notify(ctx, proxy.NewConfigure(t))
 }
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -85,8 +85,9 @@
 	random     func() float64
 	// charges holds the prompt parts that crash engines.
 	charges []blame.Charge
-	// settledAt is the time before which no attempt is judged by its silence, since the
-	// VM has paused and reads what arrived meanwhile first.
+	// pausedAt is the end of the VM's latest pause. No attempt is judged by a query that
+	// began before it, and none by its silence before settledAt.
+	pausedAt  time.Time
 	settledAt time.Time
 	actions   []Action
 }
@@ -171,7 +172,7 @@
 	switch e.kind {
 	case Tick:
 		if e.late > 0 {
-			c.settledAt = now.Add(pause.Settle)
+			c.pausedAt, c.settledAt = now, now.Add(pause.Settle)
 		}
 	case Arrive:
 		c.arrive(now, e.request)
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -91,7 +91,7 @@
 		c.queryID(u, e.state)
 	case e.responded && u != nil:
 		c.pool.UpdateState(now, u, e.state)
-	case u != nil && e.late > 0 && !e.refused:
+	case u != nil && !e.refused && (e.late > 0 || began.Before(c.pausedAt)):
 		c.askAgain(now, u)
 	case u != nil && !c.atFault(now, u, began):
 		c.checkAgain(now, u)
