feed: Do not ask VMs that know no more than this one

Cause: when the store failed the VM that reads for all, that VM asked those after it, which read from it, and put them before the store for 2 s.

Change: an answer of a VM that follows in the tree counts only if it is newer than what this VM has. Else the store is asked again.

testdata/reader has the case; before the change the second VM's answer is taken and the store backs off. The log of that test has the test's clock now.

--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -318,12 +318,18 @@
 	limited, cancel := bulk.WithProgress(ctx, begin, begin+r.scaled(transferFactor))
 	defer cancel()
 	c, err := r.askPeer(limited, v.Address(), after, r.scaled(peerWaitFactor))
-	if err == nil && r.stale(c) {
+	if err == nil && (r.stale(c) || r.selector.Follows(v) && r.knows(c)) {
 		err = errors.Wrapf(ErrStale, "%s, quiet for %s", c.age, c.quiet)
 	}
 	return c, err
 }
 
+// knows reports whether an answer is no newer than what this VM has. A VM that reads from
+// this one has no other.
+func (r *Reader) knows(c Changes) bool {
+	return c.revision <= r.log.Revision() && !r.now().Add(-c.age).After(r.log.Confirmed())
+}
+
 // stale reports whether the store's latest answer to another VM is too old. If all VMs
 // asked the store as soon as a large answer takes long, their answers would take longer.
 func (r *Reader) stale(c Changes) bool {
--- a/internal/feed/reader_test.go
+++ b/internal/feed/reader_test.go
@@ -24,10 +24,12 @@
 		now = base.Add(time.Duration(number(t, d, "at")) * time.Millisecond)
 		switch d.Cmd {
 		case "vms":
+			l := NewLog()
+			l.now = func() time.Time { return now }
 			r = &Reader{
 				batchDelay: time.Second,
 				selector:   NewSelector(text(t, d, "self")),
-				log:        NewLog(),
+				log:        l,
 				now:        func() time.Time { return now },
 				sleep:      func(context.Context, time.Duration) {},
 				logger:     zerolog.Nop(),
--- a/internal/feed/selector.go
+++ b/internal/feed/selector.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"slices"
 	"time"
 
 	"clementinelink.example/clementinelink/internal/tree"
@@ -78,6 +79,9 @@
 	return append(append(before, tree.VM{}), after...)
 }
 
+// Follows reports whether a VM comes after this one in the tree. It may read from this one.
+func (o *Selector) Follows(v tree.VM) bool { return slices.Contains(o.tree.After(), v) }
+
 // available returns the first n VMs whose backoff has ended.
 func (o *Selector) available(now time.Time, vms []tree.VM, n int) []tree.VM {
 	var list []tree.VM
