pool: Count failures that come together as one

Cause: each refusal, and each attempt at an engine that did not answer, doubled the time for which a worker is a last resort. Six refusals that arrived at once made it 6 s although the worker asked for a rest of one; a single engine that did not answer counted twice. Requests that another worker's limit did not permit were refused meanwhile.

Change: the time doubles with the next failure after it has ended.

--- a/internal/pool/upstream.go
+++ b/internal/pool/upstream.go
@@ -160,9 +160,13 @@
 	u.faultAt = now
 }
 
-// BackOff makes the upstream a last resort for some time, which doubles with
-// each consecutive call up to maxBackoff.
+// BackOff makes the upstream a last resort for some time, which doubles with each
+// consecutive call up to maxBackoff. Calls while it lasts belong to the same failure: the
+// attempts were sent before it.
 func (u *Upstream) BackOff(now time.Time) {
+	if u.BackingOff(now) {
+		return
+	}
 	u.backoffUntil = now.Add(min(minBackoff<<u.backoffDoublings, maxBackoff))
 	u.backoffDoublings = min(u.backoffDoublings+1, 2)
 }
