--- a/internal/alarm/times.go
+++ b/internal/alarm/times.go
@@ -17,3 +17,11 @@
 	}
 	return t
 }
+
+// First returns the earlier one of two times, of which a zero one stands for never.
+func First(t, u time.Time) time.Time {
+	if t.IsZero() || !u.IsZero() && u.Before(t) {
+		return u
+	}
+	return t
+}
--- a/internal/node/canceller.go
+++ b/internal/cancel/cancel.go
@@ -1,4 +1,5 @@
-package node
+// Package cancel sends cancels of attempts to engines until they are confirmed.
+package cancel
 
 import (
 	"context"
@@ -36,8 +37,8 @@
 	expires time.Time
 }
 
-// canceller is the duty that sends cancels to engines until they are confirmed.
-type canceller struct {
+// Sender is the duty that sends cancels to engines until they are confirmed.
+type Sender struct {
 	// initial holds the cancels that were not sent yet.
 	initial *ring.Ring[pendingCancel]
 	// retries holds the cancels that were sent and not confirmed.
@@ -47,8 +48,10 @@
 	now  func() time.Time
 }
 
-func newCanceller(send func(ctx context.Context, address, id string, attempt uint32) error) *canceller {
-	return &canceller{
+// NewSender returns a sender of cancels. send delivers one cancel and returns nil once it is
+// confirmed.
+func NewSender(send func(ctx context.Context, address, id string, attempt uint32) error) *Sender {
+	return &Sender{
 		initial: ring.New[pendingCancel](cancelCap, ring.DropOldest),
 		retries: ring.New[pendingCancel](cancelCap, ring.DropOldest),
 		send:    send,
@@ -56,7 +59,8 @@
 	}
 }
 
-func (c *canceller) enqueue(ctx context.Context, address, id string, attempt uint32) {
+// Enqueue queues the cancel of an attempt of the request id.
+func (c *Sender) Enqueue(ctx context.Context, address, id string, attempt uint32) {
 	now := c.now()
 	c.initial.Put(ctx, pendingCancel{
 		address: address,
@@ -67,8 +71,19 @@
 	})
 }
 
+// Start starts the goroutines of the duty, which run until ctx ends, by calling start with
+// each.
+func (c *Sender) Start(ctx context.Context, start func(run func())) {
+	for range cancelSenders {
+		start(func() { c.run(ctx, c.initial) })
+	}
+	for range cancelRetriers {
+		start(func() { c.run(ctx, c.retries) })
+	}
+}
+
 // run sends the cancels from one of the rings until ctx ends.
-func (c *canceller) run(ctx context.Context, in *ring.Ring[pendingCancel]) {
+func (c *Sender) run(ctx context.Context, in *ring.Ring[pendingCancel]) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -81,7 +96,7 @@
 
 // try waits until the next try of a cancel, sends it, and queues it for another
 // try unless it is confirmed or has expired.
-func (c *canceller) try(ctx context.Context, p pendingCancel) {
+func (c *Sender) try(ctx context.Context, p pendingCancel) {
 	if wait := p.nextTry.Sub(c.now()); wait > 0 {
 		select {
 		case <-ctx.Done():
--- a/internal/claim/core.go
+++ b/internal/claim/core.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"clementinelink.example/clementinelink/internal/alarm"
 )
 
 // The timeouts, intervals and limits of the core.
@@ -145,12 +147,12 @@
 	for _, s := range c.ready {
 		at := s.retryAt
 		if s.table != nil {
-			at = later(at, c.limiter.nextWrite(s))
+			at = alarm.Later(at, c.limiter.nextWrite(s))
 		}
-		next = earlier(next, at)
+		next = alarm.First(next, at)
 	}
 	if c.storeDown && !c.probe.inFlight {
-		next = earlier(next, c.probeAt)
+		next = alarm.First(next, c.probeAt)
 	}
 	return next
 }
@@ -315,7 +317,7 @@
 }
 
 // scheduleTick asks for a tick at the given time at the latest.
-func (c *Core) scheduleTick(at time.Time) { c.nextTimer = earlier(c.nextTimer, at) }
+func (c *Core) scheduleTick(at time.Time) { c.nextTimer = alarm.First(c.nextTimer, at) }
 
 func (c *Core) emit(a Action) { c.actions = append(c.actions, a) }
 
@@ -327,18 +329,3 @@
 		c.ready = append(c.ready, s)
 	}
 }
-
-// earlier returns the earlier of two times; a zero time counts as never.
-func earlier(a, b time.Time) time.Time {
-	if a.IsZero() || !b.IsZero() && b.Before(a) {
-		return b
-	}
-	return a
-}
-
-func later(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return b
-	}
-	return a
-}
--- a/internal/claim/write.go
+++ b/internal/claim/write.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"clementinelink.example/clementinelink/internal/alarm"
 )
 
 // writeLimiter is a token bucket for the slot writes of a VM, which keeps all VMs
@@ -49,7 +51,7 @@
 		at = at.Add(time.Duration((1-l.tokens)/l.rate*float64(time.Second)) + time.Microsecond)
 	}
 	if l.low() && len(s.queue) > 0 && !s.hasClaim() {
-		at = later(at, s.queue[0].arrivedAt.Add(outcomeLinger))
+		at = alarm.Later(at, s.queue[0].arrivedAt.Add(outcomeLinger))
 	}
 	return at
 }
--- a/internal/lab/machines.go
+++ b/internal/lab/machines.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"clementinelink.example/clementinelink/internal/netsim"
 	"clementinelink.example/clementinelink/internal/node"
 	"clementinelink.example/clementinelink/internal/relay"
 	"clementinelink.example/clementinelink/internal/simeng"
@@ -33,7 +34,7 @@
 		s.vmLists[z.name] = list
 		s.vmListAddrs[z.name] = at
 		for _, o := range s.zones[:i] {
-			s.links[[2]string{min(z.name, o.name), max(z.name, o.name)}] = NewLink(s.delay(z, o)).WithNetwork(s.listen, s.dial)
+			s.links[[2]string{min(z.name, o.name), max(z.name, o.name)}] = netsim.NewLink(s.delay(z, o)).WithNetwork(s.listen, s.dial)
 		}
 	}
 	return nil
--- a/internal/lab/overload.go
+++ b/internal/lab/overload.go
@@ -11,6 +11,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/rs/zerolog"
 
+	"clementinelink.example/clementinelink/internal/netsim"
 	"clementinelink.example/clementinelink/internal/simeng"
 )
 
@@ -52,7 +53,7 @@
 	return &Overload{
 		window: window,
 		log:    log,
-		listen: listenTCP,
+		listen: netsim.ListenTCP,
 		dial:   (&net.Dialer{}).DialContext,
 	}
 }
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"clementinelink.example/clementinelink/internal/netsim"
 	"clementinelink.example/clementinelink/internal/node"
 	"clementinelink.example/clementinelink/internal/relay"
 	"clementinelink.example/clementinelink/internal/simeng"
@@ -72,7 +73,7 @@
 	// vmLists holds the VM list served to each failure domain. It gives VMs of
 	// other domains the addresses of the links to them.
 	vmLists map[string]*simvms.Server
-	links   map[[2]string]*Link
+	links   map[[2]string]*netsim.Link
 	delay   func(a, b Zone) time.Duration
 	// onResponse, if not nil, is called with each response that ended on an
 	// entry VM.
@@ -101,6 +102,9 @@
 	dial   func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// pollInterval is the time between two checks whether a new revision is in use.
+const pollInterval = 5 * time.Millisecond
+
 // siteCount counts the deployments of this process.
 var siteCount atomic.Uint32
 
@@ -121,12 +125,12 @@
 		down:        make(map[int]bool),
 		vmLists:     make(map[string]*simvms.Server),
 		vmListAddrs: make(map[string]string),
-		links:       make(map[[2]string]*Link),
+		links:       make(map[[2]string]*netsim.Link),
 		delay:       func(Zone, Zone) time.Duration { return 0 },
 		log:         log,
 		options:     options,
 		hostIP:      hostAddress(),
-		listen:      listenTCP,
+		listen:      netsim.ListenTCP,
 		dial:        (&net.Dialer{}).DialContext,
 	}
 }
@@ -213,7 +217,7 @@
 func (s *Site) Store() *simkv.Server { return s.store }
 
 // Link returns the link between two failure domains.
-func (s *Site) Link(a, b string) *Link { return s.links[[2]string{min(a, b), max(a, b)}] }
+func (s *Site) Link(a, b string) *netsim.Link { return s.links[[2]string{min(a, b), max(a, b)}] }
 
 // CutRegion cuts or restores the links between a region and the others.
 func (s *Site) CutRegion(region string, cut bool) {
--- a/internal/lab/link.go
+++ b/internal/netsim/link.go
@@ -1,4 +1,5 @@
-package lab
+// Package netsim simulates the links between failure domains, with their delays and cuts.
+package netsim
 
 import (
 	"context"
@@ -19,8 +20,7 @@
 	// maxQueuedSegments is the number of segments in transit in one direction
 	// of a connection. When it is reached, the sender blocks.
 	maxQueuedSegments = 256
-	// pollInterval is the time between two checks whether a cut link is
-	// restored or a new revision is in use.
+	// pollInterval is the time between two checks whether a cut link is restored.
 	pollInterval = 5 * time.Millisecond
 )
 
@@ -42,7 +42,7 @@
 func NewLink(delay time.Duration) *Link {
 	return &Link{
 		delay:  delay,
-		listen: listenTCP,
+		listen: ListenTCP,
 		dial:   (&net.Dialer{}).DialContext,
 	}
 }
@@ -71,7 +71,7 @@
 func (l *Link) Forward(ctx context.Context, tasks *sync.WaitGroup, target string) (string, error) {
 	listener, err := l.listen("127.0.0.1:0")
 	if err != nil {
-		return "", errors.Wrap(err, "lab: link")
+		return "", errors.Wrap(err, "netsim: link")
 	}
 	context.AfterFunc(ctx, func() { _ = listener.Close() })
 	tasks.Go(func() {
@@ -179,5 +179,5 @@
 	return ctx.Err() == nil
 }
 
-// listenTCP binds an address of the machine.
-func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+// ListenTCP binds an address of the machine.
+func ListenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
--- a/internal/node/dispatcher.go
+++ b/internal/node/dispatcher.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"clementinelink.example/clementinelink/internal/cancel"
 	"clementinelink.example/clementinelink/internal/engine"
 	"clementinelink.example/clementinelink/internal/relay"
 	"clementinelink.example/clementinelink/internal/ring"
@@ -34,7 +35,7 @@
 	events    *ring.Ring[message]
 	router    *router.Router
 	engine    *engine.Client
-	canceller *canceller
+	canceller *cancel.Sender
 	// outputs holds the ring of each caller that waits for its response.
 	outputs map[string]*ring.Ring[relay.Output]
 	// attempts holds the cancel function of each running attempt, by request id
@@ -46,7 +47,7 @@
 	observe func(now time.Time, rt *router.Router)
 }
 
-func newDispatcher(rt *router.Router, events *ring.Ring[message], c *engine.Client, canceller *canceller, log zerolog.Logger, observe func(now time.Time, rt *router.Router)) *dispatcher {
+func newDispatcher(rt *router.Router, events *ring.Ring[message], c *engine.Client, canceller *cancel.Sender, log zerolog.Logger, observe func(now time.Time, rt *router.Router)) *dispatcher {
 	return &dispatcher{
 		events:    events,
 		router:    rt,
@@ -127,7 +128,7 @@
 		d.stopAttempt(id, a.Attempt())
 	case relay.Cancel:
 		d.stopAttempt(id, a.Attempt())
-		d.canceller.enqueue(ctx, a.Address(), id, a.Attempt())
+		d.canceller.Enqueue(ctx, a.Address(), id, a.Attempt())
 	case relay.Emit:
 		return d.emit(ctx, id, a.Output())
 	case relay.End:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 
 	"clementinelink.example/clementinelink/internal/admin"
 	"clementinelink.example/clementinelink/internal/burn"
+	"clementinelink.example/clementinelink/internal/cancel"
 	"clementinelink.example/clementinelink/internal/config"
 	"clementinelink.example/clementinelink/internal/cursor"
 	"clementinelink.example/clementinelink/internal/engine"
@@ -52,7 +53,7 @@
 	engine       *engine.Client
 	hooks        *hooks
 	dispatcher   *dispatcher
-	canceller    *canceller
+	canceller    *cancel.Sender
 	members      *members
 	loadPoller   *loadPoller
 	mover        *mover.Duty
@@ -105,7 +106,7 @@
 			return peer.NewClient(sent.Add)
 		},
 		newMonitor,
-		func(e *engine.Client) *canceller { return newCanceller(e.Cancel) },
+		func(e *engine.Client) *cancel.Sender { return cancel.NewSender(e.Cancel) },
 		func(events *ring.Ring[message], e *engine.Client) *loadPoller { return newLoadPoller(events, e.Load) },
 		newMover,
 		newNode,
@@ -147,7 +148,7 @@
 	Router     *router.Router
 	Engine     *engine.Client
 	Hooks      *hooks
-	Canceller  *canceller
+	Canceller  *cancel.Sender
 	LoadPoller *loadPoller
 	Members    *vmlist.Client
 	Codec      *cursor.Codec
@@ -246,12 +247,7 @@
 	for range pollWorkers {
 		n.startDuty(func() { n.loadPoller.poll(ctx) })
 	}
-	for range cancelSenders {
-		n.startDuty(func() { n.canceller.run(ctx, n.canceller.initial) })
-	}
-	for range cancelRetriers {
-		n.startDuty(func() { n.canceller.run(ctx, n.canceller.retries) })
-	}
+	n.canceller.Start(ctx, n.startDuty)
 	n.serve("callers", n.front.HTTP())
 	n.serve("operators", n.operators().HTTP())
 	n.serve("peers", &http.Server{
--- a/internal/simeng/batch.go
+++ b/internal/simeng/batch.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/alarm"
 	"clementinelink.example/clementinelink/internal/ring"
 )
 
@@ -106,8 +107,8 @@
 		}
 		return time.Now().Add(time.Hour)
 	}
-	at := earlier(b.nextStep(), b.faults.nextExpiry())
-	return earlier(at, b.sampledAt.Add(b.settings.loadLag))
+	at := alarm.First(b.nextStep(), b.faults.nextExpiry())
+	return alarm.First(at, b.sampledAt.Add(b.settings.loadLag))
 }
 
 // gap returns the time between steps, which grows with the number of running
@@ -121,7 +122,7 @@
 func (b *batch) nextStep() time.Time {
 	var ready time.Time
 	for _, s := range b.running {
-		ready = earlier(ready, s.readyAt)
+		ready = alarm.First(ready, s.readyAt)
 	}
 	if at := b.steppedAt.Add(b.gap()); !ready.IsZero() && ready.Before(at) {
 		return at
--- a/internal/simeng/engine.go
+++ b/internal/simeng/engine.go
@@ -47,8 +47,7 @@
 	loadTime          time.Duration
 	fencing           bool
 	pullWeights       func(ctx context.Context, model, version string) error
-	// listen binds the address; nil for a port of the machine.
-	listen func(address string) (net.Listener, error)
+	listen            func(address string) (net.Listener, error)
 }
 
 // Option changes a setting of an engine.
@@ -96,8 +95,7 @@
 	}
 }
 
-// WithLoadLag sets the interval at which load reports are sampled; default
-// 250 ms.
+// WithLoadLag sets the interval of samples of the load; default 250 ms.
 func WithLoadLag(d time.Duration) Option { return func(s *settings) { s.loadLag = d } }
 
 // WithRetain sets how long a stream is kept without a reader; default 30 s.
@@ -117,8 +115,7 @@
 	}
 }
 
-// WithListen sets the function that binds the address; default a port of the
-// machine.
+// WithListen sets the function that binds the address; default net.Listen.
 func WithListen(listen func(address string) (net.Listener, error)) Option {
 	return func(s *settings) { s.listen = listen }
 }
@@ -171,15 +168,11 @@
 	for _, o := range opts {
 		o(s)
 	}
-	h := host.New(s.address)
-	if s.listen != nil {
-		h.WithListen(s.listen)
-	}
 	return &Engine{
 		name:     name,
 		settings: s,
 		counters: &counters{},
-		host:     h,
+		host:     host.New(s.address).WithListen(s.listen),
 	}
 }
 
--- a/internal/simeng/faults.go
+++ b/internal/simeng/faults.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"clementinelink.example/clementinelink/internal/alarm"
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 )
@@ -158,7 +159,7 @@
 func (f *faults) nextExpiry() time.Time {
 	var next time.Time
 	for _, a := range f.active {
-		next = earlier(next, a.until)
+		next = alarm.First(next, a.until)
 	}
 	return next
 }
@@ -183,11 +184,3 @@
 	}
 	return ""
 }
-
-// earlier returns the earlier of two times, where zero means never.
-func earlier(a, b time.Time) time.Time {
-	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
-		return b
-	}
-	return a
-}
--- a/internal/simeng/host/host.go
+++ b/internal/simeng/host/host.go
@@ -43,9 +43,12 @@
 	}
 }
 
-// WithListen replaces the function that binds an address. Call it before Start.
+// WithListen replaces the function that binds an address, unless it is nil. Call it before
+// Start.
 func (h *Host) WithListen(listen func(address string) (net.Listener, error)) *Host {
-	h.listen = listen
+	if listen != nil {
+		h.listen = listen
+	}
 	return h
 }
 
