--- a/internal/edge/message.go
+++ b/internal/edge/message.go
@@ -110,8 +110,9 @@
 type Upstreams struct {
 	// Send performs an attempt and reports its progress through emit: Head and
 	// Piece events for a stream, and finally one Finish, Reply or Lost event.
-	// It emits nothing further once ctx has ended, but calls Unsent if that applies. The other functions, too, pass
-	// what any answer states about the upstream to Contact.Heard.
+	// It emits nothing further once ctx has ended, but calls Unsent if that applies.
+	// The other functions, too, pass what any answer states about the upstream to
+	// Contact.Heard.
 	Send func(ctx context.Context, o AttemptSpec, emit func(proxy.Event))
 	// Copy requests that the engine at address copy the run of the request id
 	// to the engine at holder. It returns the handle of the copy.
