--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -267,6 +267,7 @@
 		return v.progress.age(d.now()).Seconds()
 	})
 	v.metrics.Watch("entries_kept", "Entries that are missing from the store but kept after an outage.", func() float64 { return float64(v.watcher.kept()) })
+	v.metrics.Watch("store_era", "Number of times that the store was restored from a copy, as it states.", func() float64 { return float64(v.store.Era()) })
 	v.metrics.Watch("store_age_seconds", "Time since the store, or a VM that it answered lately, confirmed the table and the upstreams.", func() float64 { return v.watcher.age().Seconds() })
 }
 
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -51,6 +51,7 @@
 type Client struct {
 	base     string
 	wire     Wire
+	era      *atomic.Uint64
 	deadline time.Duration
 	reads    *rate.Limiter
 	writes   *rate.Limiter
@@ -93,6 +94,7 @@
 	c := &Client{
 		base:     base,
 		wire:     defaultWire(),
+		era:      &atomic.Uint64{},
 		deadline: defaultDeadline,
 		seed:     seed,
 		draws:    &atomic.Uint64{},
@@ -325,6 +327,7 @@
 		}
 		return errors.Mark(errors.Wrap(err, "store: no answer"), ErrUnknown)
 	}
+	c.noteEra(resp.Header)
 	timer.Reset(stallTimeout)
 	defer func() { _ = resp.Body.Close() }()
 	body := &stallReader{
--- a/internal/store/wire.go
+++ b/internal/store/wire.go
@@ -63,6 +63,9 @@
 	Renew  func(lease string) Call
 	Revoke func(lease string) Call
 
+	// Era returns the era that the header of an answer names, if it names one.
+	Era func(header http.Header) (era uint64, named bool, err error)
+
 	// Entry, Page, Events, Revision and Lease decode the answers to Get,
 	// List, Watch, Put and Grant.
 	Entry    func(answer []byte) (Entry, error)
@@ -108,6 +111,7 @@
 		},
 		Renew:    func(lease string) Call { return NewCall(http.MethodPost, "/leases/"+lease+"/renew", nil, nil) },
 		Revoke:   func(lease string) Call { return NewCall(http.MethodDelete, "/leases/"+lease, nil, nil) },
+		Era:      func(h http.Header) (uint64, bool, error) { return ParseEra(h.Get(eraHeader)) },
 		Entry:    decodeEntry,
 		Page:     decodePage,
 		Events:   decodeEvents,
@@ -116,6 +120,22 @@
 	}
 }
 
+// eraHeader is the header field that names the era in answers of the store's own HTTP
+// interface.
+const eraHeader = "Era"
+
+// ParseEra parses the value of a header field that names an era. An empty value names
+// none.
+func ParseEra(value string) (era uint64, named bool, err error) {
+	if value == "" {
+		return 0, false, nil
+	}
+	if era, err = strconv.ParseUint(value, 10, 64); err != nil {
+		return 0, false, errors.Newf("era %.40q is not a number", value)
+	}
+	return era, true, nil
+}
+
 func ifMatch(expect uint64) http.Header {
 	h := http.Header{}
 	h.Set("If-Match", formatRevision(expect))
