store, feed, follow: Order revisions by the store's era

The store comes back from a copy and gives revisions out again. All parts took a larger revision for a newer one: a watch after the old revision waits for changes that the new history has at lower ones, entries with lower revisions were dropped (follow.State, feed.Log), and VMs refused lists with lower revisions from each other. A conditional write could name another content with the same revision, and a renewal the lease of someone else.

The store's client returns positions now: the era in the high bits, the store's revision in the others, so that all comparisons order by era first. A watch from an earlier era is answered as compacted, also when the store has that revision again; lists whose pages are of two eras are read again; a write that expects a revision of an earlier era is a conflict and is not sent, and a lease of an earlier era has expired. An answer without its era, or with an earlier one, counts as a failure of the store. Lists between VMs name the position after which they must be, so that one VM reads the restored store and the others read from it.

--- a/internal/feed/diff_test.go
+++ b/internal/feed/diff_test.go
@@ -40,7 +40,7 @@
 				put(v)
 			}
 		case "list":
-			c, err := client.List(t.Context(), s.Listener.Addr().String(), time.Second)
+			c, err := client.List(t.Context(), s.Listener.Addr().String(), 0, time.Second)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/feed/export_test.go
+++ b/internal/feed/export_test.go
@@ -13,11 +13,16 @@
 	List     func(ctx context.Context, prefix string) ([]store.Entry, uint64, error)
 	Watch    func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error)
 	AskPeer  func(ctx context.Context, address string, after uint64, wait time.Duration) (Changes, error)
-	ListPeer func(ctx context.Context, address string, wait time.Duration) (Changes, error)
+	ListPeer func(ctx context.Context, address string, after uint64, wait time.Duration) (Changes, error)
+	// Era is the era of the store's latest answer to the VM, 0 if it is nil.
+	Era func() uint64
 }
 
 // NewTestReader returns a reader that calls the given sources.
 func NewTestReader(self string, l *Log, batchDelay time.Duration, s Sources) *Reader {
+	if s.Era == nil {
+		s.Era = func() uint64 { return 0 }
+	}
 	return &Reader{
 		batchDelay: batchDelay,
 		selector:   NewSelector(self),
@@ -26,6 +31,7 @@
 		watch:      s.Watch,
 		askPeer:    s.AskPeer,
 		listPeer:   s.ListPeer,
+		era:        s.Era,
 		now:        time.Now,
 		sleep:      sleep,
 		logger:     zerolog.Nop(),
--- a/internal/feed/log.go
+++ b/internal/feed/log.go
@@ -66,12 +66,13 @@
 
 // Reset replaces the keys by a list as of revision, which the store confirmed age
 // ago. Keys that the list lacks count as deleted at revision, so VMs that know
-// the keys before the list need only the difference. A change that the log holds
+// the keys before the list need only the difference. VMs that know those of an earlier
+// era need the whole list. A change that the log holds
 // and that is newer than the list remains.
 func (l *Log) Reset(entries []store.Entry, revision uint64, age time.Duration) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.confirmed.IsZero() {
+	if l.confirmed.IsZero() || store.Era(revision) > store.Era(l.revision) {
 		l.completeAfter = revision
 	}
 	listed := make(map[string]store.Event, len(entries))
@@ -274,11 +275,11 @@
 	})
 }
 
-// List returns all keys. It waits until they have been read, and returns
-// ErrNotListed if that does not happen in time.
-func (l *Log) List(ctx context.Context, wait time.Duration) (Changes, error) {
+// List returns all keys as of a revision after the given one. It waits until they have
+// been read, and returns ErrNotListed if that does not happen in time.
+func (l *Log) List(ctx context.Context, after uint64, wait time.Duration) (Changes, error) {
 	return l.await(ctx, wait, func() (Changes, bool, error) {
-		c, err := l.list()
+		c, err := l.list(after)
 		return c, err == nil, err
 	})
 }
@@ -313,7 +314,7 @@
 	case l.confirmed.IsZero():
 		return Changes{}, ErrNotListed
 	case revision < l.completeAfter:
-		return Changes{}, errors.Wrapf(ErrTooOld, "after %d, kept after %d", revision, l.completeAfter)
+		return Changes{}, errors.Wrapf(ErrTooOld, "after %s, kept after %s", store.Text(revision), store.Text(l.completeAfter))
 	}
 	var events []store.Event
 	if revision < l.revision {
@@ -327,17 +328,28 @@
 	return l.answer(events), nil
 }
 
-// list returns all present keys. The caller must hold the mutex.
-func (l *Log) list() (Changes, error) {
-	if l.confirmed.IsZero() {
+// list returns all present keys as of a revision after the given one. The caller must
+// hold the mutex.
+func (l *Log) list(after uint64) (Changes, error) {
+	if l.confirmed.IsZero() || l.revision <= after {
 		return Changes{}, ErrNotListed
 	}
-	events := make([]store.Event, 0, len(l.latest)-l.deleted)
+	entries := l.entries()
+	events := make([]store.Event, 0, len(entries))
+	for _, e := range entries {
+		events = append(events, store.NewEvent(e, false))
+	}
+	slices.SortFunc(events, byRevision)
+	return l.answer(events), nil
+}
+
+// entries returns the present entries. The caller must hold the mutex.
+func (l *Log) entries() []store.Entry {
+	entries := make([]store.Entry, 0, len(l.latest)-l.deleted)
 	for _, e := range l.latest {
 		if !e.Deleted() {
-			events = append(events, e)
+			entries = append(entries, e.Entry())
 		}
 	}
-	slices.SortFunc(events, byRevision)
-	return l.answer(events), nil
+	return entries
 }
--- a/internal/feed/model_test.go
+++ b/internal/feed/model_test.go
@@ -287,8 +287,8 @@
 		AskPeer: func(ctx context.Context, address string, after uint64, wait time.Duration) (feed.Changes, error) {
 			return f.call(ctx, v, address, func(l *feed.Log) (feed.Changes, error) { return l.Wait(ctx, after, wait) })
 		},
-		ListPeer: func(ctx context.Context, address string, wait time.Duration) (feed.Changes, error) {
-			return f.call(ctx, v, address, func(l *feed.Log) (feed.Changes, error) { return l.List(ctx, wait) })
+		ListPeer: func(ctx context.Context, address string, after uint64, wait time.Duration) (feed.Changes, error) {
+			return f.call(ctx, v, address, func(l *feed.Log) (feed.Changes, error) { return l.List(ctx, after, wait) })
 		},
 	})
 	emit := func(_ context.Context, c follow.Change) { f.apply(v, log, c) }
--- a/internal/feed/peer.go
+++ b/internal/feed/peer.go
@@ -71,7 +71,7 @@
 // List implements wire.Feed.
 func (s *Server) List(ctx context.Context, in *wire.ListRequest) (*wire.ChangesReply, error) {
 	wait := min(time.Duration(in.GetWaitMs())*time.Millisecond, maxWait)
-	c, err := s.log.List(ctx, wait)
+	c, err := s.log.List(ctx, in.GetAfter(), wait)
 	return s.encode(c, in.GetPacked(), nil, err)
 }
 
@@ -208,10 +208,12 @@
 	return changes, err
 }
 
-// List requests all keys from the VM at the IP:port address, which waits up to
-// wait until it has read them. The error is ErrNotListed if it has not.
-func (c *Client) List(ctx context.Context, address string, wait time.Duration) (Changes, error) {
+// List requests all keys as of a revision after the given one from the VM at the IP:port
+// address, which waits up to wait until it has read them. The error is ErrNotListed if it
+// has not.
+func (c *Client) List(ctx context.Context, address string, after uint64, wait time.Duration) (Changes, error) {
 	out, err := wire.NewFeedProtobufClient("http://"+address, c.http).List(ctx, &wire.ListRequest{
+		After:  after,
 		WaitMs: wait.Milliseconds(),
 		Packed: true,
 	})
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -75,8 +75,10 @@
 	list     func(ctx context.Context, prefix string) ([]store.Entry, uint64, error)
 	watch    func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error)
 	askPeer  func(ctx context.Context, address string, after uint64, wait time.Duration) (Changes, error)
-	listPeer func(ctx context.Context, address string, wait time.Duration) (Changes, error)
-	now      func() time.Time
+	listPeer func(ctx context.Context, address string, after uint64, wait time.Duration) (Changes, error)
+	// era returns the era of the store's latest answer to this VM.
+	era func() uint64
+	now func() time.Time
 	// sleep waits until a time has passed or ctx ends.
 	sleep func(ctx context.Context, d time.Duration)
 	// observe is called with the kind of each source that was asked, "vm" or
@@ -105,6 +107,7 @@
 		watch:      c.Watch,
 		askPeer:    peers.Changes,
 		listPeer:   peers.List,
+		era:        c.Era,
 		now:        time.Now,
 		sleep:      sleep,
 		logger:     logger,
@@ -134,11 +137,12 @@
 func (r *Reader) SetVMs(vms []tree.VM) { r.vms.Store(&vms) }
 
 // List returns the keys with a prefix and the revision of the list, from the first
-// source that answers. It returns the store's error if none does.
+// source that answers. It returns the store's error if none does. After a restoration of
+// the store, only VMs that have read it since then are sources.
 func (r *Reader) List(ctx context.Context, prefix string) ([]store.Entry, uint64, error) {
 	r.adoptVMs()
 	sources, began := r.selector.ListSources(r.now()), r.now()
-	if at := slices.Index(sources, tree.VM{}); at > 0 && r.log.Revision() == 0 {
+	if at := slices.Index(sources, tree.VM{}); at > 0 && (r.log.Revision() == 0 || r.restored()) {
 		if entries, revision, err := r.listPeers(ctx, prefix, sources[:at], began); err == nil || ctx.Err() != nil {
 			return entries, revision, err
 		}
@@ -146,6 +150,9 @@
 	return r.listFirst(ctx, prefix, sources, began)
 }
 
+// restored reports whether this VM has not read the keys since the store was restored.
+func (r *Reader) restored() bool { return store.Era(r.log.Revision()) < r.era() }
+
 // listPeers returns the first list from another VM. When many VMs start at the
 // same time, those that refuse the connection are about to serve, and those that
 // have no list are reading it. If each VM went to the store then, the answers
@@ -184,6 +191,7 @@
 		case err == nil:
 			r.selector.Answered(v)
 			r.logSource(v, revision)
+			r.logRestored(revision)
 			r.log.Reset(entries, revision, age)
 			return entries, revision, nil
 		case v.IsStore():
@@ -209,15 +217,22 @@
 		began := r.now()
 		entries, revision, err := r.list(ctx, prefix)
 		r.noteStore(began, err)
+		if err == nil && store.Era(revision) < store.Era(r.log.Revision()) {
+			err = errors.Wrapf(ErrStale, "era %d", store.Era(revision))
+		}
 		return entries, revision, 0, err
 	}
+	after := uint64(0)
+	if r.restored() {
+		after = store.Position(r.era(), 0)
+	}
 	limited, cancel := bulk.WithProgress(ctx, listWait+listSlack, listWait+listSlack+listTransfer)
 	defer cancel()
-	c, err := r.listPeer(limited, v.Address(), listWait)
+	c, err := r.listPeer(limited, v.Address(), after, listWait)
 	switch {
 	case err != nil:
 		return nil, 0, 0, err
-	case c.age > r.scaled(maxAgeFactor) || c.revision < r.log.Revision():
+	case c.age > r.scaled(maxAgeFactor) || c.revision < max(after, r.log.Revision()):
 		return nil, 0, 0, errors.Wrapf(ErrStale, "%s, revision %d", c.age, c.revision)
 	}
 	var entries []store.Entry
@@ -281,7 +296,7 @@
 	} else {
 		r.selector.Failed(r.now(), v)
 	}
-	r.logger.Info().Err(err).Str("peer", v.Name()).Uint64("revision", after).Msg("feed: A VM gives no changes.")
+	r.logger.Info().Err(err).Str("peer", v.Name()).Str("revision", store.Text(after)).Msg("feed: A VM gives no changes.")
 }
 
 func sourceKind(v tree.VM) string {
@@ -318,7 +333,7 @@
 	limited, cancel := bulk.WithProgress(ctx, begin, begin+r.scaled(transferFactor))
 	defer cancel()
 	c, err := r.askPeer(limited, v.Address(), after, r.scaled(peerWaitFactor))
-	if err == nil && (r.stale(c) || r.selector.Follows(v) && r.knows(c)) {
+	if err == nil && (r.stale(c) || store.Era(c.revision) < store.Era(after) || r.selector.Follows(v) && r.knows(c)) {
 		err = errors.Wrapf(ErrStale, "%s, quiet for %s", c.age, c.quiet)
 	}
 	return c, err
@@ -353,16 +368,24 @@
 		return
 	}
 	r.source = v.Name()
-	r.logger.Info().Str("peer", v.Name()).Uint64("revision", revision).Msg("feed: Changes come from another source.")
+	r.logger.Info().Str("peer", v.Name()).Str("revision", store.Text(revision)).Msg("feed: Changes come from another source.")
+}
+
+// logRestored logs a list of a later era than the one before.
+func (r *Reader) logRestored(revision uint64) {
+	if before := r.log.Revision(); before > 0 && store.Era(revision) > store.Era(before) {
+		r.logger.Warn().Str("revision", store.Text(revision)).Str("before", store.Text(before)).
+			Msg("feed: The store was restored from a copy.")
+	}
 }
 
 // logLarge logs changes that occupy the links of the VMs for a while.
 func (r *Reader) logLarge(v tree.VM, c Changes) {
 	if c.mismatch != nil {
-		r.logger.Warn().Err(c.mismatch).Str("peer", v.Name()).Uint64("revision", c.revision).Msg("feed: Whole values take the place of differences.")
+		r.logger.Warn().Err(c.mismatch).Str("peer", v.Name()).Str("revision", store.Text(c.revision)).Msg("feed: Whole values take the place of differences.")
 	}
 	if n := c.size(); n >= largeChanges {
-		r.logger.Info().Str("peer", v.Name()).Uint64("revision", c.revision).Int("bytes", n).Int("sent", c.wireBytes).Int64("ms", c.transfer.Milliseconds()).
+		r.logger.Info().Str("peer", v.Name()).Str("revision", store.Text(c.revision)).Int("bytes", n).Int("sent", c.wireBytes).Int64("ms", c.transfer.Milliseconds()).
 			Msg("feed: Large changes arrived.")
 	}
 }
--- a/internal/feed/reader_test.go
+++ b/internal/feed/reader_test.go
@@ -17,10 +17,18 @@
 // TestReader guards against a reader that accepts stale changes from another VM,
 // or waits again on each call for a VM that does not respond. Times are in
 // milliseconds, and the batch delay is 1 s.
-func TestReader(t *testing.T) {
+func TestReader(t *testing.T) { runReader(t, "testdata/reader") }
+
+// TestReaderAfterRestore guards against a reader that takes changes or a list from a VM
+// that has not read the store since it was restored, or that reads all keys from the
+// store because other VMs do too.
+func TestReaderAfterRestore(t *testing.T) { runReader(t, "testdata/rereads") }
+
+// runReader runs a script for one reader at a time.
+func runReader(t *testing.T, path string) {
 	var r *Reader
-	now := base
-	datadriven.RunTest(t, "testdata/reader", func(t *testing.T, d *datadriven.TestData) string {
+	now, era := base, uint64(0)
+	datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 		now = base.Add(time.Duration(number(t, d, "at")) * time.Millisecond)
 		switch d.Cmd {
 		case "vms":
@@ -32,6 +40,7 @@
 				log:        l,
 				now:        func() time.Time { return now },
 				sleep:      func(context.Context, time.Duration) {},
+				era:        func() uint64 { return era },
 				logger:     zerolog.Nop(),
 
 				observe: func(string, string) {},
@@ -39,6 +48,7 @@
 			r.SetVMs(vms(t, d))
 			return ""
 		case "watch", "list":
+			era = uint64(number(t, d, "era"))
 			return read(t, r, d, func(by time.Duration) { now = now.Add(by) })
 		case "lost":
 			return fmt.Sprintf("%d ms ago\n", now.Sub(r.LostAt()).Milliseconds())
@@ -73,12 +83,13 @@
 			}
 			return Changes{}, err
 		}
-		var revision uint64
+		var at string
 		var age int
 		how, quiet, arriving := strings.Cut(answers[name], " quiet=")
-		if _, err := fmt.Sscanf(how+" age=0", "revision=%d age=%d", &revision, &age); err != nil {
+		if _, err := fmt.Sscanf(how+" age=0", "revision=%s age=%d", &at, &age); err != nil {
 			t.Fatalf("%s: %s: %v", d.Pos, name, err)
 		}
+		revision := position(t, d, at)
 		c := NewChanges(nil, revision, time.Duration(age)*time.Millisecond)
 		if arriving {
 			ms, err := strconv.Atoi(quiet)
@@ -101,7 +112,10 @@
 		c, err := reply("store", wait)
 		return c.Events(), c.Revision(), err
 	}
-	r.listPeer = func(_ context.Context, address string, wait time.Duration) (Changes, error) {
+	r.listPeer = func(_ context.Context, address string, after uint64, wait time.Duration) (Changes, error) {
+		if after > 0 {
+			fmt.Fprintf(&out, "after %s: ", store.Text(after))
+		}
 		return reply(address, wait)
 	}
 	r.list = func(context.Context, string) ([]store.Entry, uint64, error) {
@@ -114,7 +128,11 @@
 		}
 	}
 	call := func() (uint64, error) {
-		_, revision, err := r.Watch(context.Background(), "", 20, 3*time.Second)
+		after := uint64(20)
+		if d.HasArg("after") {
+			after = position(t, d, text(t, d, "after"))
+		}
+		_, revision, err := r.Watch(context.Background(), "", after, 3*time.Second)
 		return revision, err
 	}
 	if d.Cmd == "list" {
@@ -130,7 +148,7 @@
 	case err != nil:
 		fmt.Fprintf(&out, "error: %v\n", err)
 	default:
-		fmt.Fprintf(&out, "revision %d, pause %s\n", revision, r.Pause())
+		fmt.Fprintf(&out, "revision %s, pause %s\n", store.Text(revision), r.Pause())
 	}
 	return out.String()
 }
--- a/internal/feed/script_test.go
+++ b/internal/feed/script_test.go
@@ -69,7 +69,7 @@
 		case "append":
 			l.Append(events(t, d), uint64(number(t, d, "revision")), time.Duration(number(t, d, "age"))*time.Millisecond)
 		case "list":
-			return answer(l.List(context.Background(), 0))
+			return answer(l.List(context.Background(), 0, 0))
 		case "after":
 			return answer(l.Wait(context.Background(), uint64(number(t, d, "n")), 0))
 		default:
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -105,10 +105,10 @@
 		case err != nil:
 			pause = f.state.Failed(f.now(), began, f.lostAt(began, f.now(), err), err)
 			if !lost {
-				f.log.Warn().Err(err).Str("prefix", f.prefix).Uint64("revision", f.state.Revision()).Msg("follow: The store is lost.")
+				f.log.Warn().Err(err).Str("prefix", f.prefix).Str("revision", store.Text(f.state.Revision())).Msg("follow: The store is lost.")
 			}
 		case lost:
-			f.log.Info().Str("prefix", f.prefix).Uint64("revision", f.state.Revision()).Msg("follow: The store is back.")
+			f.log.Info().Str("prefix", f.prefix).Str("revision", store.Text(f.state.Revision())).Msg("follow: The store is back.")
 		}
 		if err == nil {
 			f.answeredAt.Store(f.now().UnixNano())
@@ -135,7 +135,7 @@
 func (f *Follower) expire(ctx context.Context) {
 	kept := int64(f.state.Kept())
 	if before := f.kept.Swap(kept); kept > before {
-		f.log.Info().Str("prefix", f.prefix).Int64("keys", kept).Uint64("revision", f.state.Revision()).Msg("follow: Missing entries are kept.")
+		f.log.Info().Str("prefix", f.prefix).Int64("keys", kept).Str("revision", store.Text(f.state.Revision())).Msg("follow: Missing entries are kept.")
 	}
 	c := f.state.Expired(f.now())
 	if c.Empty() {
--- a/internal/follow/script_test.go
+++ b/internal/follow/script_test.go
@@ -20,7 +20,7 @@
 		s := NewState()
 		base := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
-			at, revision := 0, 0
+			at, revision := 0, "0"
 			d.ScanArgs(t, "at", &at)
 			if d.HasArg("revision") {
 				d.ScanArgs(t, "revision", &revision)
@@ -30,9 +30,9 @@
 			var out strings.Builder
 			switch d.Cmd {
 			case "list":
-				c = s.Listed(now, entries(t, d), uint64(revision))
+				c = s.Listed(now, entries(t, d), position(t, d, revision))
 			case "watch":
-				c = s.Watched(now, events(t, d), uint64(revision))
+				c = s.Watched(now, events(t, d), position(t, d, revision))
 			case "fail":
 				err := errors.New("no answer")
 				if d.HasArg("compacted") {
@@ -57,13 +57,13 @@
 				t.Fatalf("%s: unknown command %q", d.Pos, d.Cmd)
 			}
 			for _, e := range c.Put() {
-				fmt.Fprintf(&out, "put %s %d\n", e.Key(), e.Revision())
+				fmt.Fprintf(&out, "put %s %s\n", e.Key(), store.Text(e.Revision()))
 			}
 			for _, key := range c.Deleted() {
 				fmt.Fprintf(&out, "gone %s\n", key)
 			}
 			if s.Synced() {
-				fmt.Fprintf(&out, "next watch after %d for %s\n", s.Revision(), s.Wait(now))
+				fmt.Fprintf(&out, "next watch after %s for %s\n", store.Text(s.Revision()), s.Wait(now))
 			} else {
 				out.WriteString("next list\n")
 			}
@@ -72,16 +72,29 @@
 	})
 }
 
+// position parses a revision, or a position "ERA:REVISION".
+func position(t *testing.T, d *datadriven.TestData, text string) uint64 {
+	era, number, found := strings.Cut(text, ":")
+	if !found {
+		era, number = "0", text
+	}
+	e, err := strconv.ParseUint(era, 10, 64)
+	if err != nil {
+		t.Fatalf("%s: %v", d.Pos, err)
+	}
+	n, err := strconv.ParseUint(number, 10, 64)
+	if err != nil {
+		t.Fatalf("%s: %v", d.Pos, err)
+	}
+	return store.Position(e, n)
+}
+
 // entries parses lines "KEY REVISION".
 func entries(t *testing.T, d *datadriven.TestData) []store.Entry {
 	var list []store.Entry
 	for _, l := range strings.Fields(strings.ReplaceAll(d.Input, " ", "@")) {
 		key, text, _ := strings.Cut(l, "@")
-		revision, err := strconv.ParseUint(text, 10, 64)
-		if err != nil {
-			t.Fatalf("%s: %v", d.Pos, err)
-		}
-		list = append(list, store.NewEntry(key, nil, revision, ""))
+		list = append(list, store.NewEntry(key, nil, position(t, d, text), ""))
 	}
 	return list
 }
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -51,7 +51,7 @@
 type Client struct {
 	base     string
 	wire     Wire
-	era      *atomic.Uint64
+	eras     *eras
 	deadline time.Duration
 	reads    *rate.Limiter
 	writes   *rate.Limiter
@@ -94,7 +94,7 @@
 	c := &Client{
 		base:     base,
 		wire:     defaultWire(),
-		era:      &atomic.Uint64{},
+		eras:     &eras{},
 		deadline: defaultDeadline,
 		seed:     seed,
 		draws:    &atomic.Uint64{},
@@ -172,8 +172,11 @@
 // Get returns the entry of a key; an absent key is the zero Entry.
 func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
 	var found Entry
-	err := c.read(ctx, "get", c.wire.Get(key), func(b []byte) (err error) {
-		found, err = c.wire.Entry(b)
+	err := c.read(ctx, "get", c.wire.Get(key), func(era uint64, b []byte) (err error) {
+		if found, err = c.wire.Entry(b); err != nil {
+			return err
+		}
+		found, err = found.locate(era)
 		return err
 	})
 	if errors.Is(err, ErrExpired) {
@@ -182,27 +185,51 @@
 	return found, err
 }
 
+// maxLists is the number of times that a list is begun that the store's restorations
+// interrupt.
+const maxLists = 3
+
 // List returns the entries whose keys begin with prefix, in key order, and the
 // store's revision, after which to watch for changes. If the store returns the
 // list in pages, the entries are not a snapshot of one revision, but a watch
-// after the returned revision misses no change.
+// after the returned revision misses no change. All pages are of one era.
 func (c *Client) List(ctx context.Context, prefix string) ([]Entry, uint64, error) {
+	for range maxLists {
+		found, revision, err := c.listOnce(ctx, prefix)
+		if !errors.Is(err, errEraChanged) {
+			return found, revision, err
+		}
+	}
+	return nil, 0, errors.Wrapf(ErrUnavailable, "list %s: restored %d times meanwhile", prefix, maxLists)
+}
+
+// errEraChanged means that the pages of a list are of several eras.
+var errEraChanged = errors.New("store: restored between two pages")
+
+// listOnce reads all pages of a list.
+func (c *Client) listOnce(ctx context.Context, prefix string) ([]Entry, uint64, error) {
 	var found []Entry
 	var revision uint64
 	after := ""
 	for first := true; ; first = false {
 		var p Page
-		err := c.read(ctx, "list", c.wire.List(prefix, after), func(b []byte) (err error) {
-			p, err = c.wire.Page(b)
+		err := c.read(ctx, "list", c.wire.List(prefix, after), func(era uint64, b []byte) (err error) {
+			if p, err = c.wire.Page(b); err != nil {
+				return err
+			}
+			p, err = p.locate(era)
 			return err
 		})
 		if err != nil {
 			return nil, 0, err
 		}
-		found = append(found, p.entries...)
 		if first {
 			revision = p.revision
 		}
+		if Era(p.revision) != Era(revision) {
+			return nil, 0, errEraChanged
+		}
+		found = append(found, p.entries...)
 		if !p.more || len(p.entries) == 0 {
 			return found, revision, nil
 		}
@@ -212,22 +239,37 @@
 
 // Put stores a value if the key's revision is expect, 0 for an absent key, and
 // returns the new revision. The key is deleted when the lease ends, unless lease
-// is "". Put is never retried.
+// is "". A revision of an earlier era is a conflict. Put is never retried.
 func (c *Client) Put(ctx context.Context, key string, value []byte, expect uint64, lease string) (uint64, error) {
 	if len(value) > MaxValue {
 		return 0, errors.Wrapf(ErrTooLarge, "%s: %d bytes", key, len(value))
 	}
+	if err := c.outdated(expect, lease); err != nil {
+		return 0, err
+	}
+	id, _ := splitLease(lease)
 	var revision uint64
-	err := c.write(ctx, "put", c.wire.Put(key, value, expect, lease), func(b []byte) (err error) {
-		revision, err = c.wire.Revision(b)
-		return err
+	err := c.write(ctx, "put", c.wire.Put(key, value, Number(expect), id), func(era uint64, b []byte) error {
+		n, err := c.wire.Revision(b)
+		if err != nil {
+			return err
+		}
+		if revision, err = position(era, n); err != nil {
+			return err
+		}
+		return verifyEra(era, expect, lease)
 	})
 	return revision, err
 }
 
 // Delete removes a key if its revision is expect. It is never retried.
 func (c *Client) Delete(ctx context.Context, key string, expect uint64) error {
-	return c.write(ctx, "delete", c.wire.Delete(key, expect), nil)
+	if err := c.outdated(expect, ""); err != nil {
+		return err
+	}
+	return c.write(ctx, "delete", c.wire.Delete(key, Number(expect)), func(era uint64, _ []byte) error {
+		return verifyEra(era, expect, "")
+	})
 }
 
 // Grant returns the id of a new lease with a time to live, which starts at an
@@ -235,27 +277,43 @@
 // expires by itself.
 func (c *Client) Grant(ctx context.Context, ttl time.Duration) (string, error) {
 	var lease string
-	err := c.write(ctx, "grant", c.wire.Grant(ttl), func(b []byte) (err error) {
-		lease, err = c.wire.Lease(b)
+	err := c.write(ctx, "grant", c.wire.Grant(ttl), func(era uint64, b []byte) error {
+		id, err := c.wire.Lease(b)
+		lease = leaseIn(era, id)
 		return err
 	})
 	return lease, err
 }
 
 // Renew restarts the time to live of a lease at an unknown instant during the
-// call. It returns ErrExpired for a lease that has ended. It is never retried.
+// call. It returns ErrExpired for a lease that has ended, and for one of an earlier
+// era, whose id may belong to another lease. It is never retried.
 func (c *Client) Renew(ctx context.Context, lease string) error {
-	return c.write(ctx, "renew", c.wire.Renew(lease), nil)
+	if err := c.outdated(0, lease); err != nil {
+		return err
+	}
+	id, granted := splitLease(lease)
+	return c.write(ctx, "renew", c.wire.Renew(id), func(era uint64, _ []byte) error {
+		if era != granted {
+			return errors.Wrapf(ErrExpired, "lease of era %d, era %d now", granted, era)
+		}
+		return nil
+	})
 }
 
-// Revoke ends a lease and deletes its keys. It is never retried.
+// Revoke ends a lease and deletes its keys. It returns ErrExpired for a lease of an
+// earlier era. It is never retried.
 func (c *Client) Revoke(ctx context.Context, lease string) error {
-	return c.write(ctx, "revoke", c.wire.Revoke(lease), nil)
+	if err := c.outdated(0, lease); err != nil {
+		return err
+	}
+	id, _ := splitLease(lease)
+	return c.write(ctx, "revoke", c.wire.Revoke(id), nil)
 }
 
 // read sends a GET until it succeeds, fails with an error other than
 // ErrUnavailable, or maxAttempts or the deadline is reached.
-func (c *Client) read(ctx context.Context, verb string, call Call, decode func([]byte) error) error {
+func (c *Client) read(ctx context.Context, verb string, call Call, decode func(era uint64, answer []byte) error) error {
 	waitCtx, cancel := context.WithTimeout(ctx, c.deadline)
 	defer cancel()
 	for attempt := 0; ; attempt++ {
@@ -281,7 +339,7 @@
 
 // write sends a request that changes the store. It never retries it, since the
 // outcome may be unknown.
-func (c *Client) write(ctx context.Context, verb string, call Call, decode func([]byte) error) error {
+func (c *Client) write(ctx context.Context, verb string, call Call, decode func(era uint64, answer []byte) error) error {
 	waitCtx, cancel := context.WithTimeout(ctx, c.deadline)
 	defer cancel()
 	if err := c.writes.Wait(waitCtx); err != nil {
@@ -293,7 +351,7 @@
 // exchange sends one request, waits up to wait for the header of the answer and
 // reads its body. If no connection could be made, nothing was sent and the error
 // is ErrUnavailable. Any later failure to read the answer is ErrUnknown.
-func (c *Client) exchange(ctx context.Context, verb string, wait time.Duration, call Call, decode func([]byte) error) error {
+func (c *Client) exchange(ctx context.Context, verb string, wait time.Duration, call Call, decode func(era uint64, answer []byte) error) error {
 	err := c.doExchange(ctx, wait, call, decode)
 	if errors.Is(err, context.DeadlineExceeded) {
 		// The idle connections may have gone silent with that of this call.
@@ -304,7 +362,7 @@
 }
 
 // doExchange is exchange without the call of the observer.
-func (c *Client) doExchange(ctx context.Context, wait time.Duration, call Call, decode func([]byte) error) error {
+func (c *Client) doExchange(ctx context.Context, wait time.Duration, call Call, decode func(era uint64, answer []byte) error) error {
 	connected := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected = true },
@@ -327,7 +385,6 @@
 		}
 		return errors.Mark(errors.Wrap(err, "store: no answer"), ErrUnknown)
 	}
-	c.noteEra(resp.Header)
 	timer.Reset(stallTimeout)
 	defer func() { _ = resp.Body.Close() }()
 	body := &stallReader{
@@ -336,8 +393,12 @@
 		timer:    timer,
 		progress: progressOf(ctx),
 	}
+	era, failure := c.eraOf(resp.Header)
 	if err := statusError(resp.StatusCode, resp.Header); err != nil {
 		_, _ = io.CopyN(io.Discard, body, 4096)
+		if failure != nil && !errors.Is(err, ErrUnavailable) {
+			err = errors.Mark(failure, ErrUnknown)
+		}
 		return errors.Wrapf(err, "%s %s", call.method, call.path)
 	}
 	answer, err := io.ReadAll(bound.NewReader(body, "answer", maxAnswerBytes))
@@ -347,13 +408,17 @@
 		}
 		return errors.Mark(errors.Wrap(err, "store: read answer"), ErrUnknown)
 	}
+	if failure != nil {
+		return errors.Mark(failure, ErrUnknown)
+	}
 	if decode == nil {
 		return nil
 	}
-	if err := decode(answer); err != nil {
-		return errors.Mark(errors.Wrap(err, "store: decode answer"), ErrUnknown)
+	err = decode(era, answer)
+	if err == nil || errors.IsAny(err, ErrExpired, ErrCompacted) {
+		return err
 	}
-	return nil
+	return errors.Mark(errors.Wrap(err, "store: decode answer"), ErrUnknown)
 }
 
 // stallReader reads a body and restarts a timer with each part that arrives, so
--- a/internal/store/errors.go
+++ b/internal/store/errors.go
@@ -38,6 +38,10 @@
 	err  error
 	name string
 }{
+	{
+		err:  errEra,
+		name: "invalid era",
+	},
 	{
 		err:  ErrConflict,
 		name: "conflict",
--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -9,10 +9,14 @@
 
 // Watch waits up to wait for a change of a key with the prefix after a revision
 // of the store. It returns the changes, none if nothing changed, and the revision
-// to pass as after to the next Watch. It is never retried. The store can lose and
+// to pass as after to the next Watch. The error is ErrCompacted if the store was restored
+// after that revision. It is never retried. The store can lose and
 // reorder events, so a caller that must not miss a change must also read the
 // keys periodically.
 func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Event, uint64, error) {
+	if now := c.Era(); Era(after) < now {
+		return nil, after, errors.Wrapf(ErrCompacted, "after era %d, era %d now", Era(after), now)
+	}
 	waitCtx, cancel := context.WithTimeout(ctx, c.deadline)
 	defer cancel()
 	if err := c.reads.Wait(waitCtx); err != nil {
@@ -20,8 +24,21 @@
 	}
 	var found []Event
 	var revision uint64
-	err := c.exchange(ctx, "watch", wait+c.deadline, c.wire.Watch(prefix, after, wait), func(b []byte) (err error) {
-		found, revision, err = c.wire.Events(b)
+	err := c.exchange(ctx, "watch", wait+c.deadline, c.wire.Watch(prefix, Number(after), wait), func(era uint64, b []byte) (err error) {
+		if found, revision, err = c.wire.Events(b); err != nil {
+			return err
+		}
+		if era != Era(after) {
+			// The changes are those of another history than the caller's.
+			return errors.Wrapf(ErrCompacted, "after era %d, era %d now", Era(after), era)
+		}
+		for i, e := range found {
+			if e.entry, err = e.entry.locate(era); err != nil {
+				return err
+			}
+			found[i] = e
+		}
+		revision, err = position(era, revision)
 		return err
 	})
 	if err != nil {
--- a/internal/store/wire.go
+++ b/internal/store/wire.go
@@ -47,7 +47,21 @@
 	}
 }
 
-// Wire encodes the client's calls and decodes the bodies of the answers. HTTP
+// locate sets the positions of a page that the store stated in an era.
+func (p Page) locate(era uint64) (Page, error) {
+	for i, e := range p.entries {
+		located, err := e.locate(era)
+		if err != nil {
+			return Page{}, err
+		}
+		p.entries[i] = located
+	}
+	p.revision = Position(era, p.revision)
+	return p, nil
+}
+
+// Wire encodes the client's calls and decodes the bodies of the answers. Its revisions
+// and leases are the store's own, without an era. HTTP
 // status codes are not part of it: 200 is success, 412 ErrConflict, 413
 // ErrTooLarge, 410 ErrCompacted, 404 ErrExpired, 429 and 503 ErrUnavailable,
 // other 5xx ErrUnknown and all others ErrRejected.
