feed, platform: Keep what is in force over a restoration of the store

The list of a restored store was taken as the present state. It lacks what was written after the copy, until the operator and the workers write it again.

A newer one stays in force until the store has it again or something newer. A worker that has left and is listed again counts after five seconds, when its key would have lapsed: it was silent then and not gone. All VMs keep a log for this, also those that read from no other.

--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -51,7 +51,7 @@
 	})
 	if v.peers.Update() {
 		names := v.peers.Names()
-		if v.watcher.reader != nil {
+		if !v.watcher.alone {
 			v.watcher.reader.SetVMs(v.peers.Servers())
 		}
 		v.dispatcher.notify(ctx, proxy.NewPeers(v.settings.Name, names))
--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -100,6 +100,9 @@
 	ID func(key string) string
 	// Entry decodes the entry under a registry key.
 	Entry func(key string, value []byte) (pool.Entry, error)
+	// Stays reports whether a known entry stays in force although a restored store lists
+	// another one instead; see feed.Log.WithStays.
+	Stays func(known, listed store.Entry) bool
 }
 
 // VM is an entry VM. Its exported methods may be called concurrently once Start
@@ -153,7 +156,7 @@
 		log:        log,
 		metrics:    m,
 		peers:      roster.New(),
-		feed:       feed.NewLog(),
+		feed:       feed.NewLog().WithStays(sources.Stays),
 		account:    ledger.New(s.Held, int64(begunShare*float64(s.Held))),
 		dispatcher: newDispatcher(core, u, j),
 		progress:   newProgress(s.EffectTime, m, log),
@@ -172,13 +175,12 @@
 	}, log)
 	v.dispatcher.runLost, v.dispatcher.runSurvived = v.accord.RunLost, v.accord.RunSurvived
 	v.watcher = newWatcher(c, s.BatchDelay, log)
-	if s.Feed != "" {
-		v.watcher.reader = feed.NewReader(s.Name, c, v.feed, s.BatchDelay, log).WithObserver(func(source, result string) {
-			m.Counter("feed_reads_total", "Reads of changes by the kind of source.", "source", source, "result", result).Inc()
-		}).WithReceived(func(source string, bytes int) {
-			m.Counter("feed_received_bytes_total", "Bytes of values in changes by the kind of source, as they were sent.", "source", source).Add(bytes)
-		})
-	}
+	v.watcher.alone = s.Feed == ""
+	v.watcher.reader = feed.NewReader(s.Name, c, v.feed, s.BatchDelay, log).WithObserver(func(source, result string) {
+		m.Counter("feed_reads_total", "Reads of changes by the kind of source.", "source", source, "result", result).Inc()
+	}).WithReceived(func(source string, bytes int) {
+		m.Counter("feed_received_bytes_total", "Bytes of values in changes by the kind of source, as they were sent.", "source", source).Add(bytes)
+	})
 	v.watcher.apply, v.watcher.idle = v.applyChange, v.progress.confirm
 	v.watcher.settleTime = s.SettleTime
 	return v
--- a/internal/edge/watcher.go
+++ b/internal/edge/watcher.go
@@ -21,9 +21,9 @@
 // changes. Apart from age and join, its methods are for its run goroutine only.
 type watcher struct {
 	client *store.Client
-	// reader reads the keys from other VMs or the store. It is nil if the VM
-	// reads from the store only.
-	reader     *feed.Reader
+	reader *feed.Reader
+	// alone is true if the reader knows no other VMs, so that it reads from the store.
+	alone      bool
 	batchDelay time.Duration
 	apply      func(ctx context.Context, c follow.Change)
 	// settleTime is the time after the store's recovery from which its word counts
@@ -56,7 +56,7 @@
 	if !w.isJoined.CompareAndSwap(false, true) {
 		return
 	}
-	if w.reader != nil {
+	if !w.alone {
 		w.reader.SetVMs(vms)
 	}
 	close(w.joined)
@@ -73,10 +73,7 @@
 	case <-ctx.Done():
 		return
 	}
-	f := follow.New(w.client, "", w.batchDelay, w.apply, w.log).WithIdle(w.idle).WithSettleTime(w.settleTime)
-	if w.reader != nil {
-		f.ReadFrom(w.reader)
-	}
+	f := follow.New(w.client, "", w.batchDelay, w.apply, w.log).WithIdle(w.idle).WithSettleTime(w.settleTime).ReadFrom(w.reader)
 	w.follower.Store(f)
 	f.Run(ctx)
 }
--- a/internal/feed/log.go
+++ b/internal/feed/log.go
@@ -1,8 +1,10 @@
 package feed
 
 import (
+	"bytes"
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +14,11 @@
 	"github.com/cockroachdb/errors"
 )
 
+// recheckDelay is how long an entry that a restoration of the store has brought back is
+// taken for one that is about to go again. Upstreams write their keys again within 2 s, and
+// the keys of those that have ended expire some seconds after the store's return.
+const recheckDelay = 5 * time.Second
+
 // maxDeleted is the number of deleted keys that are kept. A VM that has missed
 // more deletions must ask the store.
 const maxDeleted = 4000
@@ -32,8 +39,18 @@
 // for concurrent use.
 type Log struct {
 	mutex sync.Mutex
-	// latest holds the latest change of each key, including deleted keys.
+	// latest holds the latest change of each key, including deleted keys, which keep
+	// their last value.
 	latest map[string]store.Event
+	// held holds the keys whose state outlived a restoration of the store. A change that
+	// is older than that state does not replace it.
+	held map[string]bool
+	// stays reports whether a known entry stays in force although a restored store lists
+	// another one instead, which is the zero Entry if it lists none.
+	stays func(known, listed store.Entry) bool
+	// recheckAt is the time from which the entries count that a restoration has brought
+	// back, or zero.
+	recheckAt time.Time
 	// deleted is the number of deleted keys in latest.
 	deleted int
 	// older holds the large values that were replaced lately.
@@ -58,40 +75,45 @@
 func NewLog() *Log {
 	return &Log{
 		latest:  make(map[string]store.Event),
+		held:    make(map[string]bool),
+		stays:   func(store.Entry, store.Entry) bool { return false },
 		packer:  bulk.NewPacker(),
 		changed: make(chan struct{}),
 		now:     time.Now,
 	}
 }
 
+// WithStays sets the function that reports whether a known entry stays in force although
+// a restored store lists another one instead, which is the zero Entry if it lists none.
+// Call it before any other method.
+func (l *Log) WithStays(stays func(known, listed store.Entry) bool) *Log {
+	l.stays = stays
+	return l
+}
+
 // Reset replaces the keys by a list as of revision, which the store confirmed age
-// ago. Keys that the list lacks count as deleted at revision, so VMs that know
-// the keys before the list need only the difference. VMs that know those of an earlier
-// era need the whole list. A change that the log holds
-// and that is newer than the list remains.
-func (l *Log) Reset(entries []store.Entry, revision uint64, age time.Duration) {
+// ago, and returns the present entries. Keys that the list lacks count as deleted at
+// revision, so VMs that know the keys before the list need only the difference. A change
+// that the log holds and that is newer than the list remains.
+//
+// The list of a restored store may lack what is in force, or hold what was replaced. What
+// stays in force counts as changed at revision.
+func (l *Log) Reset(entries []store.Entry, revision uint64, age time.Duration) []store.Entry {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.confirmed.IsZero() || store.Era(revision) > store.Era(l.revision) {
+	restored := !l.confirmed.IsZero() && store.Era(revision) > store.Era(l.revision)
+	if l.confirmed.IsZero() || restored {
 		l.completeAfter = revision
 	}
+	if restored {
+		l.recheckAt = l.now().Add(recheckDelay)
+	}
 	listed := make(map[string]store.Event, len(entries))
 	for _, e := range entries {
 		listed[e.Key()] = store.NewEvent(e, false)
 	}
 	for key, e := range l.latest {
-		latest, ok := listed[key]
-		if ok && latest.Entry().Revision() > e.Entry().Revision() {
-			l.older.add(e.Entry())
-		}
-		switch {
-		case e.Entry().Revision() > revision && e.Entry().Revision() > latest.Entry().Revision():
-			listed[key] = e
-		case !ok && e.Deleted():
-			listed[key] = e
-		case !ok:
-			listed[key] = store.NewEvent(store.NewEntry(key, nil, revision, ""), true)
-		}
+		listed[key] = l.merge(e, listed[key], revision, restored)
 	}
 	l.latest, l.revision, l.deleted = listed, max(l.revision, revision), 0
 	for _, e := range listed {
@@ -103,17 +125,96 @@
 		l.dropDeleted()
 	}
 	l.confirm(age)
+	return l.entries()
+}
+
+// merge returns the state of a known key after a list as of revision, which has the key as
+// listed, or as the zero Event if it lacks it. The caller must hold the mutex.
+func (l *Log) merge(known, listed store.Event, revision uint64, restored bool) store.Event {
+	old, now := known.Entry(), listed.Entry()
+	key, absent := old.Key(), now.Revision() == 0
+	if now.Revision() > old.Revision() {
+		l.older.add(old)
+	}
+	if old.Revision() > revision && old.Revision() > now.Revision() {
+		return known
+	}
+	if l.outlives(known, now, restored) {
+		l.held[key] = true
+		return store.NewEvent(store.NewEntry(key, old.Value(), revision, now.Lease()), known.Deleted())
+	}
+	if l.held[key] {
+		// VMs that know the state before would take the change for an older one.
+		now = store.NewEntry(key, now.Value(), revision, now.Lease())
+	}
+	delete(l.held, key)
+	switch {
+	case !absent:
+		return store.NewEvent(now, false)
+	case known.Deleted():
+		return known
+	default:
+		return store.NewEvent(store.NewEntry(key, old.Value(), revision, ""), true)
+	}
+}
+
+// outlives reports whether the known state of a key stays in force although a list has
+// now for it, which is the zero Entry if it has none. An upstream that has left may be
+// listed again after a restoration, for a while. The caller must hold the mutex.
+func (l *Log) outlives(known store.Event, now store.Entry, restored bool) bool {
+	switch {
+	case !restored && !l.held[known.Entry().Key()]:
+		return false
+	case known.Deleted():
+		return now.Revision() > 0 && l.now().Before(l.recheckAt) &&
+			(l.stays(known.Entry(), now) || bytes.Equal(known.Entry().Value(), now.Value()))
+	default:
+		return l.stays(known.Entry(), now)
+	}
+}
+
+// Held returns the keys, sorted, whose state outlived a restoration of the store and that
+// the store has not changed since.
+func (l *Log) Held() []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return slices.Sorted(maps.Keys(l.held))
+}
+
+// Recheck reports whether the keys must be listed again, because an entry that a
+// restoration has brought back is still left out.
+func (l *Log) Recheck() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.recheckAt.IsZero() || l.now().Before(l.recheckAt) {
+		return false
+	}
+	for key := range l.held {
+		if l.latest[key].Deleted() {
+			return true
+		}
+	}
+	l.recheckAt = time.Time{}
+	return false
 }
 
-// Append adds all changes up to revision, which the store confirmed age ago.
-func (l *Log) Append(events []store.Event, revision uint64, age time.Duration) {
+// Append adds all changes up to revision, which the store confirmed age ago, and returns
+// those that count.
+func (l *Log) Append(events []store.Event, revision uint64, age time.Duration) []store.Event {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	counting := make([]store.Event, 0, len(events))
 	for _, e := range events {
 		old, known := l.latest[e.Entry().Key()]
-		if known && old.Entry().Revision() > e.Entry().Revision() {
+		switch {
+		case known && old.Entry().Revision() > e.Entry().Revision():
+			counting = append(counting, e)
+			continue
+		case known && !e.Deleted() && l.outlives(old, e.Entry(), false):
 			continue
 		}
+		counting = append(counting, e)
+		delete(l.held, e.Entry().Key())
 		if known && old.Deleted() {
 			l.deleted--
 		}
@@ -122,6 +223,7 @@
 		}
 		if e.Deleted() {
 			l.deleted++
+			e = store.NewEvent(store.NewEntry(e.Entry().Key(), old.Entry().Value(), e.Entry().Revision(), ""), true)
 		}
 		l.latest[e.Entry().Key()] = e
 	}
@@ -130,6 +232,7 @@
 	}
 	l.revision = max(l.revision, revision)
 	l.confirm(age)
+	return counting
 }
 
 // dropDeleted drops the older half of the deleted keys. The caller must hold the
@@ -194,7 +297,7 @@
 	defer l.mutex.Unlock()
 	var list []store.Entry
 	for _, e := range l.latest {
-		if len(e.Entry().Value()) >= bulk.MinSize {
+		if !e.Deleted() && len(e.Entry().Value()) >= bulk.MinSize {
 			list = append(list, e.Entry())
 		}
 	}
--- a/internal/feed/peer.go
+++ b/internal/feed/peer.go
@@ -95,11 +95,13 @@
 	for _, e := range c.events {
 		change := &wire.StoreChange{
 			Key:      e.Entry().Key(),
-			Value:    e.Entry().Value(),
 			Revision: e.Entry().Revision(),
 			Lease:    e.Entry().Lease(),
 			Gone:     e.Deleted(),
 		}
+		if !e.Deleted() {
+			change.Value = e.Entry().Value()
+		}
 		if packed && len(change.Value) >= bulk.MinSize {
 			s.shorten(change, e.Entry(), bases[change.Key])
 		}
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -63,6 +63,9 @@
 // a link of 10 Mbit/s.
 const largeChanges = 64 << 10
 
+// loggedKeys is the number of keys that one line of the log names at most.
+const loggedKeys = 16
+
 // Reader reads changes from another VM or the store. List, Watch and Pause must
 // be called from the same goroutine.
 type Reader struct {
@@ -191,9 +194,7 @@
 		case err == nil:
 			r.selector.Answered(v)
 			r.logSource(v, revision)
-			r.logRestored(revision)
-			r.log.Reset(entries, revision, age)
-			return entries, revision, nil
+			return r.reset(prefix, entries, revision, age), revision, nil
 		case v.IsStore():
 			storeFailure = err
 		default:
@@ -244,6 +245,18 @@
 	return entries, c.revision, c.age, nil
 }
 
+// reset passes a list to the log and returns the entries with a prefix that are in force.
+func (r *Reader) reset(prefix string, entries []store.Entry, revision uint64, age time.Duration) []store.Entry {
+	before := r.log.Revision()
+	present := r.log.Reset(entries, revision, age)
+	if before > 0 && store.Era(revision) > store.Era(before) {
+		held := r.log.Held()
+		r.logger.Warn().Str("revision", store.Text(revision)).Str("before", store.Text(before)).Int("listed", len(entries)).
+			Int("held", len(held)).Strs("keys", held[:min(len(held), loggedKeys)]).Msg("feed: The store was restored from a copy.")
+	}
+	return slices.DeleteFunc(present, func(e store.Entry) bool { return !strings.HasPrefix(e.Key(), prefix) })
+}
+
 // adoptVMs passes new VMs to the selector.
 func (r *Reader) adoptVMs() {
 	if vms := r.vms.Swap(nil); vms != nil {
@@ -256,6 +269,9 @@
 // source no longer has the changes.
 func (r *Reader) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error) {
 	r.adoptVMs()
+	if r.log.Recheck() {
+		return nil, after, errors.Wrap(store.ErrCompacted, "entries are left out since the store was restored")
+	}
 	var failure error
 	for _, v := range r.selector.Sources(r.now()) {
 		c, err := r.readFrom(ctx, v, prefix, after, wait)
@@ -272,9 +288,9 @@
 			r.logSource(v, c.revision)
 			r.logLarge(v, c)
 			r.countReceived(v, c)
-			r.log.Append(c.events, c.revision, c.age)
+			events := r.log.Append(c.events, c.revision, c.age)
 			r.log.Hear(c.quiet)
-			return c.events, max(after, c.revision), nil
+			return events, max(after, c.revision), nil
 		case errors.Is(err, store.ErrCompacted):
 			return nil, after, err
 		case errors.Is(err, ErrTooOld):
@@ -371,14 +387,6 @@
 	r.logger.Info().Str("peer", v.Name()).Str("revision", store.Text(revision)).Msg("feed: Changes come from another source.")
 }
 
-// logRestored logs a list of a later era than the one before.
-func (r *Reader) logRestored(revision uint64) {
-	if before := r.log.Revision(); before > 0 && store.Era(revision) > store.Era(before) {
-		r.logger.Warn().Str("revision", store.Text(revision)).Str("before", store.Text(before)).
-			Msg("feed: The store was restored from a copy.")
-	}
-}
-
 // logLarge logs changes that occupy the links of the VMs for a while.
 func (r *Reader) logLarge(v tree.VM, c Changes) {
 	if c.mismatch != nil {
