follow: Keep what a restored store lacks until it is written again

Calls were refused for a second or two after the store's return although their workers were sound: a worker that had started after the time of the copy was listed no more, until it wrote its entry again.

Missing entries were kept only after an outage of a second or more at this VM. A restoration loses entries however short it is.

A list of a later era starts the time in which missing entries are kept, 2.5 s, and marks its change as the first one since the restoration.

--- a/internal/follow/script_test.go
+++ b/internal/follow/script_test.go
@@ -62,6 +62,9 @@
 			for _, key := range c.Deleted() {
 				fmt.Fprintf(&out, "gone %s\n", key)
 			}
+			if c.Restored() {
+				out.WriteString("restored\n")
+			}
 			if s.Synced() {
 				fmt.Fprintf(&out, "next watch after %s for %s\n", store.Text(s.Revision()), s.Wait(now))
 			} else {
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -46,6 +46,8 @@
 	// confirmed is when the store confirmed the change, or zero for kept keys whose
 	// time has passed.
 	confirmed time.Time
+	// restored is true for the first change since the store was restored from a copy.
+	restored bool
 }
 
 // NewChange returns a change of new or updated entries and of deleted keys.
@@ -66,6 +68,10 @@
 // keys whose time has passed.
 func (c Change) Confirmed() time.Time { return c.confirmed }
 
+// Restored reports whether the store was restored from a copy, so that it may have lost
+// what was written to it before this change. Such a change has all keys.
+func (c Change) Restored() bool { return c.restored }
+
 // Len returns the number of changed keys.
 func (c Change) Len() int { return len(c.put) + len(c.deleted) }
 
@@ -129,10 +135,15 @@
 
 // Listed applies a complete list.
 func (s *State) Listed(now time.Time, entries []store.Entry, revision uint64) Change {
+	c := Change{
+		restored: s.revision > 0 && store.Era(revision) > store.Era(s.revision),
+	}
+	if c.restored {
+		s.keep(now)
+	}
 	s.resetFailures(now)
 	s.synced, s.revision = true, revision
 	s.changed = make(map[string]bool, len(entries))
-	var c Change
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.Key()] = true
@@ -230,14 +241,19 @@
 // which missing keys are kept.
 func (s *State) resetFailures(now time.Time) {
 	if s.failures > 0 && now.Sub(s.failingSince) >= minOutage {
-		s.keepUntil = now.Add(rewriteTime)
-		if latest := s.lostAt.Add(s.maxKeep); latest.Before(s.keepUntil) {
-			s.keepUntil = latest
-		}
+		s.keep(now)
 	}
 	s.failures = 0
 }
 
+// keep starts the time in which missing keys are kept.
+func (s *State) keep(now time.Time) {
+	s.keepUntil = now.Add(rewriteTime)
+	if latest := s.lostAt.Add(s.maxKeep); s.failures > 0 && latest.Before(s.keepUntil) {
+		s.keepUntil = latest
+	}
+}
+
 // put adds an entry to the change if it is newer than the known one.
 func (s *State) put(c *Change, e store.Entry) {
 	delete(s.missing, e.Key())
