simkv: Restorations from a copy

A store that comes back from a copy some seconds old loses what was written since and gives revisions and lease ids out again. The simulation now plays that: the fault "restore" goes back to the state of a stated time ago, at most 30 s, and raises the era, which all answers name in the header field Era. It starts at 0, so that revisions read as before until the first restoration. A watch after a revision that was not given out gets 410.

--- a/internal/simkv/doc.go
+++ b/internal/simkv/doc.go
@@ -18,9 +18,11 @@
 //	DELETE /leases/ID                    404 for an ended lease
 //
 // 412 means a conflict, 404 on PUT an ended lease, 413 a value over 1 MB, 410 a
-// watch after a compacted revision, 429 a call over the rate limit and 503 an
-// outage, the last two with Retry-After. A single revision counter covers all
-// keys, so that revisions also order the changes of different keys.
+// watch after a revision that is compacted or was not given out, 429 a call over
+// the rate limit and 503 an outage, the last two with Retry-After. A single
+// revision counter covers all keys, so that revisions also order the changes of
+// different keys. The header field Era, in all these answers, counts the restorations
+// of the store; after one, revisions and lease ids are given out again.
 //
 // POST /fault starts a fault; its body has op and, depending on op:
 //
@@ -32,6 +34,7 @@
 //	reorder   count of watch answers with events in the wrong order
 //	compact   discards the event history
 //	expire    ends all leases
+//	restore   goes back to the state of the given time ago, at most 30 s
 //	clear     ends all faults
 //
 // GET /stats answers with reads, writes, watches, refused and revision. /fault
--- a/internal/simkv/fault.go
+++ b/internal/simkv/fault.go
@@ -108,6 +108,18 @@
 	}
 }
 
+// Restore goes back to the state of some time ago, at most 30 s, as a store that comes back
+// from a copy. What was written since is lost, leases too, and revisions and lease ids are
+// given out again in a new era.
+func Restore(back time.Duration) Fault {
+	return Fault{
+		body: faultBody{
+			Op:   "restore",
+			Time: back.Milliseconds(),
+		},
+	}
+}
+
 // ExpireLeases ends all leases immediately.
 func ExpireLeases() Fault {
 	return Fault{
@@ -168,6 +180,8 @@
 
 // decision says how faults and rate limits affect one call.
 type decision struct {
+	// era is that of the store when the call arrived.
+	era uint64
 	// status is the status of a refused call, 0 for one that runs.
 	status int
 	// hang is the time to wait before the connection is cut without effect.
--- a/internal/simkv/http.go
+++ b/internal/simkv/http.go
@@ -21,10 +21,15 @@
 	watch
 )
 
-// response is the answer to a call. Its zero value means that there is none.
+// headerEra names the era in all answers.
+const headerEra = "Era"
+
+// response is the answer to a call. A status of 0 means that there is none.
 type response struct {
 	status int
 	body   any
+	// era is the era in which the call was performed, or 0 for one that was not.
+	era uint64
 }
 
 // handler returns the routes of the API.
@@ -57,6 +62,7 @@
 		}
 		if v.status != 0 {
 			w.Header().Set("Retry-After", "1")
+			w.Header().Set(headerEra, strconv.FormatUint(v.era, 10))
 			w.WriteHeader(v.status)
 			return
 		}
@@ -67,6 +73,7 @@
 		if v.cutAfter || a.status == 0 {
 			panic(http.ErrAbortHandler)
 		}
+		w.Header().Set(headerEra, strconv.FormatUint(max(a.era, v.era), 10))
 		writeResponse(w, a)
 	}
 }
@@ -86,10 +93,13 @@
 	if !limit.AllowN(s.now(), 1) {
 		s.stats.refused++
 		return decision{
+			era:    s.state.era,
 			status: http.StatusTooManyRequests,
 		}
 	}
-	return s.faults.decide(s.now(), k == write)
+	v := s.faults.decide(s.now(), k == write)
+	v.era = s.state.era
+	return v
 }
 
 // sleep waits for d and returns false if ctx ends first.
@@ -119,7 +129,12 @@
 // response, or the zero response if f did not finish.
 func (s *Server) executeRequest(r *http.Request, f func() response) response {
 	reply := make(chan response, 1)
-	if !s.execute(r.Context(), func() { reply <- f() }) {
+	perform := func() {
+		a := f()
+		a.era = s.state.era
+		reply <- a
+	}
+	if !s.execute(r.Context(), perform) {
 		return response{}
 	}
 	return <-reply
@@ -181,7 +196,7 @@
 		return statusOnly(http.StatusRequestEntityTooLarge)
 	}
 	return s.executeRequest(r, func() response {
-		return changeResponse(s.state.put(key(r), value, expect, r.Header.Get("Lease")))
+		return changeResponse(s.state.put(s.now(), key(r), value, expect, r.Header.Get("Lease")))
 	})
 }
 
@@ -190,7 +205,7 @@
 	if err != nil {
 		return statusOnly(http.StatusPreconditionRequired)
 	}
-	return s.executeRequest(r, func() response { return changeResponse(s.state.remove(key(r), expect)) })
+	return s.executeRequest(r, func() response { return changeResponse(s.state.remove(s.now(), key(r), expect)) })
 }
 
 func (s *Server) list(r *http.Request) response {
@@ -239,7 +254,7 @@
 }
 
 // poll returns the response to a watch that has events, whose revision is
-// compacted, or that has timed out; otherwise it returns 204.
+// compacted or unknown, or that has timed out; otherwise it returns 204.
 func (s *Server) poll(prefix string, after uint64, timedOut bool) response {
 	events, ok := s.state.eventsAfter(prefix, after)
 	if !ok {
@@ -303,7 +318,7 @@
 func (s *Server) revoke(r *http.Request) response {
 	id := chi.URLParam(r, "id")
 	return s.executeRequest(r, func() response {
-		if !s.state.revoke(id) {
+		if !s.state.revoke(s.now(), id) {
 			return statusOnly(http.StatusNotFound)
 		}
 		return statusOnly(http.StatusOK)
--- a/internal/simkv/server.go
+++ b/internal/simkv/server.go
@@ -66,7 +66,7 @@
 	state  *state
 	faults faults
 	stats  Stats
-	// changed is closed at the next change of any key.
+	// changed is closed at the next change of any key, or the next restoration.
 	changed chan struct{}
 }
 
@@ -174,6 +174,8 @@
 	switch b.Op {
 	case "compact":
 		s.state.compact()
+	case "restore":
+		s.state.restore(s.now(), time.Duration(b.Time)*time.Millisecond)
 	case "expire":
 		s.state.expire(s.now().Add(time.Hour * 24 * 365))
 	default:
@@ -226,12 +228,13 @@
 	}
 }
 
-// runOp ends expired leases, runs f and wakes the watches if a key changed.
+// runOp ends expired leases, runs f and wakes the watches if a key changed or the store
+// was restored.
 func (s *Server) runOp(f func()) {
-	before := s.state.revision
+	revision, era := s.state.revision, s.state.era
 	s.state.expire(s.now())
 	f()
-	if s.state.revision != before {
+	if s.state.revision != revision || s.state.era != era {
 		close(s.changed)
 		s.changed = make(chan struct{})
 	}
--- a/internal/simkv/state.go
+++ b/internal/simkv/state.go
@@ -31,6 +31,12 @@
 	keys    map[string]bool
 }
 
+// undo takes back one change of the state.
+type undo struct {
+	at   time.Time
+	undo func()
+}
+
 // result is the outcome of a put or delete.
 type result uint8
 
@@ -40,10 +46,15 @@
 	noLease
 )
 
+// maxBack is how far a restoration goes back at most.
+const maxBack = 30 * time.Second
+
 // state holds the keys, leases and change log. The goroutine of Server.run owns
 // it.
 type state struct {
-	// revision counts the changes of all keys and never decreases.
+	// era counts the restorations.
+	era uint64
+	// revision counts the changes of all keys and decreases only with a restoration.
 	revision uint64
 	entries  map[string]entry
 	leases   map[string]*lease
@@ -54,6 +65,8 @@
 	retained int
 	// compacted is the highest revision that is no longer in log.
 	compacted uint64
+	// undos take back the changes of the last maxBack, in order of time.
+	undos []undo
 }
 
 func newState(retained int) *state {
@@ -66,7 +79,7 @@
 
 // put stores value if the key's revision is expect, 0 for an absent key. It
 // returns the key's revision after the call.
-func (s *state) put(key string, value []byte, expect uint64, lease string) (uint64, result) {
+func (s *state) put(now time.Time, key string, value []byte, expect uint64, lease string) (uint64, result) {
 	old := s.entries[key]
 	if old.Revision != expect {
 		return old.Revision, conflict
@@ -74,6 +87,7 @@
 	if lease != "" && s.leases[lease] == nil {
 		return old.Revision, noLease
 	}
+	s.noteEntry(now, key)
 	s.unbind(old)
 	s.revision++
 	e := entry{
@@ -93,17 +107,18 @@
 }
 
 // remove deletes the key if its revision is expect.
-func (s *state) remove(key string, expect uint64) (uint64, result) {
+func (s *state) remove(now time.Time, key string, expect uint64) (uint64, result) {
 	old, ok := s.entries[key]
 	if !ok || old.Revision != expect {
 		return old.Revision, conflict
 	}
-	s.deleteEntry(old)
+	s.deleteEntry(now, old)
 	return s.revision, done
 }
 
 // deleteEntry deletes the key of e and records the deletion.
-func (s *state) deleteEntry(e entry) {
+func (s *state) deleteEntry(now time.Time, e entry) {
+	s.noteEntry(now, e.Key)
 	s.unbind(e)
 	delete(s.entries, e.Key)
 	s.revision++
@@ -116,6 +131,68 @@
 	})
 }
 
+// noteEntry notes how to take back a change of a key that is about to be made.
+func (s *state) noteEntry(now time.Time, key string) {
+	old, ok := s.entries[key]
+	s.note(now, func() {
+		s.revision--
+		if ok {
+			s.entries[key] = old
+		} else {
+			delete(s.entries, key)
+		}
+	})
+}
+
+// noteLease notes how to take back a change of a lease that is about to be made.
+func (s *state) noteLease(now time.Time, id string) {
+	last := s.lastLease
+	var old *lease
+	if l := s.leases[id]; l != nil {
+		old = &lease{
+			ttl:     l.ttl,
+			expires: l.expires,
+		}
+	}
+	s.note(now, func() {
+		s.lastLease = last
+		if old != nil {
+			s.leases[id] = old
+		} else {
+			delete(s.leases, id)
+		}
+	})
+}
+
+// note adds an undo and drops those that are too old.
+func (s *state) note(now time.Time, f func()) {
+	kept := sort.Search(len(s.undos), func(i int) bool { return now.Sub(s.undos[i].at) <= maxBack })
+	s.undos = append(s.undos[kept:], undo{
+		at:   now,
+		undo: f,
+	})
+}
+
+// restore goes back to the state of some time ago, in a new era. The revisions and the
+// numbers of leases since then are given out again.
+func (s *state) restore(now time.Time, back time.Duration) {
+	s.era++
+	for len(s.undos) > 0 && now.Sub(s.undos[len(s.undos)-1].at) <= back {
+		s.undos[len(s.undos)-1].undo()
+		s.undos = s.undos[:len(s.undos)-1]
+	}
+	for _, l := range s.leases {
+		l.keys = make(map[string]bool)
+	}
+	for key, e := range s.entries {
+		if l := s.leases[e.Lease]; l != nil {
+			l.keys[key] = true
+		}
+	}
+	s.log = s.log[:sort.Search(len(s.log), func(i int) bool { return s.log[i].Revision > s.revision })]
+	s.compacted = min(s.compacted, s.revision)
+}
+
 // unbind removes the key of e from its lease, if it has one.
 func (s *state) unbind(e entry) {
 	if l := s.leases[e.Lease]; l != nil {
@@ -151,9 +228,9 @@
 }
 
 // eventsAfter returns the changes below prefix after a revision; ok is false
-// when some of them are compacted.
+// when some of them are compacted, or the revision has not been given out.
 func (s *state) eventsAfter(prefix string, after uint64) (found []event, ok bool) {
-	if after < s.compacted {
+	if after < s.compacted || after > s.revision {
 		return nil, false
 	}
 	start := sort.Search(len(s.log), func(i int) bool { return s.log[i].Revision > after })
@@ -177,8 +254,9 @@
 
 // grant creates a lease and returns its id.
 func (s *state) grant(now time.Time, ttl time.Duration) string {
+	id := fmt.Sprintf("l%d", s.lastLease+1)
+	s.noteLease(now, id)
 	s.lastLease++
-	id := fmt.Sprintf("l%d", s.lastLease)
 	s.leases[id] = &lease{
 		ttl:     ttl,
 		expires: now.Add(ttl),
@@ -194,17 +272,19 @@
 	if l == nil {
 		return 0, false
 	}
+	s.noteLease(now, id)
 	l.expires = now.Add(l.ttl)
 	return l.ttl, true
 }
 
 // revoke ends a lease and deletes its keys. It returns false for an unknown
 // lease.
-func (s *state) revoke(id string) bool {
+func (s *state) revoke(now time.Time, id string) bool {
 	l := s.leases[id]
 	if l == nil {
 		return false
 	}
+	s.noteLease(now, id)
 	delete(s.leases, id)
 	keys := make([]string, 0, len(l.keys))
 	for k := range l.keys {
@@ -212,7 +292,7 @@
 	}
 	sort.Strings(keys)
 	for _, k := range keys {
-		s.deleteEntry(s.entries[k])
+		s.deleteEntry(now, s.entries[k])
 	}
 	return true
 }
@@ -227,7 +307,7 @@
 	}
 	sort.Strings(ids)
 	for _, id := range ids {
-		s.revoke(id)
+		s.revoke(now, id)
 	}
 }
 
