store: Contract tests for restorations

The contract script restore shows what a client may rely on when the store comes back from a copy: reads are of the new history, a watch of the old one is compacted, a revision of an earlier era conditions no write that the client can prevent, a lease of an earlier era has ended although its id was given out again, and an answer without a valid era is no answer. The pages of a list are of one era.

--- a/internal/store/contract_test.go
+++ b/internal/store/contract_test.go
@@ -24,6 +24,10 @@
 	injectFault func(t *testing.T, fault string)
 	stats       func() simkv.Stats
 	leases      map[string]string
+	// era replaces the era in the store's answers, unless it is "". "none" removes it.
+	era string
+	// pending receives the result of the step that runs beside the others.
+	pending chan string
 }
 
 // adapters lists the stores that must pass the contract tests.
@@ -69,12 +73,27 @@
 			t.Error(err)
 		}
 	})
-	return &adapter{
-		client:      store.New(base, 1).WithBudget(1000, 1000).WithDeadline(500 * time.Millisecond),
+	a := &adapter{
 		injectFault: func(t *testing.T, fault string) { post(t, base+"/fault", fault) },
 		stats:       server.Stats,
 		leases:      map[string]string{},
+		pending:     make(chan string, 1),
 	}
+	a.client = store.New(base, 1).WithBudget(1000, 1000).WithDeadline(500 * time.Millisecond).WithSend(a.send)
+	return a
+}
+
+// send performs a request and spoils the era in its answer, if the script says so.
+func (a *adapter) send(req *http.Request) (*http.Response, error) {
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	switch {
+	case err != nil || a.era == "":
+	case a.era == "none":
+		resp.Header.Del("Era")
+	default:
+		resp.Header.Set("Era", a.era)
+	}
+	return resp, err
 }
 
 func post(t *testing.T, url, body string) {
@@ -89,6 +108,10 @@
 }
 
 func (a *adapter) runStep(t *testing.T, line string) string {
+	if beside, ok := strings.CutPrefix(strings.TrimSpace(line), "beside "); ok {
+		go func() { a.pending <- a.runStep(t, beside) }()
+		return "-"
+	}
 	ctx := context.Background()
 	cmd, args, err := datadriven.ParseLine(line)
 	if err != nil {
@@ -98,14 +121,14 @@
 		Cmd:     cmd,
 		CmdArgs: args,
 	}
-	var key, value, lease string
-	var expect, after uint64
+	var key, value, lease, expectText, afterText string
 	var ms, size int64
 	step.MaybeScanArgs(t, "key", &key)
 	step.MaybeScanArgs(t, "value", &value)
 	step.MaybeScanArgs(t, "lease", &lease)
-	step.MaybeScanArgs(t, "expect", &expect)
-	step.MaybeScanArgs(t, "after", &after)
+	step.MaybeScanArgs(t, "expect", &expectText)
+	step.MaybeScanArgs(t, "after", &afterText)
+	expect, after := position(t, expectText), position(t, afterText)
 	step.MaybeScanArgs(t, "ms", &ms)
 	if step.MaybeScanArgs(t, "size", &size) {
 		value = strings.Repeat("x", int(size))
@@ -114,29 +137,29 @@
 	switch cmd {
 	case "put":
 		revision, err := a.client.Put(ctx, key, []byte(value), expect, a.leases[lease])
-		return resultText(err, "revision %d", revision)
+		return resultText(err, "revision %s", store.Text(revision))
 	case "confirm":
 		revision, err := a.client.PutConfirmed(ctx, key, []byte(value), expect, a.leases[lease], func(e store.Entry) bool { return string(e.Value()) == value })
-		return resultText(err, "revision %d", revision)
+		return resultText(err, "revision %s", store.Text(revision))
 	case "get":
 		e, err := a.client.Get(ctx, key)
-		return resultText(err, "%q revision %d", e.Value(), e.Revision())
+		return resultText(err, "%q revision %s", e.Value(), store.Text(e.Revision()))
 	case "delete":
 		return resultText(a.client.Delete(ctx, key, expect), "ok")
 	case "list":
 		entries, revision, err := a.client.List(ctx, key)
 		var b strings.Builder
 		for _, e := range entries {
-			fmt.Fprintf(&b, "%s=%s at %d, ", e.Key(), e.Value(), e.Revision())
+			fmt.Fprintf(&b, "%s=%s at %s, ", e.Key(), e.Value(), store.Text(e.Revision()))
 		}
-		return resultText(err, "%srevision %d", b.String(), revision)
+		return resultText(err, "%srevision %s", b.String(), store.Text(revision))
 	case "watch":
 		events, revision, err := a.client.Watch(ctx, key, after, wait)
 		var b strings.Builder
 		for _, e := range events {
-			fmt.Fprintf(&b, "%s=%s at %d deleted=%t, ", e.Entry().Key(), e.Entry().Value(), e.Entry().Revision(), e.Deleted())
+			fmt.Fprintf(&b, "%s=%s at %s deleted=%t, ", e.Entry().Key(), e.Entry().Value(), store.Text(e.Entry().Revision()), e.Deleted())
 		}
-		return resultText(err, "%snext revision %d", b.String(), revision)
+		return resultText(err, "%snext revision %s", b.String(), store.Text(revision))
 	case "grant":
 		id, err := a.client.Grant(ctx, wait)
 		a.leases[lease] = id
@@ -159,6 +182,12 @@
 		}
 		a.injectFault(t, "{"+strings.Join(fields, ", ")+"}")
 		return "-"
+	case "result":
+		return <-a.pending
+	case "era":
+		a.era = ""
+		step.MaybeScanArgs(t, "is", &a.era)
+		return "-"
 	case "writes":
 		return fmt.Sprintf("%d writes", a.stats().Writes())
 	}
@@ -166,6 +195,26 @@
 	return ""
 }
 
+// position parses a revision, or a position "ERA:REVISION"; "" is 0.
+func position(t *testing.T, text string) uint64 {
+	if text == "" {
+		return 0
+	}
+	era, number, ok := strings.Cut(text, ":")
+	if !ok {
+		era, number = "0", text
+	}
+	e, err := strconv.ParseUint(era, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n, err := strconv.ParseUint(number, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return store.Position(e, n)
+}
+
 // resultText returns the name of the error, or the formatted result.
 func resultText(err error, format string, args ...any) string {
 	names := map[string]error{
