enrol: Write the VM's own key again after a restoration

A VM renewed the lease of its own key every 5 minutes and looked at the key only when the renewal failed. A store that is restored from a copy may lack the key, or the lease, for that long. 2.5 s after the restoration the other VMs dropped the VM: its share of the common limits was handed out to the others, it fell out of the order in which VMs ask each other, and it was not told of charges.

The enrolment moves out of internal/edge into internal/enrol, whose core has the time as an argument. It reads its key in the list of the restored store. If the value is the same, the VM takes over the lease that the list names, without a write, and renews it within a minute; a VM that was restarted does the same now. Otherwise it writes its key under a new lease within a second.

--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -60,6 +60,7 @@
 		})
 		v.accord.SetVMs(ctx, v.peers.Addresses())
 	}
+	v.enrol.Apply(ctx, c)
 	v.accord.Apply(ctx, c)
 	v.mover.updates.Put(ctx, storeUpdate{
 		change: &c,
--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -10,6 +10,7 @@
 	"clementinelink.example/clementinelink/internal/accord"
 	"clementinelink.example/clementinelink/internal/blame"
 	"clementinelink.example/clementinelink/internal/budget"
+	"clementinelink.example/clementinelink/internal/enrol"
 	"clementinelink.example/clementinelink/internal/feed"
 	"clementinelink.example/clementinelink/internal/ledger"
 	"clementinelink.example/clementinelink/internal/meter"
@@ -19,6 +20,7 @@
 	"clementinelink.example/clementinelink/internal/roster"
 	"clementinelink.example/clementinelink/internal/store"
 	"clementinelink.example/clementinelink/internal/table"
+	"clementinelink.example/clementinelink/internal/tree"
 	"clementinelink.example/clementinelink/internal/wire"
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
@@ -118,6 +120,7 @@
 	progress   *progress
 	mover      *mover
 	accord     *accord.Duty
+	enrol      *enrol.Duty
 	watcher    *watcher
 	front      *Front
 	ready      *http.Server
@@ -135,8 +138,6 @@
 	// controlShare is the part of the VM's link that changes of the store may use on
 	// their way to other VMs. It is 0 for no limit.
 	controlShare float64
-	// lease is the lease of the VM's own key, or "". Only enrol uses it.
-	lease string
 }
 
 // begunShare is the share of Settings.Held that is left to the pieces of streams.
@@ -175,6 +176,8 @@
 	}, log)
 	v.dispatcher.runLost, v.dispatcher.runSurvived = v.accord.RunLost, v.accord.RunSurvived
 	v.watcher = newWatcher(c, s.BatchDelay, log)
+	self := tree.NewVM(s.Name, s.Feed, s.LinkMbps).In(s.Domain, s.Region)
+	v.enrol = enrol.New(self, sources.EnrolledPrefix, s.FirstStart, c, v.watcher.join, v.watcher.isJoined.Load, func() { v.rewritten("enrolment") }, log)
 	v.watcher.alone = s.Feed == ""
 	v.watcher.reader = feed.NewReader(s.Name, c, v.feed, s.BatchDelay, log).WithObserver(func(source, result string) {
 		m.Counter("feed_reads_total", "Reads of changes by the kind of source.", "source", source, "result", result).Inc()
@@ -186,6 +189,11 @@
 	return v
 }
 
+// rewritten counts a key that is written again after a restoration of the store.
+func (v *VM) rewritten(kind string) {
+	v.metrics.Counter("store_rewrites_total", "Keys written again after the store was restored from a copy.", "kind", kind).Inc()
+}
+
 // Hold returns a holding for what a request makes the VM hold.
 func (v *VM) Hold() *ledger.Holding { return v.account.Open() }
 
@@ -219,7 +227,7 @@
 	go v.watcher.run(ctx)
 	go v.mover.run(ctx)
 	go v.accord.Run(ctx)
-	go v.enrol(ctx)
+	go v.enrol.Run(ctx)
 	go v.front.run()
 	v.log.Info().Str("front", v.settings.Front).Str("ready", v.settings.Ready).Str("domain", v.settings.Domain).Msg("edge: Started.")
 	return nil
--- a/internal/tree/vm.go
+++ b/internal/tree/vm.go
@@ -44,6 +44,9 @@
 // Address returns the IP:port at which the VM serves changes.
 func (v VM) Address() string { return v.address }
 
+// Domain returns the VM's failure domain.
+func (v VM) Domain() string { return v.domain }
+
 // Region returns the VM's region.
 func (v VM) Region() string { return v.region }
 
