edge, origin: A move outlives a restoration of the store

After a restoration the order of a move stands at another revision: that of the copy in the new era, that of the list while the store lacks it, or that at which the operator writes it again. Each counted as a new order. A version that had been reverted got requests again and its status became active, a completed move went back to the old version, whose workers had been stopped, and a running move lost its record, its evidence and its deadline. Records of the copy replaced later ones.

origin.Origin names an order by all its positions: the same content in a later era, or within 6 s of that, is the same order. The mover keeps what it knows of the move, and a record that the move had earlier never replaces it. It writes again the record, the status and this VM's evidence if the restored store lacks them, has earlier ones, or has them from before the order, with the revisions that the store lists as the condition and in turns that are 1 s apart in all. For 2 s no VM adds a verdict, since another one may know of an earlier verdict. Evidence names the earliest position of the order and the latest, so that VMs that know only one of them understand it. Orders and their states move out of internal/edge.

With the order's identity, the restored change and the order of records left out, TestMoves/move/restored-ended found "limit 0.50, put state active" for a move that had been reverted; restored-running found the share of the copy's record, and restored-start a move that began once more. They pass now.

--- a/internal/edge/evidence.go
+++ b/internal/edge/evidence.go
@@ -10,14 +10,18 @@
 
 	"clementinelink.example/clementinelink/internal/follow"
 	"clementinelink.example/clementinelink/internal/move"
+	"clementinelink.example/clementinelink/internal/origin"
 	"clementinelink.example/clementinelink/internal/store"
 	"github.com/cockroachdb/errors"
 )
 
 // evidence is the stored form of what one VM has observed of a move.
 type evidence struct {
-	// Revision is the store revision of the order that the evidence belongs to.
+	// Revision is the earliest known position of the order that the evidence belongs
+	// to, and Again the latest one if that is another, since a restoration of the store
+	// has changed it.
 	Revision uint64 `json:"revision"`
+	Again    uint64 `json:"again,omitempty"`
 	// ElapsedMs is the time since the VM received the order, in milliseconds.
 	ElapsedMs int64 `json:"elapsed"`
 	// OldInFlight is 0 once the VM has no requests in flight at the old version
@@ -53,7 +57,7 @@
 		m.log.Warn().Err(err).Str("key", e.Key()).Msg("move: Invalid evidence.")
 		return
 	}
-	if ev.Revision != t.revision {
+	if !ev.isOf(t.origin) {
 		return
 	}
 	if vm == m.name {
@@ -75,18 +79,23 @@
 	}
 }
 
+// isOf reports whether the evidence belongs to an order.
+func (ev *evidence) isOf(o *origin.Origin) bool {
+	return o.Matches(ev.Revision, cmp.Or(ev.Again, ev.Revision))
+}
+
 // elapsed returns the longest time since an order that the evidence in a change
 // states. A VM that starts during a move would otherwise take its own start for
 // that of the move, and end it too late.
 func (m *mover) elapsed(c *follow.Change, service string, revision uint64) time.Duration {
-	longest := int64(0)
+	longest, order := int64(0), origin.New(m.now(), revision, true)
 	for _, e := range c.Put() {
 		if !strings.HasPrefix(e.Key(), evidencePrefix+service+"/") {
 			continue
 		}
 		var ev evidence
 		// Invalid evidence is logged by applyEvidence.
-		if err := json.Unmarshal(e.Value(), &ev); err == nil && ev.Revision == revision {
+		if err := json.Unmarshal(e.Value(), &ev); err == nil && ev.isOf(order) {
 			longest = max(longest, ev.ElapsedMs)
 		}
 	}
@@ -98,9 +107,9 @@
 func (t *trackedMove) statsKey(vm string, isNew bool, route string, at time.Time) move.Key {
 	version := oldVersion
 	if isNew {
-		version = t.order.target
+		version = t.order.Target()
 	}
-	return move.NewKey(vm, 1, t.order.service, version, route, "", at)
+	return move.NewKey(vm, 1, t.order.Service(), version, route, "", at)
 }
 
 // publish writes this VM's evidence if it has changed or the move is done, at
@@ -108,7 +117,7 @@
 func (m *mover) publish(ctx context.Context, now time.Time, t *trackedMove) {
 	left := -1
 	if t.limits.Done() {
-		if n, ok := m.oldInFlight[t.order.service]; ok && n == 0 {
+		if n, ok := m.oldInFlight[t.order.Service()]; ok && n == 0 {
 			left = 0
 		}
 		t.dirty = true
@@ -117,13 +126,16 @@
 		return
 	}
 	ev := evidence{
-		Revision:    t.revision,
+		Revision:    t.origin.First(),
 		OldInFlight: left,
 	}
+	if latest := t.origin.Latest(); latest != ev.Revision {
+		ev.Again = latest
+	}
 	for k := range t.ownKeys {
 		c := t.set.Get(k)
 		ev.Rows = append(ev.Rows, evidenceRow{
-			NewVersion: k.Version() == t.order.target,
+			NewVersion: k.Version() == t.order.Target(),
 			Route:      k.Route(),
 			Upstream:   k.Engine(),
 			Minute:     k.Minute(),
@@ -151,7 +163,12 @@
 		m.log.Error().Err(err).Msg("move: Encoding evidence failed.")
 		return
 	}
-	if m.write(ctx, now, t, evidencePrefix+t.order.service+"/"+m.name, stored, 0) {
+	if m.write(ctx, now, t, evidencePrefix+t.order.Service()+"/"+m.name, stored, 0) {
+		if t.evidenceLost {
+			t.evidenceLost = false
+			m.log.Info().Str("service", t.order.Service()).Msg("move: The evidence is written again.")
+			m.rewritten("evidence")
+		}
 		t.publishedAt, t.dirty, t.published = now, false, string(value)
 	}
 }
@@ -184,7 +201,7 @@
 	}
 	delete(t.wantedSince, key)
 	t.sentAt[key] = now
-	service, expect := t.order.service, m.revisions[key]
+	service, expect := t.order.Service(), m.revisions[key]
 	m.put(ctx, key, value, expect, func(revision uint64, err error) {
 		if errors.Is(err, store.ErrConflict) {
 			// Another VM wrote the key first; its value arrives through the
--- a/internal/edge/mover.go
+++ b/internal/edge/mover.go
@@ -9,6 +9,7 @@
 	"clementinelink.example/clementinelink/internal/follow"
 	"clementinelink.example/clementinelink/internal/judge"
 	"clementinelink.example/clementinelink/internal/move"
+	"clementinelink.example/clementinelink/internal/origin"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/proxy"
 	"clementinelink.example/clementinelink/internal/ring"
@@ -110,13 +111,19 @@
 	// revisions holds the latest revision of each key of the store, which
 	// conditional writes expect.
 	revisions map[string]uint64
+	// era is the latest era of the store, and pace the pace of writes in it.
+	era  uint64
+	pace origin.Pace
+	// rewritten is called with the kind of a key that is written again after a
+	// restoration.
+	rewritten func(kind string)
 }
 
 // trackedMove is the state of one move on this VM.
 type trackedMove struct {
-	order    *MoveOrder
-	revision uint64
-	plan     *world.Move
+	order  *origin.Order
+	origin *origin.Origin
+	plan   *world.Move
 	// late is true if the VM started during the move.
 	late bool
 	// takenBefore is the number of requests that the VM's incarnation before sent
@@ -129,6 +136,10 @@
 	// pending is an encoded record that waits for this VM's turn to write it,
 	// or nil.
 	pending []byte
+	// recordLost is true if the store lacks the record or has an earlier one, and
+	// rewrittenAt is when the record was last written again.
+	recordLost  bool
+	rewrittenAt time.Time
 	// ownKeys holds the keys of set that this VM has counted itself.
 	ownKeys map[move.Key]bool
 	// others holds the latest evidence of each other VM by name.
@@ -140,8 +151,14 @@
 	drained bool
 	// ended is true once the final status was reported to operators. The move
 	// changes nothing afterwards, because operators may then stop the version
-	// that is no longer used.
+	// that is no longer used. final is that status, which is written again if a
+	// restored store lacks it.
 	ended bool
+	final origin.State
+	// statusLost is true if the store has lost the reported status, and evidenceLost
+	// if it has lost this VM's evidence.
+	statusLost   bool
+	evidenceLost bool
 	// wantedSince holds, by key, since when this VM has had a value to write.
 	wantedSince map[string]time.Time
 	// sentAt holds, by key, when the write in progress was started.
@@ -154,7 +171,7 @@
 	published string
 }
 
-func newMover(name string, seed int, e move.Exposure, s Sources, c *store.Client, notify func(context.Context, proxy.Event), log zerolog.Logger) *mover {
+func newMover(name string, seed int, e move.Exposure, s Sources, c *store.Client, notify func(context.Context, proxy.Event), rewritten func(kind string), log zerolog.Logger) *mover {
 	return &mover{
 		name:     name,
 		seed:     seed,
@@ -172,6 +189,7 @@
 		oldInFlight: make(map[string]int),
 		upstreams:   make(map[string]pool.Entry),
 		revisions:   make(map[string]uint64),
+		rewritten:   rewritten,
 	}
 }
 
@@ -208,11 +226,10 @@
 	}
 }
 
-// active reports whether there is a move whose final status has not been
-// reported.
+// active reports whether there is a move whose final status the store does not have.
 func (m *mover) active() bool {
 	for _, t := range m.moves {
-		if !t.ended {
+		if !t.ended || t.statusLost {
 			return true
 		}
 	}
@@ -238,6 +255,9 @@
 		delete(m.upstreams, m.sources.ID(key))
 		delete(m.revisions, key)
 	}
+	if c.Restored() {
+		m.restore(c)
+	}
 	var began []*trackedMove
 	for _, e := range c.Put() {
 		m.revisions[e.Key()] = max(m.revisions[e.Key()], e.Revision())
@@ -248,7 +268,7 @@
 		case o != nil:
 			elapsed := time.Duration(0)
 			if !m.listed {
-				elapsed = m.elapsed(c, o.service, e.Revision())
+				elapsed = m.elapsed(c, o.Service(), e.Revision())
 			}
 			if t := m.startMove(o, e.Revision(), elapsed); t != nil {
 				began = append(began, t)
@@ -258,7 +278,7 @@
 	// A final status ends the move, whatever its record and evidence say.
 	for _, e := range c.Put() {
 		for _, t := range m.moves {
-			if e.Revision() > t.revision {
+			if e.Revision() > t.origin.Latest() {
 				m.applyStatus(ctx, t, e)
 			}
 		}
@@ -294,15 +314,15 @@
 // startMove starts a move that was ordered some time ago, or returns nil if the
 // order is already known. The store keeps no time of an order, so it counts from
 // the time at which the VMs received it.
-func (m *mover) startMove(o *MoveOrder, revision uint64, elapsed time.Duration) *trackedMove {
-	if t := m.moves[o.service]; t != nil && t.revision >= revision {
+func (m *mover) startMove(o *origin.Order, revision uint64, elapsed time.Duration) *trackedMove {
+	if t := m.moves[o.Service()]; t != nil && (t.origin.Latest() >= revision || m.adopt(t, o, revision)) {
 		return nil
 	}
 	now := m.now().Add(-elapsed)
-	plan := world.NewMove(o.service, oldVersion, o.target, now, now.Add(o.duration), initialShare)
+	plan := world.NewMove(o.Service(), oldVersion, o.Target(), now, now.Add(o.Duration()), initialShare)
 	t := &trackedMove{
 		order:       o,
-		revision:    revision,
+		origin:      origin.New(m.now(), revision, !m.listed),
 		plan:        plan,
 		late:        !m.listed,
 		takenBefore: move.Unknown,
@@ -312,16 +332,16 @@
 		wantedSince: make(map[string]time.Time),
 		sentAt:      make(map[string]time.Time),
 	}
-	t.controller = move.NewController(o.service, plan, t.set).WithExposure(m.exposure)
-	m.moves[o.service] = t
-	m.log.Info().Str("service", o.service).Str("target", o.target).Dur("duration", o.duration).Uint64("revision", revision).Msg("move: A move is ordered.")
+	t.controller = move.NewController(o.Service(), plan, t.set).WithExposure(m.exposure)
+	m.moves[o.Service()] = t
+	m.log.Info().Str("service", o.Service()).Str("target", o.Target()).Dur("duration", o.Duration()).Uint64("revision", revision).Msg("move: A move is ordered.")
 	return t
 }
 
 // applyRecord applies the record of a move, unless it belongs to an earlier order.
 func (m *mover) applyRecord(ctx context.Context, service string, e store.Entry) {
 	t := m.moves[service]
-	if t == nil || e.Revision() < t.revision {
+	if t == nil || e.Revision() < t.origin.Latest() {
 		return
 	}
 	r, err := move.DecodeRecord(e.Value())
@@ -329,7 +349,11 @@
 		m.log.Error().Err(err).Str("key", e.Key()).Msg("move: Invalid record.")
 		return
 	}
-	t.record, t.pending = r, nil
+	if r.Before(t.record) {
+		t.recordLost = true
+		return
+	}
+	t.record, t.pending, t.recordLost = r, nil, false
 	m.log.Info().Str("service", service).Stringer("state", r.State()).Int("stage", r.Stage()).Str("reason", r.Reason()).Msg("move: A record arrived.")
 	m.step(ctx, t)
 }
@@ -369,8 +393,10 @@
 	if !strings.HasPrefix(w.key, evidencePrefix) {
 		return
 	}
-	// The follower delivers the value later than the next one may be due.
-	m.revisions[w.key] = max(m.revisions[w.key], w.revision)
+	if store.Era(w.revision) >= m.era {
+		// The follower delivers the value later than the next one may be due.
+		m.revisions[w.key] = max(m.revisions[w.key], w.revision)
+	}
 	if w.revision == 0 {
 		t.dirty, t.published = true, ""
 	}
@@ -384,12 +410,13 @@
 func (m *mover) step(ctx context.Context, t *trackedMove) {
 	now := m.now()
 	if t.ended {
+		m.reportStatus(ctx, now, t)
 		return
 	}
 	from, to := m.countUpstreams(t)
 	// The new version's upstreams run in addition to the old ones, so the
 	// larger of both numbers is enough.
-	in := move.NewInput(len(m.peers)).WithEngines(from, to, max(from, to)).WithRecord(t.record, m.revisions[movesPrefix+t.order.service]).WithLease(1)
+	in := move.NewInput(len(m.peers)).WithEngines(from, to, max(from, to)).WithRecord(t.record, m.revisions[movesPrefix+t.order.Service()]).WithLease(1)
 	for _, a := range t.controller.Step(now, in) {
 		switch a.Kind() {
 		case move.Limit:
@@ -399,9 +426,7 @@
 			m.queueRecord(t, a)
 		}
 	}
-	if t.pending != nil && m.write(ctx, now, t, movesPrefix+t.order.service, t.pending, turnDelay) {
-		t.pending = nil
-	}
+	m.writeRecord(ctx, now, t)
 	m.reportStatus(ctx, now, t)
 	m.publish(ctx, now, t)
 }
@@ -411,8 +436,8 @@
 func (m *mover) countUpstreams(t *trackedMove) (from, to int) {
 	for _, e := range m.upstreams {
 		switch {
-		case e.Service() != t.order.service || e.Leaving():
-		case e.Version() == t.order.target:
+		case e.Service() != t.order.Service() || e.Leaving():
+		case e.Version() == t.order.Target():
 			to++
 		default:
 			from++
@@ -431,7 +456,7 @@
 	}
 	t.pending = value
 	r := a.Record()
-	m.log.Info().Str("service", t.order.service).Stringer("state", r.State()).Int("stage", r.Stage()).Str("reason", r.Reason()).
+	m.log.Info().Str("service", t.order.Service()).Stringer("state", r.State()).Int("stage", r.Stage()).Str("reason", r.Reason()).
 		Strs("evidence", t.controller.Status().Lines()).Msg("move: A record is due.")
 }
 
@@ -439,8 +464,8 @@
 // operators, and ignores other keys. The first final status that is written
 // holds, whatever the record says later.
 func (m *mover) applyStatus(ctx context.Context, t *trackedMove, e store.Entry) {
-	for _, state := range []MoveState{Active, Completed, Reverted} {
-		key, value, err := m.sources.MoveStatus(t.order.service, t.order.target, state)
+	for _, state := range []origin.State{origin.Active, origin.Completed, origin.Reverted} {
+		key, value, err := m.sources.MoveStatus(t.order.Service(), t.order.Target(), state)
 		if err != nil {
 			m.log.Error().Err(err).Msg("move: A state can't be encoded.")
 			return
@@ -451,17 +476,17 @@
 		if string(value) != string(e.Value()) {
 			continue
 		}
-		t.reportedStatus = string(value)
-		if t.ended || state == Active {
+		t.reportedStatus, t.statusLost = string(value), t.ended && state == origin.Active
+		if t.ended || state == origin.Active {
 			return
 		}
-		t.ended = true
+		t.ended, t.final = true, state
 		l := move.NewLimits(0, math.Inf(1), t.plan.Start(), t.plan.Deadline())
-		if state == Completed {
+		if state == origin.Completed {
 			l = l.WithDone()
 		}
 		t.limits = l
-		m.sendLimits(ctx, t, state == Reverted)
+		m.sendLimits(ctx, t, state == origin.Reverted)
 	}
 }
 
@@ -473,7 +498,7 @@
 
 // sendLimits sends the limits of the new version to the dispatcher.
 func (m *mover) sendLimits(ctx context.Context, t *trackedMove, banned bool) {
-	e := proxy.NewMoveLimits(t.order.service, t.order.target, t.limits, banned, m.seed)
+	e := proxy.NewMoveLimits(t.order.Service(), t.order.Target(), t.limits, banned, m.seed)
 	if t.late {
 		e = e.Resuming(t.takenBefore)
 	}
@@ -482,32 +507,39 @@
 
 // reportStatus writes the status of the move for operators if it has changed.
 func (m *mover) reportStatus(ctx context.Context, now time.Time, t *trackedMove) {
-	state := Active
+	state := origin.Active
 	switch {
+	case t.ended && !t.statusLost:
+		return
+	case t.ended:
+		state = t.final
 	case t.record.State() == move.RolledBack:
-		state = Reverted
+		state = origin.Reverted
 	case t.record.State() == move.Done:
 		t.drained = t.drained || m.oldVersionIdle(t)
 		if t.drained || now.After(t.plan.Deadline().Add(-statusMargin)) {
-			state = Completed
+			state = origin.Completed
 		}
 	}
-	key, value, err := m.sources.MoveStatus(t.order.service, t.order.target, state)
+	key, value, err := m.sources.MoveStatus(t.order.Service(), t.order.Target(), state)
 	if err != nil {
 		m.log.Error().Err(err).Msg("move: A state can't be encoded.")
 		return
 	}
-	if t.reportedStatus == string(value) {
+	if t.reportedStatus == string(value) || state != origin.Active && !t.ended && !m.pace.Calm(now) {
 		return
 	}
-	if m.write(ctx, now, t, key, value, turnDelay) {
-		m.log.Info().Str("service", t.order.service).Str("target", t.order.target).Uint8("state", uint8(state)).Msg("move: The state is reported.")
+	if m.write(ctx, now, t, key, value, m.turn(now)) {
+		m.log.Info().Str("service", t.order.Service()).Str("target", t.order.Target()).Uint8("state", uint8(state)).Bool("again", t.statusLost).Msg("move: The state is reported.")
+		if t.statusLost {
+			m.rewritten("status")
+		}
 	}
 }
 
 // oldVersionIdle reports whether no VM has requests in flight at the old version.
 func (m *mover) oldVersionIdle(t *trackedMove) bool {
-	if left, ok := m.oldInFlight[t.order.service]; !ok || left != 0 {
+	if left, ok := m.oldInFlight[t.order.Service()]; !ok || left != 0 {
 		return false
 	}
 	for _, p := range m.peers {
--- a/internal/edge/mover_test.go
+++ b/internal/edge/mover_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"clementinelink.example/clementinelink/internal/follow"
+	"clementinelink.example/clementinelink/internal/judge"
 	"clementinelink.example/clementinelink/internal/move"
+	"clementinelink.example/clementinelink/internal/origin"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/proxy"
 	"clementinelink.example/clementinelink/internal/store"
@@ -20,8 +23,10 @@
 // moverScript runs a mover under a script that stands in for the store and the
 // dispatcher. Times are in milliseconds.
 type moverScript struct {
-	mover    *mover
-	now      time.Time
+	mover *mover
+	now   time.Time
+	// era and revision are those of the latest change.
+	era      uint64
 	revision uint64
 	out      strings.Builder
 	// sent is the last value sent for each key.
@@ -37,14 +42,14 @@
 		sent: make(map[string][]byte),
 	}
 	sources := Sources{
-		MoveOrder: func(key string, value []byte) (*MoveOrder, error) {
+		MoveOrder: func(key string, value []byte) (*origin.Order, error) {
 			if key != "order" {
 				return nil, nil
 			}
 			d, err := time.ParseDuration(string(value))
-			return NewMoveOrder("desk", "v2", d), err
+			return origin.NewOrder("desk", "v2", d), err
 		},
-		MoveStatus: func(_, _ string, state MoveState) (string, []byte, error) {
+		MoveStatus: func(_, _ string, state origin.State) (string, []byte, error) {
 			return "state", []byte([]string{"active", "completed", "reverted"}[state]), nil
 		},
 		ID: func(key string) string {
@@ -61,7 +66,7 @@
 			}), nil
 		},
 	}
-	s.mover = newMover("a", 1, move.NewExposure(0.1, 50), sources, nil, s.notified, zerolog.Nop())
+	s.mover = newMover("a", 1, move.NewExposure(0.1, 50), sources, nil, s.notified, func(kind string) { fmt.Fprintf(&s.out, "again %s\n", kind) }, zerolog.Nop())
 	s.mover.now = func() time.Time { return s.now }
 	s.mover.put = s.put
 	s.mover.peers = []string{"a"}
@@ -95,7 +100,38 @@
 // change delivers a change of one key to the mover.
 func (s *moverScript) change(key string, value []byte) {
 	s.revision++
-	c := follow.NewChange([]store.Entry{store.NewEntry(key, value, s.revision, "")}, nil)
+	c := follow.NewChange([]store.Entry{store.NewEntry(key, value, store.Position(s.era, s.revision), "")}, nil)
+	s.mover.apply(context.Background(), storeUpdate{
+		change: &c,
+	})
+}
+
+// restored delivers the change that follows a restoration of the store. Each line of the
+// input holds a key, its revision, and its value; "sent" stands for the mover's last write
+// of the key, and "record STATE STAGE" for a record.
+func (s *moverScript) restored(t *testing.T, d *datadriven.TestData) {
+	var revision int
+	d.ScanArgs(t, "revision", &revision)
+	f := follow.NewState()
+	f.Listed(s.now, nil, store.Position(s.era, 1))
+	s.era, s.revision = s.era+1, uint64(revision)
+	var entries []store.Entry
+	for line := range strings.Lines(d.Input) {
+		words := strings.Fields(line)
+		number, err := strconv.ParseUint(words[1], 10, 64)
+		if err != nil {
+			t.Fatalf("%s: %v", d.Pos, err)
+		}
+		value := []byte(strings.Join(words[2:], " "))
+		switch words[2] {
+		case "sent":
+			value = s.sent[words[0]]
+		case "record":
+			value = fmt.Appendf(nil, `{"state":%q,"stage":%s,"time":"2026-01-01T00:00:01Z"}`, words[3], words[4])
+		}
+		entries = append(entries, store.NewEntry(words[0], value, store.Position(s.era, number), ""))
+	}
+	c := f.Listed(s.now, entries, store.Position(s.era, s.revision))
 	s.mover.apply(context.Background(), storeUpdate{
 		change: &c,
 	})
@@ -115,6 +151,18 @@
 		var key string
 		d.ScanArgs(t, "key", &key)
 		s.change(key, []byte(d.Input))
+	case "restored":
+		s.restored(t, d)
+	case "attempt":
+		a := judge.NewAttempt(judge.Spec{
+			Service:    "desk",
+			Route:      "/",
+			NewVersion: true,
+			Upstream:   "u2",
+		})
+		s.mover.countAttempt(&a)
+	case "vms":
+		s.mover.peers = strings.Fields(d.Input)
 	case "order-and-status":
 		// One change with an order, the final status of its move and possibly its
 		// record, as a VM receives them when it starts.
@@ -154,6 +202,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		if d.HasArg("stage") {
+			var stage int
+			d.ScanArgs(t, "stage", &stage)
+			value = fmt.Appendf(nil, `{"state":%q,"stage":%d,"time":"2026-01-01T00:00:01Z"}`, name, stage)
+		}
 		s.change(movesPrefix+"desk", value)
 	case "stored":
 		// The mover's last write of the key arrives through the follower.
@@ -181,7 +234,8 @@
 
 // TestMoves guards against a move whose final status is reported before the old
 // version may be stopped, or that still changes limits or reports anything after
-// its final status, and against evidence of another VM that is not understood.
+// its final status, against evidence of another VM that is not understood, and against a
+// move that starts again or whose verdict turns round when the store was restored.
 func TestMoves(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		s := newMoverScript()
--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -15,6 +15,7 @@
 	"clementinelink.example/clementinelink/internal/ledger"
 	"clementinelink.example/clementinelink/internal/meter"
 	"clementinelink.example/clementinelink/internal/move"
+	"clementinelink.example/clementinelink/internal/origin"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/proxy"
 	"clementinelink.example/clementinelink/internal/roster"
@@ -95,8 +96,8 @@
 	Table func(value []byte) (*table.Table, error)
 	// MoveOrder decodes an order to move a service; it returns nil for other
 	// keys. MoveStatus encodes the state of a move for operators.
-	MoveOrder  func(key string, value []byte) (*MoveOrder, error)
-	MoveStatus func(service, target string, s MoveState) (key string, value []byte, err error)
+	MoveOrder  func(key string, value []byte) (*origin.Order, error)
+	MoveStatus func(service, target string, s origin.State) (key string, value []byte, err error)
 	// ID returns the id of the upstream of a registry key, or "" for other
 	// keys.
 	ID func(key string) string
@@ -166,7 +167,7 @@
 		m.Counter("store_calls_total", "Calls of the store.", "verb", verb, "result", result).Inc()
 	})
 	m.Watch("held_bytes", "Bytes held on behalf of callers and upstreams.", func() float64 { return float64(s.Held - v.account.Free()) })
-	v.mover = newMover(s.Name, int(s.Seed^uint64(time.Now().UnixNano())), s.Exposure, sources, c, v.dispatcher.notify, log)
+	v.mover = newMover(s.Name, int(s.Seed^uint64(time.Now().UnixNano())), s.Exposure, sources, c, v.dispatcher.notify, v.rewritten, log)
 	v.dispatcher.reports = v.mover.reports
 	v.accord = accord.New(s.Name, c, func(ctx context.Context, charges []blame.Charge) {
 		v.charges.Store(int64(len(charges)))
--- a/internal/move/record.go
+++ b/internal/move/record.go
@@ -78,6 +78,15 @@
 // Reason returns why the move got this state and stage.
 func (r Record) Reason() string { return r.reason }
 
+// Before reports whether a move has this record before it has o. A store that was
+// restored from a copy has earlier records than those that were read.
+func (r Record) Before(o Record) bool {
+	if r.state == Running && o.state == Running {
+		return r.stage < o.stage
+	}
+	return r.state < o.state
+}
+
 // Fence returns the fencing number of the lease under which the record was
 // written.
 func (r Record) Fence() uint64 { return r.fence }
