--- a/internal/enrol/script_test.go
+++ b/internal/enrol/script_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,6 +34,11 @@
 type script struct {
 	duty  *Duty
 	began time.Time
+	// stop stops the duty.
+	stop func()
+
+	// mutex guards the fields below.
+	mutex sync.Mutex
 	// down is true while the store answers no call.
 	down  bool
 	store contents
@@ -66,16 +72,21 @@
 }
 
 func (s *script) run(ctx context.Context, t *testing.T, d *datadriven.TestData) string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	s.out.Reset()
 	switch d.Cmd {
 	case "start":
+		if s.stop != nil {
+			s.stop()
+		}
+		ctx, s.stop = context.WithCancel(ctx)
 		s.start(ctx, d.HasArg("first"))
-		synctest.Wait()
+		s.wait(0)
 	case "run":
 		var ms int
 		d.ScanArgs(t, "ms", &ms)
-		time.Sleep(time.Duration(ms) * time.Millisecond)
-		synctest.Wait()
+		s.wait(time.Duration(ms) * time.Millisecond)
 	case "down":
 		s.down = true
 	case "up":
@@ -89,13 +100,15 @@
 		s.store.moveTo(era)
 	case "list":
 		s.duty.Apply(ctx, s.follower.Listed(time.Now(), s.store.list(), store.Position(s.store.era, s.store.revision)))
-		synctest.Wait()
+		s.wait(0)
 	case "put":
 		// Another VM writes its key under a lease of its own.
+		s.mutex.Unlock()
 		lease, err := s.grant(ctx, 0)
 		if err == nil {
 			_, err = s.put(ctx, strings.TrimSpace(d.Input), []byte("{}"), 0, lease, nil)
 		}
+		s.mutex.Lock()
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -115,21 +128,45 @@
 func (s *script) start(ctx context.Context, first bool) {
 	self := tree.NewVM("a1", "10.0.0.1:7200", 10).In("a", "north")
 	join := func(vms []tree.VM) {
+		defer s.lock()()
 		s.joined = true
 		s.note("join", strconv.Itoa(len(vms)))
 	}
-	s.duty = New(self, "vms/", first, store.New("http://127.0.0.1:0", 1), join, func() bool { return s.joined }, func() { s.note("rewritten") }, zerolog.Nop())
+	joined := func() bool {
+		defer s.lock()()
+		return s.joined
+	}
+	rewritten := func() {
+		defer s.lock()()
+		s.note("rewritten")
+	}
+	s.duty = New(self, "vms/", first, store.New("http://127.0.0.1:0", 1), join, joined, rewritten, zerolog.Nop())
 	s.duty.core.random = func() float64 { return 0.5 }
 	s.duty.list, s.duty.grant, s.duty.put, s.duty.renew = s.list, s.grant, s.put, s.renew
 	go s.duty.Run(ctx)
 }
 
-// note prints an event with its time.
+// wait lets the duty run for a time.
+func (s *script) wait(d time.Duration) {
+	s.mutex.Unlock()
+	time.Sleep(d)
+	synctest.Wait()
+	s.mutex.Lock()
+}
+
+// lock locks the mutex and returns the function that unlocks it.
+func (s *script) lock() (unlock func()) {
+	s.mutex.Lock()
+	return s.mutex.Unlock
+}
+
+// note prints an event with its time. The caller must hold the mutex.
 func (s *script) note(words ...string) {
 	fmt.Fprintf(&s.out, "%d %s\n", time.Since(s.began).Milliseconds(), strings.Join(words, " "))
 }
 
 func (s *script) list(_ context.Context, prefix string) ([]store.Entry, uint64, error) {
+	defer s.lock()()
 	s.note("list", prefix)
 	if s.down {
 		return nil, 0, store.ErrUnavailable
@@ -139,6 +176,7 @@
 }
 
 func (s *script) grant(context.Context, time.Duration) (string, error) {
+	defer s.lock()()
 	if s.down {
 		s.note("grant fails")
 		return "", store.ErrUnavailable
@@ -152,6 +190,7 @@
 
 // put is the PutConfirmed of the client.
 func (s *script) put(_ context.Context, key string, value []byte, expect uint64, lease string, _ func(store.Entry) bool) (uint64, error) {
+	defer s.lock()()
 	switch now := s.store.entries[key].Revision(); {
 	case s.down:
 		s.note("put fails", key)
@@ -169,6 +208,7 @@
 
 // renew is the Renew of the client, which rejects leases of earlier eras.
 func (s *script) renew(_ context.Context, lease string) error {
+	defer s.lock()()
 	s.note("renew", lease)
 	switch {
 	case s.down:
