store: Accept an era only as far as an answer proves it

The end of a lease in an era that the caller has not heard of returned no error, though the id may belong to another lease there; it is unknown now. The revision of a list was not checked, so that one over 40 bits passed for a later era. And one answer with a spoiled, far too high era made the client refuse all later ones: an era that skips others needs a second answer now.

--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -302,13 +302,13 @@
 }
 
 // Revoke ends a lease and deletes its keys. It returns ErrExpired for a lease of an
-// earlier era. It is never retried.
+// earlier era, and ErrUnknown if the store was restored meanwhile. It is never retried.
 func (c *Client) Revoke(ctx context.Context, lease string) error {
 	if err := c.outdated(0, lease); err != nil {
 		return err
 	}
 	id, _ := splitLease(lease)
-	return c.write(ctx, "revoke", c.wire.Revoke(id), nil)
+	return c.write(ctx, "revoke", c.wire.Revoke(id), func(era uint64, _ []byte) error { return verifyEra(era, 0, lease) })
 }
 
 // read sends a GET until it succeeds, fails with an error other than
--- a/internal/store/era.go
+++ b/internal/store/era.go
@@ -36,20 +36,20 @@
 	return strconv.FormatUint(Era(position), 10) + ":" + revision
 }
 
-// position returns the position of a revision that the store stated in an era; 0 stands
-// for an absent key and remains 0.
+// position returns the position of a revision that the store stated in an era.
 func position(era, revision uint64) (uint64, error) {
-	switch {
-	case revision>>revisionBits != 0:
+	if revision>>revisionBits != 0 {
 		return 0, errors.Newf("revision %d is out of range", revision)
-	case revision == 0:
-		return 0, nil
 	}
 	return Position(era, revision), nil
 }
 
-// locate sets the position and the lease of an entry that the store stated in an era.
+// locate sets the position and the lease of an entry that the store stated in an era. An
+// absent key has no position.
 func (e Entry) locate(era uint64) (Entry, error) {
+	if e.revision == 0 {
+		return e, nil
+	}
 	at, err := position(era, e.revision)
 	if err != nil {
 		return Entry{}, errors.Wrapf(err, "key %q", e.key)
@@ -90,10 +90,14 @@
 	latest uint64
 	// named is true once an answer has named its era. Until then all belong to era 0.
 	named bool
+	// candidate is an era that skips others, until a second answer confirms it, or 0.
+	candidate uint64
 }
 
 // note returns the era of an answer whose header names one if named is true. It returns
-// an error if the answer can't be placed in the present era or a later one.
+// an error if the answer can't be placed in the present era or a later one. An era that
+// skips others needs a second answer, since one spoiled header would make the client refuse
+// all that follow.
 func (e *eras) note(era uint64, named bool) (uint64, error) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
@@ -104,10 +108,13 @@
 		return 0, errors.Mark(errors.Newf("store: an answer names no era, era %d before", e.latest), errEra)
 	case era > maxEra:
 		return 0, errors.Mark(errors.Newf("store: era %d is out of range", era), errEra)
+	case e.named && era > e.latest+1 && (e.candidate == 0 || era < e.candidate):
+		e.candidate = era
+		return 0, errors.Mark(errors.Newf("store: an answer of era %d, era %d before, which another answer must confirm", era, e.latest), errEra)
 	case era < e.latest:
 		return 0, errors.Mark(errors.Newf("store: an answer of era %d, era %d before", era, e.latest), errEra)
 	}
-	e.latest, e.named = era, true
+	e.latest, e.named, e.candidate = era, true, 0
 	return era, nil
 }
 
--- a/internal/store/wire.go
+++ b/internal/store/wire.go
@@ -56,8 +56,9 @@
 		}
 		p.entries[i] = located
 	}
-	p.revision = Position(era, p.revision)
-	return p, nil
+	at, err := position(era, p.revision)
+	p.revision = at
+	return p, err
 }
 
 // Wire encodes the client's calls and decodes the bodies of the answers. Its revisions
