feed: Read all keys from any VM if the store gives no answer

A review played a store that was restored while it left half of the VMs without an answer: the first VMs of the tree got no version for 18 s, until it answered them again, though their neighbours had each within 0.1 s. The same would follow a loss of the history without a restoration.

A VM that must read all keys asks the store first if no VM comes before it in the tree. The store's silence takes 2 s, after which no other VM was asked, and the order of sources did not change for the next time.

VMs are asked after the store has failed however long that took, and a list that another VM gives then puts the store behind the VMs for a while, as a watch does. TestReaderRefusedAfterRestore failed on the code before.

--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -183,7 +183,7 @@
 	var failure, storeFailure error
 	reading := false
 	for i, v := range sources {
-		if !v.IsStore() && i > 0 && !reading && r.now().Sub(began) > listPeerTime {
+		if !v.IsStore() && i > 0 && !reading && storeFailure == nil && r.now().Sub(began) > listPeerTime {
 			continue
 		}
 		entries, revision, age, err := r.listFrom(ctx, v, prefix)
@@ -193,6 +193,10 @@
 			return nil, 0, ctx.Err()
 		case err == nil:
 			r.selector.Answered(v)
+			if storeFailure != nil {
+				// The store refuses this VM but serves others.
+				r.selector.Failed(r.now(), tree.VM{})
+			}
 			r.logSource(v, revision)
 			return r.reset(prefix, entries, revision, age), revision, nil
 		case v.IsStore():
--- a/internal/feed/reader_test.go
+++ b/internal/feed/reader_test.go
@@ -24,6 +24,10 @@
 // store because other VMs do too.
 func TestReaderAfterRestore(t *testing.T) { runReader(t, "testdata/rereads") }
 
+// TestReaderRefusedAfterRestore guards against a VM that the store does not answer and that
+// keeps the old history although other VMs have read the restored store.
+func TestReaderRefusedAfterRestore(t *testing.T) { runReader(t, "testdata/rereads-refused") }
+
 // runReader runs a script for one reader at a time.
 func runReader(t *testing.T, path string) {
 	var r *Reader
