feed, follow: Keep apart what the store has and what is in force

What stays in force keeps its earlier position, each VM decides for itself from what it knows, and after five seconds the store's word counts, but for a lower version of the configuration. Keys that only others write and that have not changed keep their earlier positions too, so that a VM follows another one over a restoration by the changes alone, and reads a list only if it knew more of the old history than the other one. A VM that the store has told of its restoration waits up to a second for those before it in the tree.

Expectations of restored/log and rereads changed with the design: held entries show at their earlier positions, and hidden ones are released by time and not by a list. TestStays has one answer more for each rule that ends.

--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -103,9 +103,8 @@
 	ID func(key string) string
 	// Entry decodes the entry under a registry key.
 	Entry func(key string, value []byte) (pool.Entry, error)
-	// Stays reports whether a known entry stays in force although a restored store lists
-	// another one instead; see feed.Log.WithStays.
-	Stays func(known, listed store.Entry) bool
+	// Restored decides what stays in force after a restoration of the store.
+	Restored feed.Rules
 }
 
 // VM is an entry VM. Its exported methods may be called concurrently once Start
@@ -158,7 +157,7 @@
 		log:        log,
 		metrics:    m,
 		peers:      roster.New(),
-		feed:       feed.NewLog().WithStays(sources.Stays),
+		feed:       feed.NewLog().WithRules(sources.Restored),
 		account:    ledger.New(s.Held, int64(begunShare*float64(s.Held))),
 		dispatcher: newDispatcher(core, u, j),
 		progress:   newProgress(s.EffectTime, m, log),
@@ -279,6 +278,7 @@
 	})
 	v.metrics.Watch("entries_kept", "Entries that are missing from the store but kept after an outage.", func() float64 { return float64(v.watcher.kept()) })
 	v.metrics.Watch("store_era", "Number of times that the store was restored from a copy, as it states.", func() float64 { return float64(v.store.Era()) })
+	v.metrics.Watch("entries_held", "Entries that stay in force although the restored store has others.", func() float64 { return float64(v.feed.Held()) })
 	v.metrics.Watch("store_age_seconds", "Time since the store, or a VM that it answered lately, confirmed the table and the upstreams.", func() float64 { return v.watcher.age().Seconds() })
 }
 
--- a/internal/feed/log.go
+++ b/internal/feed/log.go
@@ -1,10 +1,8 @@
 package feed
 
 import (
-	"bytes"
 	"cmp"
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -14,11 +12,6 @@
 	"github.com/cockroachdb/errors"
 )
 
-// recheckDelay is how long an entry that a restoration of the store has brought back is
-// taken for one that is about to go again. Upstreams write their keys again within 2 s, and
-// the keys of those that have ended expire some seconds after the store's return.
-const recheckDelay = 5 * time.Second
-
 // maxDeleted is the number of deleted keys that are kept. A VM that has missed
 // more deletions must ask the store.
 const maxDeleted = 4000
@@ -42,23 +35,24 @@
 	// latest holds the latest change of each key, including deleted keys, which keep
 	// their last value.
 	latest map[string]store.Event
-	// held holds the keys whose state outlived a restoration of the store. A change that
-	// is older than that state does not replace it.
-	held map[string]bool
-	// stays reports whether a known entry stays in force although a restored store lists
-	// another one instead, which is the zero Entry if it lists none.
-	stays func(known, listed store.Entry) bool
-	// recheckAt is the time from which the entries count that a restoration has brought
-	// back, or zero.
-	recheckAt time.Time
+	// held holds changes that stay in force after a restoration of the store instead of
+	// the latest ones, which are older by their writer's account. A held deletion is that
+	// of an upstream that had left and is listed again.
+	held map[string]store.Event
+	// rules decide what stays in force.
+	rules Rules
+	// settledAt is the time from which the restored store's state counts again.
+	settledAt time.Time
 	// deleted is the number of deleted keys in latest.
 	deleted int
 	// older holds the large values that were replaced lately.
 	older history
 	// packer keeps the short forms of large values.
 	packer *bulk.Packer
-	// completeAfter is the revision after which no change is missing from the log.
+	// completeAfter is the revision after which no change is missing from the log, but
+	// for those in gaps.
 	completeAfter uint64
+	gaps          []gap
 	revision      uint64
 	// confirmed is when the store answered that revision is its latest, or zero
 	// before the first list. Another VM may have received that answer.
@@ -75,164 +69,117 @@
 func NewLog() *Log {
 	return &Log{
 		latest:  make(map[string]store.Event),
-		held:    make(map[string]bool),
-		stays:   func(store.Entry, store.Entry) bool { return false },
+		held:    make(map[string]store.Event),
+		rules:   noRules,
 		packer:  bulk.NewPacker(),
 		changed: make(chan struct{}),
 		now:     time.Now,
 	}
 }
 
-// WithStays sets the function that reports whether a known entry stays in force although
-// a restored store lists another one instead, which is the zero Entry if it lists none.
-// Call it before any other method.
-func (l *Log) WithStays(stays func(known, listed store.Entry) bool) *Log {
-	l.stays = stays
+// WithRules sets the rules for what stays in force after a restoration of the store. Call
+// it before any other method.
+func (l *Log) WithRules(r Rules) *Log {
+	l.rules = r
 	return l
 }
 
 // Reset replaces the keys by a list as of revision, which the store confirmed age
-// ago, and returns the present entries. Keys that the list lacks count as deleted at
+// ago, and returns the entries in force. Keys that the list lacks count as deleted at
 // revision, so VMs that know the keys before the list need only the difference. A change
-// that the log holds and that is newer than the list remains.
-//
-// The list of a restored store may lack what is in force, or hold what was replaced. What
-// stays in force counts as changed at revision.
+// that the log holds and that is newer than the list remains. The list of another VM may
+// have a key twice: first what stays in force after a restoration, and then what the
+// store has.
 func (l *Log) Reset(entries []store.Entry, revision uint64, age time.Duration) []store.Entry {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	restored := !l.confirmed.IsZero() && store.Era(revision) > store.Era(l.revision)
-	if l.confirmed.IsZero() || restored {
+	now := l.now()
+	l.cross(now, revision)
+	if l.confirmed.IsZero() {
 		l.completeAfter = revision
 	}
-	if restored {
-		l.recheckAt = l.now().Add(recheckDelay)
+	listed := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		listed[e.Key()] = true
+	}
+	if len(listed) < len(entries) {
+		l.settledAt = now.Add(settleDelay)
 	}
-	listed := make(map[string]store.Event, len(entries))
 	for _, e := range entries {
-		listed[e.Key()] = store.NewEvent(e, false)
+		l.apply(now, store.NewEvent(e, false))
 	}
 	for key, e := range l.latest {
-		listed[key] = l.merge(e, listed[key], revision, restored)
-	}
-	l.latest, l.revision, l.deleted = listed, max(l.revision, revision), 0
-	for _, e := range listed {
-		if e.Deleted() {
-			l.deleted++
+		if !listed[key] && !e.Deleted() && e.Entry().Revision() <= revision {
+			l.apply(now, store.NewEvent(store.NewEntry(key, nil, revision, ""), true))
 		}
 	}
-	if l.deleted > maxDeleted {
-		l.dropDeleted()
+	l.finish(revision, age)
+	return l.inForce()
+}
+
+// Append adds all changes up to revision, which the store confirmed age ago, and returns
+// those that are in force.
+func (l *Log) Append(events []store.Event, revision uint64, age time.Duration) []store.Event {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	now := l.now()
+	l.cross(now, revision)
+	counting := make([]store.Event, 0, len(events))
+	for _, e := range events {
+		if l.apply(now, e) {
+			counting = append(counting, e)
+		}
 	}
-	l.confirm(age)
-	return l.entries()
+	l.finish(revision, age)
+	return counting
 }
 
-// merge returns the state of a known key after a list as of revision, which has the key as
-// listed, or as the zero Event if it lacks it. The caller must hold the mutex.
-func (l *Log) merge(known, listed store.Event, revision uint64, restored bool) store.Event {
-	old, now := known.Entry(), listed.Entry()
-	key, absent := old.Key(), now.Revision() == 0
-	if now.Revision() > old.Revision() {
-		l.older.add(old)
+// apply makes e the latest change of its key, unless the log has a newer one, and reports
+// whether it is in force. The caller must hold the mutex.
+func (l *Log) apply(now time.Time, e store.Event) bool {
+	key := e.Entry().Key()
+	old, known := l.latest[key]
+	if known && old.Entry().Revision() > e.Entry().Revision() {
+		return l.hold(now, old, e)
 	}
-	if old.Revision() > revision && old.Revision() > now.Revision() {
-		return known
+	if known && l.repeats(now, old, e) {
+		return false
 	}
-	if l.outlives(known, now, restored) {
-		l.held[key] = true
-		return store.NewEvent(store.NewEntry(key, old.Value(), revision, now.Lease()), known.Deleted())
+	view := old
+	if h, ok := l.held[key]; ok {
+		view = h
 	}
-	if l.held[key] {
-		// VMs that know the state before would take the change for an older one.
-		now = store.NewEntry(key, now.Value(), revision, now.Lease())
+	if e.Deleted() {
+		e = store.NewEvent(store.NewEntry(key, old.Entry().Value(), e.Entry().Revision(), ""), true)
 	}
-	delete(l.held, key)
-	switch {
-	case !absent:
-		return store.NewEvent(now, false)
-	case known.Deleted():
-		return known
-	default:
-		return store.NewEvent(store.NewEntry(key, old.Value(), revision, ""), true)
+	if old.Entry().Revision() < e.Entry().Revision() && !old.Deleted() {
+		l.older.add(old.Entry())
 	}
-}
-
-// outlives reports whether the known state of a key stays in force although a list has
-// now for it, which is the zero Entry if it has none. An upstream that has left may be
-// listed again after a restoration, for a while. The caller must hold the mutex.
-func (l *Log) outlives(known store.Event, now store.Entry, restored bool) bool {
-	switch {
-	case !restored && !l.held[known.Entry().Key()]:
+	l.latest[key] = e
+	l.deleted += count(e.Deleted()) - count(old.Deleted())
+	if known && l.outlives(now, view, e) {
+		l.held[key] = view
 		return false
-	case known.Deleted():
-		return now.Revision() > 0 && l.now().Before(l.recheckAt) &&
-			(l.stays(known.Entry(), now) || bytes.Equal(known.Entry().Value(), now.Value()))
-	default:
-		return l.stays(known.Entry(), now)
 	}
+	delete(l.held, key)
+	return true
 }
 
-// Held returns the keys, sorted, whose state outlived a restoration of the store and that
-// the store has not changed since.
-func (l *Log) Held() []string {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return slices.Sorted(maps.Keys(l.held))
-}
-
-// Recheck reports whether the keys must be listed again, because an entry that a
-// restoration has brought back is still left out.
-func (l *Log) Recheck() bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	if l.recheckAt.IsZero() || l.now().Before(l.recheckAt) {
-		return false
+// count returns 1 if b is true.
+func count(b bool) int {
+	if b {
+		return 1
 	}
-	for key := range l.held {
-		if l.latest[key].Deleted() {
-			return true
-		}
-	}
-	l.recheckAt = time.Time{}
-	return false
+	return 0
 }
 
-// Append adds all changes up to revision, which the store confirmed age ago, and returns
-// those that count.
-func (l *Log) Append(events []store.Event, revision uint64, age time.Duration) []store.Event {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	counting := make([]store.Event, 0, len(events))
-	for _, e := range events {
-		old, known := l.latest[e.Entry().Key()]
-		switch {
-		case known && old.Entry().Revision() > e.Entry().Revision():
-			counting = append(counting, e)
-			continue
-		case known && !e.Deleted() && l.outlives(old, e.Entry(), false):
-			continue
-		}
-		counting = append(counting, e)
-		delete(l.held, e.Entry().Key())
-		if known && old.Deleted() {
-			l.deleted--
-		}
-		if old.Entry().Revision() < e.Entry().Revision() {
-			l.older.add(old.Entry())
-		}
-		if e.Deleted() {
-			l.deleted++
-			e = store.NewEvent(store.NewEntry(e.Entry().Key(), old.Entry().Value(), e.Entry().Revision(), ""), true)
-		}
-		l.latest[e.Entry().Key()] = e
-	}
+// finish ends a change of the log. The caller must hold the mutex.
+func (l *Log) finish(revision uint64, age time.Duration) {
 	if l.deleted > maxDeleted {
 		l.dropDeleted()
 	}
 	l.revision = max(l.revision, revision)
 	l.confirm(age)
-	return counting
 }
 
 // dropDeleted drops the older half of the deleted keys. The caller must hold the
@@ -247,6 +194,7 @@
 	slices.SortFunc(deleted, byRevision)
 	for _, e := range deleted[:len(deleted)/2] {
 		delete(l.latest, e.Entry().Key())
+		delete(l.held, e.Entry().Key())
 		l.completeAfter = max(l.completeAfter, e.Entry().Revision())
 		l.deleted--
 	}
@@ -291,14 +239,16 @@
 	return l.revision
 }
 
-// large returns the present large values.
+// large returns the large values, present and held.
 func (l *Log) large() []store.Entry {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	var list []store.Entry
-	for _, e := range l.latest {
-		if !e.Deleted() && len(e.Entry().Value()) >= bulk.MinSize {
-			list = append(list, e.Entry())
+	for _, changes := range []map[string]store.Event{l.latest, l.held} {
+		for _, e := range changes {
+			if !e.Deleted() && len(e.Entry().Value()) >= bulk.MinSize {
+				list = append(list, e.Entry())
+			}
 		}
 	}
 	return list
@@ -308,8 +258,10 @@
 func (l *Log) value(key string, revision uint64) []byte {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if e := l.latest[key].Entry(); e.Revision() == revision {
-		return e.Value()
+	for _, e := range []store.Event{l.latest[key], l.held[key]} {
+		if !e.Deleted() && e.Entry().Revision() == revision {
+			return e.Entry().Value()
+		}
 	}
 	return l.older.value(key, revision)
 }
@@ -418,17 +370,29 @@
 		return Changes{}, ErrNotListed
 	case revision < l.completeAfter:
 		return Changes{}, errors.Wrapf(ErrTooOld, "after %s, kept after %s", store.Text(revision), store.Text(l.completeAfter))
+	case l.inGap(revision):
+		return Changes{}, errors.Wrapf(ErrTooOld, "after %s, not known before the store was restored", store.Text(revision))
 	}
 	var events []store.Event
 	if revision < l.revision {
-		for _, e := range l.latest {
-			if e.Entry().Revision() > revision {
+		events = l.selected(func(e store.Event) bool { return e.Entry().Revision() > revision })
+	}
+	return l.answer(events), nil
+}
+
+// selected returns the latest and the held changes for which is returns true, in order of
+// their revisions. The caller must hold the mutex.
+func (l *Log) selected(is func(e store.Event) bool) []store.Event {
+	events := make([]store.Event, 0)
+	for _, changes := range []map[string]store.Event{l.latest, l.held} {
+		for _, e := range changes {
+			if is(e) {
 				events = append(events, e)
 			}
 		}
-		slices.SortFunc(events, byRevision)
 	}
-	return l.answer(events), nil
+	slices.SortFunc(events, byRevision)
+	return events
 }
 
 // list returns all present keys as of a revision after the given one. The caller must
@@ -437,22 +401,5 @@
 	if l.confirmed.IsZero() || l.revision <= after {
 		return Changes{}, ErrNotListed
 	}
-	entries := l.entries()
-	events := make([]store.Event, 0, len(entries))
-	for _, e := range entries {
-		events = append(events, store.NewEvent(e, false))
-	}
-	slices.SortFunc(events, byRevision)
-	return l.answer(events), nil
-}
-
-// entries returns the present entries. The caller must hold the mutex.
-func (l *Log) entries() []store.Entry {
-	entries := make([]store.Entry, 0, len(l.latest)-l.deleted)
-	for _, e := range l.latest {
-		if !e.Deleted() {
-			entries = append(entries, e.Entry())
-		}
-	}
-	return entries
+	return l.answer(l.selected(func(e store.Event) bool { return !e.Deleted() })), nil
 }
--- a/internal/feed/model_test.go
+++ b/internal/feed/model_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"clementinelink.example/clementinelink/internal/bulk"
@@ -70,10 +72,18 @@
 	events    []store.Event
 	revision  uint64
 	compacted uint64
-	down      bool
-	changed   chan struct{}
-	lists     int
-	watches   int
+	// era is the number of times that the store was restored.
+	era     uint64
+	down    bool
+	changed chan struct{}
+	lists   int
+	watches int
+}
+
+// modelRules are the rules after a restoration. VMs write the keys under vm/.
+var modelRules = feed.Rules{
+	Foreign: func(key string) bool { return !strings.HasPrefix(key, "vm/") },
+	Stays:   func(store.Entry, store.Entry, bool) bool { return false },
 }
 
 func newModelStore(upstreams int) *modelStore {
@@ -94,19 +104,35 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.revision++
-	e := store.NewEntry(key, value, s.revision, "")
+	e := store.NewEntry(key, value, s.position(), "")
 	s.entries[key] = e
 	s.events = append(s.events, store.NewEvent(e, false))
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return s.revision
+	return s.position()
+}
+
+// position returns the position of the latest change. The caller must hold the mutex.
+func (s *modelStore) position() uint64 { return store.Position(s.era, s.revision) }
+
+// restore lets the store come back from a copy that has all keys.
+func (s *modelStore) restore() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.era++
+	for key, e := range s.entries {
+		s.entries[key] = store.NewEntry(key, e.Value(), store.Position(s.era, store.Number(e.Revision())), "")
+	}
+	s.events, s.compacted = nil, s.position()
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // forget discards the history.
 func (s *modelStore) forget() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.events, s.compacted = nil, s.revision
+	s.events, s.compacted = nil, s.position()
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -123,7 +149,7 @@
 	for _, e := range s.entries {
 		list = append(list, e)
 	}
-	return list, s.revision, nil
+	return list, s.position(), nil
 }
 
 func (s *modelStore) watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]store.Event, uint64, error) {
@@ -134,7 +160,7 @@
 	s.mutex.Unlock()
 	for last := false; ; {
 		s.mutex.Lock()
-		events, revision, changed := s.since(after), s.revision, s.changed
+		events, revision, changed := s.since(after), s.position(), s.changed
 		compacted, down := after < s.compacted, s.down
 		s.mutex.Unlock()
 		switch {
@@ -189,6 +215,8 @@
 	pace *link
 	// revisions holds the revision of each key.
 	revisions map[string]uint64
+	// era is the era of the store's latest answer to the VM.
+	era atomic.Uint64
 	// wentBack is true if a key got an older value than before.
 	wentBack bool
 	listedAt time.Time
@@ -263,7 +291,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
-	v.cancel, v.log = cancel, feed.NewLog()
+	v.cancel, v.log = cancel, feed.NewLog().WithRules(modelRules)
 	v.frozen, v.listedAt = false, time.Time{}
 	v.up.free = time.Time{}
 	v.started = false
@@ -272,11 +300,13 @@
 	r := feed.NewTestReader(v.name, log, batchDelay, feed.Sources{
 		List: func(ctx context.Context, prefix string) ([]store.Entry, uint64, error) {
 			entries, revision, err := f.store.list(ctx, prefix)
+			v.hear(f.store)
 			f.fromStore(v, len(entries), size(entries))
 			return entries, revision, err
 		},
 		Watch: func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error) {
 			events, revision, err := f.store.watch(ctx, prefix, after, wait)
+			v.hear(f.store)
 			var entries []store.Entry
 			for _, e := range events {
 				entries = append(entries, e.Entry())
@@ -284,6 +314,7 @@
 			f.fromStore(v, len(entries), size(entries))
 			return events, revision, err
 		},
+		Era: v.era.Load,
 		AskPeer: func(ctx context.Context, address string, after uint64, wait time.Duration) (feed.Changes, error) {
 			return f.call(ctx, v, address, func(l *feed.Log) (feed.Changes, error) { return l.Wait(ctx, after, wait) })
 		},
@@ -334,6 +365,15 @@
 	v.log = nil
 }
 
+// hear notes the era of an answer of the store.
+func (v *modelVM) hear(s *modelStore) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.down {
+		v.era.Store(s.era)
+	}
+}
+
 func (f *fleet) apply(v *modelVM, log *feed.Log, c follow.Change) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -59,13 +59,19 @@
 	listRetryDelay = 200 * time.Millisecond
 )
 
+const (
+	// crossPatience is how long a VM that the store has told of its restoration waits for
+	// VMs before it in the tree to read it.
+	crossPatience = time.Second
+	// crossRetryDelay is the time between two attempts to read the restored keys from
+	// them.
+	crossRetryDelay = 100 * time.Millisecond
+)
+
 // largeChanges is the number of bytes from which changes are logged. They take 50 ms on
 // a link of 10 Mbit/s.
 const largeChanges = 64 << 10
 
-// loggedKeys is the number of keys that one line of the log names at most.
-const loggedKeys = 16
-
 // Reader reads changes from another VM or the store. List, Watch and Pause must
 // be called from the same goroutine.
 type Reader struct {
@@ -87,12 +93,15 @@
 	// observe is called with the kind of each source that was asked, "vm" or
 	// "store", and the result, "ok", "behind" or "failed".
 	observe func(source, result string)
-	// received is called with the kind of a source and the size in bytes of the values
+	// countBytes is called with the kind of a source and the size in bytes of the values
 	// that it sent. It may be nil.
-	received func(source string, bytes int)
+	countBytes func(source string, bytes int)
 	// lostAt is the latest time at which the store is known not to have served this VM,
 	// or zero.
 	lostAt time.Time
+	// listStore is true if the next list comes from the store, since other VMs did not
+	// read it in time after its restoration.
+	listStore bool
 	// source is the name of the VM that answered last, or "" for the store.
 	source string
 	logger zerolog.Logger
@@ -131,7 +140,7 @@
 // source, "vm" or "store", and the size in bytes of the values as they were sent, before
 // the store's encoding. Call it before any other method.
 func (r *Reader) WithReceived(received func(source string, bytes int)) *Reader {
-	r.received = received
+	r.countBytes = received
 	return r
 }
 
@@ -145,7 +154,11 @@
 func (r *Reader) List(ctx context.Context, prefix string) ([]store.Entry, uint64, error) {
 	r.adoptVMs()
 	sources, began := r.selector.ListSources(r.now()), r.now()
-	if at := slices.Index(sources, tree.VM{}); at > 0 && (r.log.Revision() == 0 || r.restored()) {
+	if r.listStore {
+		r.listStore = false
+		sources = slices.Insert(slices.DeleteFunc(sources, tree.VM.IsStore), 0, tree.VM{})
+	}
+	if at := slices.Index(sources, tree.VM{}); at > 0 && r.log.Revision() == 0 {
 		if entries, revision, err := r.listPeers(ctx, prefix, sources[:at], began); err == nil || ctx.Err() != nil {
 			return entries, revision, err
 		}
@@ -253,12 +266,16 @@
 func (r *Reader) reset(prefix string, entries []store.Entry, revision uint64, age time.Duration) []store.Entry {
 	before := r.log.Revision()
 	present := r.log.Reset(entries, revision, age)
+	r.logRestored(before, revision, len(entries))
+	return slices.DeleteFunc(present, func(e store.Entry) bool { return !strings.HasPrefix(e.Key(), prefix) })
+}
+
+// logRestored logs the first answer of a restored store.
+func (r *Reader) logRestored(before, revision uint64, changes int) {
 	if before > 0 && store.Era(revision) > store.Era(before) {
-		held := r.log.Held()
-		r.logger.Warn().Str("revision", store.Text(revision)).Str("before", store.Text(before)).Int("listed", len(entries)).
-			Int("held", len(held)).Strs("keys", held[:min(len(held), loggedKeys)]).Msg("feed: The store was restored from a copy.")
+		r.logger.Warn().Str("peer", r.source).Str("revision", store.Text(revision)).Str("before", store.Text(before)).
+			Int("changes", changes).Int("held", r.log.Held()).Msg("feed: The store was restored from a copy.")
 	}
-	return slices.DeleteFunc(present, func(e store.Entry) bool { return !strings.HasPrefix(e.Key(), prefix) })
 }
 
 // adoptVMs passes new VMs to the selector.
@@ -273,8 +290,8 @@
 // source no longer has the changes.
 func (r *Reader) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error) {
 	r.adoptVMs()
-	if r.log.Recheck() {
-		return nil, after, errors.Wrap(store.ErrCompacted, "entries are left out since the store was restored")
+	if events := r.log.Release(); len(events) > 0 {
+		return events, after, nil
 	}
 	var failure error
 	for _, v := range r.selector.Sources(r.now()) {
@@ -284,18 +301,16 @@
 		case ctx.Err() != nil:
 			return nil, after, ctx.Err()
 		case err == nil:
-			r.selector.Answered(v)
 			if failure != nil {
 				// The store refuses this VM but serves others.
 				r.selector.Failed(r.now(), tree.VM{})
 			}
-			r.logSource(v, c.revision)
-			r.logLarge(v, c)
-			r.countReceived(v, c)
-			events := r.log.Append(c.events, c.revision, c.age)
-			r.log.Hear(c.quiet)
+			events := r.received(v, c)
 			return events, max(after, c.revision), nil
 		case errors.Is(err, store.ErrCompacted):
+			if v, c, ok := r.crossFrom(ctx, prefix, after); ok {
+				return r.received(v, c), c.revision, nil
+			}
 			return nil, after, err
 		case errors.Is(err, ErrTooOld):
 			// A list from that VM costs less than the changes from the store.
@@ -309,6 +324,43 @@
 	return nil, after, failure
 }
 
+// received adds an answer to a watch to the log and returns the changes that are in force.
+func (r *Reader) received(v tree.VM, c Changes) []store.Event {
+	r.selector.Answered(v)
+	r.logSource(v, c.revision)
+	r.logLarge(v, c)
+	r.countReceived(v, c)
+	before := r.log.Revision()
+	events := r.log.Append(c.events, c.revision, c.age)
+	r.logRestored(before, c.revision, len(c.events))
+	r.log.Hear(c.quiet)
+	return events
+}
+
+// crossFrom returns the changes over a restoration of the store, of which the store has
+// told this VM, from a VM before it in the tree. These are about to read the store and
+// know what has changed, which is less than a list.
+func (r *Reader) crossFrom(ctx context.Context, prefix string, after uint64) (tree.VM, Changes, bool) {
+	if !r.restored() {
+		return tree.VM{}, Changes{}, false
+	}
+	peers := r.selector.Ancestors(r.now())
+	for end := r.now().Add(crossPatience); len(peers) > 0 && r.now().Before(end) && ctx.Err() == nil; r.sleep(ctx, crossRetryDelay) {
+		for _, v := range peers {
+			c, err := r.readFrom(ctx, v, prefix, after, 0)
+			r.observe(sourceKind(v), result(err))
+			if errors.Is(err, ErrTooOld) {
+				return tree.VM{}, Changes{}, false
+			}
+			if err == nil && store.Era(c.revision) >= r.era() {
+				return v, c, true
+			}
+		}
+	}
+	r.listStore = true
+	return tree.VM{}, Changes{}, false
+}
+
 // peerFailed starts the backoff of another VM that did not deliver changes.
 func (r *Reader) peerFailed(v tree.VM, after uint64, err error) {
 	if result(err) == "behind" {
@@ -405,11 +457,11 @@
 // countReceived reports the size of changes.
 func (r *Reader) countReceived(v tree.VM, c Changes) {
 	switch {
-	case r.received == nil:
+	case r.countBytes == nil:
 	case v.IsStore():
-		r.received(sourceKind(v), c.size())
+		r.countBytes(sourceKind(v), c.size())
 	default:
-		r.received(sourceKind(v), c.wireBytes)
+		r.countBytes(sourceKind(v), c.wireBytes)
 	}
 }
 
--- a/internal/feed/reader_test.go
+++ b/internal/feed/reader_test.go
@@ -43,7 +43,7 @@
 				selector:   NewSelector(text(t, d, "self")),
 				log:        l,
 				now:        func() time.Time { return now },
-				sleep:      func(context.Context, time.Duration) {},
+				sleep:      func(_ context.Context, d time.Duration) { now = now.Add(d) },
 				era:        func() uint64 { return era },
 				logger:     zerolog.Nop(),
 
@@ -126,7 +126,7 @@
 		c, err := reply("store", 0)
 		return nil, c.Revision(), err
 	}
-	r.received = func(source string, bytes int) {
+	r.countBytes = func(source string, bytes int) {
 		if bytes > 0 {
 			fmt.Fprintf(&out, "%d bytes from %s\n", bytes, source)
 		}
--- a/internal/feed/restored_test.go
+++ b/internal/feed/restored_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -18,7 +20,7 @@
 func TestRestored(t *testing.T) {
 	datadriven.Walk(t, "testdata/restored", func(t *testing.T, path string) {
 		now := base
-		l := NewLog().WithStays(staysByNumber)
+		l := NewLog().WithRules(numberRules)
 		l.now = func() time.Time { return now }
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			now = base.Add(time.Duration(number(t, d, "at")) * time.Millisecond)
@@ -30,7 +32,7 @@
 					entries = append(entries, e.Entry())
 				}
 				l.Reset(entries, at, 0)
-				return "held " + strings.Join(l.Held(), " ") + "\n"
+				return "held " + strings.Join(slices.Sorted(maps.Keys(l.held)), " ") + "\n"
 			case "append":
 				return placedText(l.Append(placed(t, d), at, 0))
 			case "list":
@@ -45,8 +47,8 @@
 					return err.Error() + "\n"
 				}
 				return placedText(c.Events())
-			case "recheck":
-				return fmt.Sprintln(l.Recheck())
+			case "release":
+				return placedText(l.Release())
 			default:
 				t.Fatalf("%s: unknown command %q", d.Pos, d.Cmd)
 				return ""
@@ -55,10 +57,20 @@
 	})
 }
 
+// numberRules are the rules of scripts. VMs write the keys that begin with "vm".
+var numberRules = Rules{
+	Foreign: func(key string) bool { return !strings.HasPrefix(key, "vm") },
+	Stays:   staysByNumber,
+}
+
 // staysByNumber lets an entry stay if its value is a higher number than the listed one.
-// Keys that begin with "op" also stay if they are not listed.
-func staysByNumber(known, listed store.Entry) bool {
-	if listed.Revision() == 0 {
+// Keys that begin with "op" also stay if they are not listed, and op itself when all others
+// have settled.
+func staysByNumber(known, listed store.Entry, settled bool) bool {
+	switch {
+	case settled && known.Key() != "op":
+		return false
+	case listed.Revision() == 0:
 		return strings.HasPrefix(known.Key(), "op")
 	}
 	k, _ := strconv.Atoi(string(known.Value()))
--- a/internal/feed/selector.go
+++ b/internal/feed/selector.go
@@ -82,6 +82,19 @@
 // Follows reports whether a VM comes after this one in the tree. It may read from this one.
 func (o *Selector) Follows(v tree.VM) bool { return slices.Contains(o.tree.After(), v) }
 
+// Ancestors returns the VMs to ask that come before this one in the tree. VMs that only
+// lacked changes lately are among them.
+func (o *Selector) Ancestors(now time.Time) []tree.VM {
+	var list []tree.VM
+	for _, v := range o.tree.Before() {
+		b := o.backoffs[v.Name()]
+		if len(list) < maxPeers && o.Shared() && (b.length == 0 || !now.Before(b.until)) {
+			list = append(list, v)
+		}
+	}
+	return list
+}
+
 // available returns the first n VMs whose backoff has ended.
 func (o *Selector) available(now time.Time, vms []tree.VM, n int) []tree.VM {
 	var list []tree.VM
--- a/internal/feed/spread_test.go
+++ b/internal/feed/spread_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -28,6 +29,8 @@
 
 // spread runs a script on one fleet.
 type spread struct {
+	// puts counts the values of the configuration.
+	puts  int
 	fleet *fleet
 	rng   *rand.Rand
 }
@@ -113,7 +116,11 @@
 		}
 		s.checkListed(&out, duration("listed"))
 	case "put":
-		revision := f.store.putValue("conf", make([]byte, number("size")))
+		// Each value differs from those before.
+		value := make([]byte, number("size"))
+		s.puts++
+		copy(value, strconv.Itoa(s.puts))
+		revision := f.store.putValue("conf", value)
 		if took := until(30*time.Second, func() bool { return f.knows("conf", revision) }); took > duration("known") {
 			fmt.Fprintf(&out, "known after %s\n", took)
 		}
@@ -134,6 +141,8 @@
 		f.store.mutex.Lock()
 		f.store.down = d.HasArg("down")
 		f.store.mutex.Unlock()
+	case "restore":
+		f.store.restore()
 	case "forget":
 		f.store.put("up/00000")
 		f.store.forget()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -112,9 +112,10 @@
 		}
 		if err == nil {
 			f.answeredAt.Store(f.now().UnixNano())
+			f.state.Confirmed(f.confirmed())
 		}
 		switch {
-		case err == nil && !c.Empty():
+		case err == nil && (!c.Empty() || c.Restored()):
 			c.confirmed = f.confirmed()
 			f.emit(ctx, c)
 			if c.Len() < fullBatch {
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -69,7 +69,7 @@
 func (c Change) Confirmed() time.Time { return c.confirmed }
 
 // Restored reports whether the store was restored from a copy, so that it may have lost
-// what was written to it before this change. Such a change has all keys.
+// what was written to it before this change. Such a change has all keys that VMs write.
 func (c Change) Restored() bool { return c.restored }
 
 // Len returns the number of changed keys.
@@ -100,6 +100,12 @@
 	// lostAt is the latest time at which the store is known not to have served this
 	// VM: when it refused a call, or when a call began that was never answered.
 	lostAt time.Time
+	// confirmedAt is when the store confirmed the latest answer, or zero if that is not
+	// known.
+	confirmedAt time.Time
+	// backAt is when the store first stated, since the latest answer, that it has lost the
+	// history, or zero.
+	backAt time.Time
 	// keepUntil is the time until which keys that go missing are kept after an
 	// outage. It is at most maxKeep after lostAt.
 	keepUntil time.Time
@@ -135,12 +141,7 @@
 
 // Listed applies a complete list.
 func (s *State) Listed(now time.Time, entries []store.Entry, revision uint64) Change {
-	c := Change{
-		restored: s.revision > 0 && store.Era(revision) > store.Era(s.revision),
-	}
-	if c.restored {
-		s.keep(now)
-	}
+	c := s.begin(now, revision)
 	s.resetFailures(now)
 	s.synced, s.revision = true, revision
 	s.changed = make(map[string]bool, len(entries))
@@ -157,12 +158,15 @@
 	return c
 }
 
-// Watched applies the result of a watch.
+// Watched applies the result of a watch. One of an earlier era has no effect.
 func (s *State) Watched(now time.Time, events []store.Event, revision uint64) Change {
+	if store.Era(revision) < store.Era(s.revision) {
+		return Change{}
+	}
+	c := s.begin(now, revision)
 	s.resetFailures(now)
 	s.revision = max(s.revision, revision)
 	s.changed = make(map[string]bool, len(events))
-	var c Change
 	for _, e := range events {
 		key := e.Entry().Key()
 		switch {
@@ -175,12 +179,26 @@
 	return c
 }
 
+// begin returns an empty change that brings the state to a revision.
+func (s *State) begin(now time.Time, revision uint64) Change {
+	c := Change{
+		restored: s.revision > 0 && store.Era(revision) > store.Era(s.revision),
+	}
+	if c.restored {
+		s.keep(now)
+	}
+	return c
+}
+
 // Failed applies the error of a poll that began at the given time, and returns the
 // pause before the next one. lostAt is the latest time at which the store is known not
 // to have served this VM.
 func (s *State) Failed(now, began, lostAt time.Time, err error) time.Duration {
 	if errors.Is(err, store.ErrCompacted) {
 		s.synced = false
+		if s.backAt.IsZero() {
+			s.backAt = now
+		}
 		return 0
 	}
 	if s.failures == 0 {
@@ -243,21 +261,33 @@
 	if s.failures > 0 && now.Sub(s.failingSince) >= minOutage {
 		s.keep(now)
 	}
-	s.failures = 0
+	s.failures, s.backAt = 0, time.Time{}
 }
 
-// keep starts the time in which missing keys are kept.
+// keep starts the time in which missing keys are kept. The store has not been back for
+// longer than since the latest time at which it is known to have been lost, or to have had
+// what it lacks.
 func (s *State) keep(now time.Time) {
 	s.keepUntil = now.Add(rewriteTime)
-	if latest := s.lostAt.Add(s.maxKeep); s.failures > 0 && latest.Before(s.keepUntil) {
-		s.keepUntil = latest
+	away := s.lostAt
+	if s.confirmedAt.After(away) {
+		away = s.confirmedAt
+	}
+	for _, at := range []time.Time{away, s.backAt} {
+		if latest := at.Add(s.maxKeep); !at.IsZero() && latest.Before(s.keepUntil) {
+			s.keepUntil = latest
+		}
 	}
 }
 
-// put adds an entry to the change if it is newer than the known one.
+// Confirmed notes when the store confirmed the latest answer.
+func (s *State) Confirmed(at time.Time) { s.confirmedAt = at }
+
+// put adds an entry to the change if it is newer than the known one, or stays in force
+// instead of it after a restoration of the store.
 func (s *State) put(c *Change, e store.Entry) {
 	delete(s.missing, e.Key())
-	if e.Revision() <= s.revisions[e.Key()] {
+	if known := s.revisions[e.Key()]; e.Revision() <= known && store.Era(e.Revision()) == store.Era(known) {
 		return
 	}
 	s.revisions[e.Key()] = e.Revision()
