--- a/internal/edge/evidence.go
+++ b/internal/edge/evidence.go
@@ -196,7 +196,7 @@
 		t.wantedSince[key] = now
 	}
 	turn := max(slices.Index(m.peers, m.name), 0)
-	if now.Sub(t.wantedSince[key]) < time.Duration(turn)*delay {
+	if now.Sub(t.wantedSince[key]) < m.pace.Wait(now, key, turn, len(m.peers), delay) {
 		return false
 	}
 	delete(t.wantedSince, key)
--- a/internal/edge/mover.go
+++ b/internal/edge/mover.go
@@ -113,7 +113,7 @@
 	revisions map[string]uint64
 	// era is the latest era of the store, and pace the pace of writes in it.
 	era  uint64
-	pace origin.Pace
+	pace *origin.Pace
 	// rewritten is called with the kind of a key that is written again after a
 	// restoration.
 	rewritten func(kind string)
@@ -189,6 +189,7 @@
 		oldInFlight: make(map[string]int),
 		upstreams:   make(map[string]pool.Entry),
 		revisions:   make(map[string]uint64),
+		pace:        origin.NewPace(),
 		rewritten:   rewritten,
 	}
 }
@@ -390,6 +391,9 @@
 		return
 	}
 	delete(t.sentAt, w.key)
+	if w.revision > 0 {
+		m.pace.Wrote(w.key, w.revision)
+	}
 	if !strings.HasPrefix(w.key, evidencePrefix) {
 		return
 	}
@@ -529,7 +533,7 @@
 	if t.reportedStatus == string(value) || state != origin.Active && !t.ended && !m.pace.Calm(now) {
 		return
 	}
-	if m.write(ctx, now, t, key, value, m.turn(now)) {
+	if m.write(ctx, now, t, key, value, turnDelay) {
 		m.log.Info().Str("service", t.order.Service()).Str("target", t.order.Target()).Uint8("state", uint8(state)).Bool("again", t.statusLost).Msg("move: The state is reported.")
 		if t.statusLost {
 			m.rewritten("status")
--- a/internal/edge/mover_test.go
+++ b/internal/edge/mover_test.go
@@ -94,7 +94,7 @@
 	default:
 		fmt.Fprintf(&s.out, "put %s %s\n", key, value)
 	}
-	done(1, nil)
+	done(store.Position(s.era, s.revision+1), nil)
 }
 
 // change delivers a change of one key to the mover.
@@ -132,6 +132,10 @@
 		entries = append(entries, store.NewEntry(words[0], value, store.Position(s.era, number), ""))
 	}
 	c := f.Listed(s.now, entries, store.Position(s.era, s.revision))
+	if d.HasArg("start") {
+		// The VM starts only now.
+		c = follow.NewChange(entries, nil)
+	}
 	s.mover.apply(context.Background(), storeUpdate{
 		change: &c,
 	})
--- a/internal/edge/restore.go
+++ b/internal/edge/restore.go
@@ -14,7 +14,7 @@
 // restore prepares for a change that has all keys of a restored store. What the change
 // lacks of the moves is written again; what it has is applied afterwards.
 func (m *mover) restore(c *follow.Change) {
-	m.pace.Restored(m.now())
+	m.pace.Restored(m.now(), m.revisions)
 	clear(m.revisions)
 	listed := make(map[string]store.Entry, len(c.Put()))
 	for _, e := range c.Put() {
@@ -55,7 +55,7 @@
 func (m *mover) writeRecord(ctx context.Context, now time.Time, t *trackedMove) {
 	key := movesPrefix + t.order.Service()
 	if !t.recordLost {
-		if t.pending != nil && m.pace.Calm(now) && m.write(ctx, now, t, key, t.pending, m.turn(now)) {
+		if t.pending != nil && m.pace.Calm(now) && m.write(ctx, now, t, key, t.pending, turnDelay) {
 			t.pending = nil
 		}
 		return
@@ -65,18 +65,13 @@
 		m.log.Error().Err(err).Msg("move: Encoding a record failed.")
 		return
 	}
-	if now.Sub(t.rewrittenAt) >= writeInterval && m.write(ctx, now, t, key, value, m.turn(now)) {
+	if now.Sub(t.rewrittenAt) >= writeInterval && m.write(ctx, now, t, key, value, turnDelay) {
 		t.rewrittenAt = now
 		m.log.Info().Str("service", t.order.Service()).Stringer("state", t.record.State()).Int("stage", t.record.Stage()).Msg("move: The record is written again.")
 		m.rewritten("record")
 	}
 }
 
-// turn returns how much later a VM writes than its predecessor in the order of names.
-func (m *mover) turn(now time.Time) time.Duration {
-	return m.pace.Turn(now, len(m.peers), turnDelay)
-}
-
 // wrote reports whether an entry is the evidence that this VM wrote last.
 func (t *trackedMove) wrote(e store.Entry) bool {
 	var ev evidence
