blame, accord: Keep charges that a restored store lacks

A store that was restored from a copy lacks charges that were stored since. The VMs gave up the keys 2.5 s later and lifted the charges, as if the VM that found them had, so that prompts with deadly parts crashed engines again until they were found once more. A charge that had been lifted came back with the copy and kept sound prompts away.

The list of a restored store no longer lifts a charge, and neither does the end of a kept key. Two VMs in an order by the charge's id write it again for the rest of its lifetime, and the next ones if it is still missing 10 s later. A charge that has ended on a VM does not come back with the copy or with such a write for the lifetime of a charge; its key is deleted. One that is found anew does.

Without the handling of a restored change, TestScripts/restored found no charge in force at any of five VMs after the restoration.

--- a/internal/accord/calls.go
+++ b/internal/accord/calls.go
@@ -143,7 +143,7 @@
 // already, so a key that can't be written only concerns VMs that start later. A
 // charge that is no longer in force is not written.
 func (d *Duty) writeCharge(ctx context.Context, w write) {
-	carryOut := d.put
+	carryOut := func(ctx context.Context, c blame.Charge) error { return d.put(ctx, c, w.left, w.again) }
 	if w.deleted {
 		carryOut = d.remove
 	}
@@ -152,6 +152,10 @@
 			return
 		}
 		err := carryOut(ctx, w.charge)
+		if err == nil && w.again {
+			d.observe(Rewrite)
+			d.log.Info().Str("id", w.charge.ID()).Int64("left", w.left.Milliseconds()).Msg("blame: A charge is written again.")
+		}
 		switch {
 		case err == nil, errors.Is(err, store.ErrConflict), ctx.Err() != nil:
 			return
--- a/internal/accord/duty.go
+++ b/internal/accord/duty.go
@@ -38,6 +38,10 @@
 	expiryInterval = 10 * time.Second
 )
 
+// Rewrite is the name of the event that a charge is written again, since a restored store
+// lacks it.
+const Rewrite = "rewrite"
+
 // runEnd is a run of this VM that its engine survived, or was lost in.
 type runEnd struct {
 	run      blame.Run
@@ -72,6 +76,10 @@
 type write struct {
 	charge  blame.Charge
 	deleted bool
+	// left is the lifetime of the charge, and again is true if a restored store lacks
+	// it.
+	left  time.Duration
+	again bool
 }
 
 // Duty takes part in the agreement for one VM. Its exported methods may be called
@@ -93,8 +101,9 @@
 	callCollect  func(ctx context.Context, address string, lost blame.Run) ([]blame.Charge, error)
 	callSeen     func(ctx context.Context, address string, a blame.Accusation) ([]blame.Sight, error)
 	callAnnounce func(ctx context.Context, address string, charge blame.Charge, lifted bool) error
-	// put stores a charge unless its key exists, and remove deletes its key.
-	put    func(ctx context.Context, charge blame.Charge) error
+	// put stores a charge for the rest of its lifetime unless its key exists, and remove
+	// deletes its key.
+	put    func(ctx context.Context, charge blame.Charge, left time.Duration, again bool) error
 	remove func(ctx context.Context, charge blame.Charge) error
 	// notify receives the charges in force after each change.
 	notify func(ctx context.Context, charges []blame.Charge)
@@ -106,7 +115,7 @@
 
 // New returns the duty of the VM named self. It passes the charges in force to
 // notify after each change, and calls observe for each event with its name:
-// "report", "accusation", "charge" or "lift".
+// "report", "accusation", "charge", "lift" or Rewrite.
 func New(self string, c *store.Client, notify func(ctx context.Context, charges []blame.Charge), observe func(name string), log zerolog.Logger) *Duty {
 	peers := newClient()
 	s := &shelf{
@@ -188,21 +197,29 @@
 // Apply applies a change of the store. Keys other than those of charges are
 // ignored.
 func (d *Duty) Apply(ctx context.Context, c follow.Change) {
-	for _, key := range c.Deleted() {
-		if id, ok := chargeID(key); ok {
-			d.submit(ctx, func(now time.Time) []blame.Action { return d.core.Lift(now, id) })
-		}
-	}
+	var listed []blame.Charge
 	for _, e := range c.Put() {
 		if _, ok := chargeID(e.Key()); !ok {
 			continue
 		}
-		charge, err := decodeEntry(e)
-		if err != nil {
+		charge, again, err := decodeEntry(e)
+		switch {
+		case err != nil:
 			d.log.Warn().Err(err).Str("key", e.Key()).Uint64("revision", e.Revision()).Msg("blame: Invalid charge.")
-			continue
+		case c.Restored():
+			listed = append(listed, charge)
+		default:
+			d.submit(ctx, func(now time.Time) []blame.Action { return d.core.Stored(now, charge, again) })
+		}
+	}
+	if c.Restored() {
+		d.submit(ctx, func(now time.Time) []blame.Action { return d.core.Restored(now, listed) })
+		return
+	}
+	for _, key := range c.Deleted() {
+		if id, ok := chargeID(key); ok {
+			d.submit(ctx, func(now time.Time) []blame.Action { return d.core.Missing(now, id, !c.Confirmed().IsZero()) })
 		}
-		d.submit(ctx, func(now time.Time) []blame.Action { return d.core.Learn(now, charge) })
 	}
 }
 
@@ -295,6 +312,8 @@
 			d.writes.Put(ctx, write{
 				charge:  a.Charge(),
 				deleted: a.Kind() == blame.Unstore,
+				left:    a.Left(),
+				again:   a.Again(),
 			})
 		case blame.Fence:
 			fenced = true
--- a/internal/accord/script_test.go
+++ b/internal/accord/script_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/blame"
+	"clementinelink.example/clementinelink/internal/follow"
 	"clementinelink.example/clementinelink/internal/store"
 	"github.com/cockroachdb/datadriven"
 	"github.com/cockroachdb/errors"
@@ -86,6 +87,8 @@
 		s.mutex.Lock()
 		defer s.mutex.Unlock()
 		s.down = d.HasArg("down")
+	case "restore":
+		s.restore(d)
 	case "stored":
 		// A write that failed has been tried again by then.
 		time.Sleep(writePause + maxDelay)
@@ -108,7 +111,7 @@
 	for _, name := range names {
 		n := &node{}
 		n.duty = New(name, store.New("http://127.0.0.1:0", 1), n.setCharges, func(string) {}, zerolog.Nop())
-		n.duty.put = func(_ context.Context, c blame.Charge) error { return s.write(c, true) }
+		n.duty.put = func(_ context.Context, c blame.Charge, _ time.Duration, _ bool) error { return s.write(c, true) }
 		n.duty.remove = func(_ context.Context, c blame.Charge) error { return s.write(c, false) }
 		n.server = httptest.NewServer(n.gated(NewServer(n.duty).Handler()))
 		s.t.Cleanup(n.server.Close)
@@ -152,6 +155,32 @@
 	}
 }
 
+// restore restores the store, which then has the charges of the input, one part each, and
+// no others, and tells the VMs so. After a while the keys that it lacks are gone.
+func (s *script) restore(d *datadriven.TestData) {
+	s.mutex.Lock()
+	clear(s.stored)
+	var listed []store.Entry
+	for part := range strings.FieldsSeq(d.Input) {
+		s.stored[part] = true
+		c := blame.NewCharge("llm", []string{part}, "v1", false)
+		value := fmt.Sprintf(`{"service":"llm","parts":[%q],"struck":"v1"}`, part)
+		listed = append(listed, store.NewEntry(chargeKey(c), []byte(value), store.Position(1, 9), ""))
+	}
+	s.mutex.Unlock()
+	for _, n := range s.nodes {
+		var known []store.Entry
+		for _, c := range n.inForce() {
+			known = append(known, store.NewEntry(chargeKey(c), nil, 5, ""))
+		}
+		f := follow.NewState()
+		now := time.Now()
+		f.Listed(now, known, 8)
+		n.duty.Apply(s.t.Context(), f.Listed(now, listed, store.Position(1, 9)))
+		n.duty.Apply(s.t.Context(), f.Expired(now.Add(time.Minute)))
+	}
+}
+
 // await waits until a charge is in force at each of the named VMs if want is true, and
 // otherwise for the time in which one would be. It returns the charges.
 func (s *script) await(d *datadriven.TestData, want bool) string {
@@ -200,11 +229,15 @@
 	n.charges = charges
 }
 
-func (n *node) print() string {
+func (n *node) inForce() []blame.Charge {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
+	return n.charges
+}
+
+func (n *node) print() string {
 	var b strings.Builder
-	for _, c := range n.charges {
+	for _, c := range n.inForce() {
 		fmt.Fprintf(&b, " %s", strings.Join(c.Parts(), "+"))
 	}
 	return b.String()
--- a/internal/accord/shelf.go
+++ b/internal/accord/shelf.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"path"
 	"strings"
+	"time"
 
 	"clementinelink.example/clementinelink/internal/blame"
 	"clementinelink.example/clementinelink/internal/store"
@@ -21,6 +22,8 @@
 	Parts      []string `json:"parts"`
 	Struck     string   `json:"struck"`
 	Restricted bool     `json:"restricted,omitempty"`
+	// Again is true if the charge was written again after a restoration of the store.
+	Again bool `json:"again,omitempty"`
 }
 
 // shelf keeps charges in the store.
@@ -35,31 +38,32 @@
 	return path.Base(key), strings.HasPrefix(key, chargesPrefix)
 }
 
-func decodeEntry(e store.Entry) (blame.Charge, error) {
+func decodeEntry(e store.Entry) (charge blame.Charge, again bool, err error) {
 	var s stored
 	if err := json.Unmarshal(e.Value(), &s); err != nil {
-		return blame.Charge{}, errors.Wrap(err, "accord: charge")
+		return blame.Charge{}, false, errors.Wrap(err, "accord: charge")
 	}
 	c := blame.NewCharge(s.Service, s.Parts, s.Struck, s.Restricted)
 	if !c.Valid() || chargeKey(c) != e.Key() {
-		return blame.Charge{}, errors.Newf("accord: charge %s under key %s", c.ID(), e.Key())
+		return blame.Charge{}, false, errors.Newf("accord: charge %s under key %s", c.ID(), e.Key())
 	}
-	return c, nil
+	return c, s.Again, nil
 }
 
-// put stores a charge until its lease ends. The error is store.ErrConflict if
+// put stores a charge until its lease ends after left. The error is store.ErrConflict if
 // another VM has stored it.
-func (s *shelf) put(ctx context.Context, c blame.Charge) error {
+func (s *shelf) put(ctx context.Context, c blame.Charge, left time.Duration, again bool) error {
 	value, err := json.Marshal(stored{
 		Service:    c.Service(),
 		Parts:      c.Parts(),
 		Struck:     c.Struck(),
 		Restricted: c.Restricted(),
+		Again:      again,
 	})
 	if err != nil {
 		return errors.Wrap(err, "accord: charge")
 	}
-	lease, err := s.client.Grant(ctx, blame.Lifetime)
+	lease, err := s.client.Grant(ctx, left)
 	if err != nil {
 		return err
 	}
--- a/internal/blame/action.go
+++ b/internal/blame/action.go
@@ -1,5 +1,7 @@
 package blame
 
+import "time"
+
 // ActionKind is the kind of work that an Action asks its driver to do.
 type ActionKind uint8
 
@@ -35,6 +37,8 @@
 	charge     Charge
 	lifted     bool
 	reason     string
+	left       time.Duration
+	again      bool
 }
 
 // Kind returns what the driver has to do.
@@ -59,3 +63,10 @@
 
 // Reason returns the cause of Fence, for logs.
 func (a Action) Reason() string { return a.reason }
+
+// Left returns the lifetime of the charge of Store.
+func (a Action) Left() time.Duration { return a.left }
+
+// Again reports whether the charge of Store is written again, since a restored store
+// lacks it.
+func (a Action) Again() bool { return a.again }
--- a/internal/blame/core.go
+++ b/internal/blame/core.go
@@ -46,6 +46,10 @@
 	charges   map[string]inForce
 	// lifted holds when charges were lifted, by id, for askTimeout.
 	lifted map[string]time.Time
+	// ended holds when charges ended, by id, for Lifetime, and unstored the ids of
+	// those in force that a restored store lacks.
+	ended    map[string]time.Time
+	unstored map[string]bool
 	// asking holds when the accusations were made whose answers are awaited.
 	asking  map[suspect]time.Time
 	actions []Action
@@ -60,6 +64,8 @@
 		survivals: NewSurvivals(),
 		charges:   make(map[string]inForce),
 		lifted:    make(map[string]time.Time),
+		ended:     make(map[string]time.Time),
+		unstored:  make(map[string]bool),
 		asking:    make(map[suspect]time.Time),
 	}
 }
@@ -91,8 +97,10 @@
 	c.actions = nil
 	maps.DeleteFunc(c.lifted, func(_ string, at time.Time) bool { return now.Sub(at) > askTimeout })
 	maps.DeleteFunc(c.asking, func(_ suspect, since time.Time) bool { return now.Sub(since) > askTimeout })
+	maps.DeleteFunc(c.ended, func(_ string, at time.Time) bool { return now.Sub(at) > Lifetime })
 	for id, f := range c.charges {
 		if now.Sub(f.since) > Lifetime {
+			c.end(now, id)
 			c.drop(id, "expired")
 		}
 	}
@@ -249,12 +257,14 @@
 	c.emit(Action{
 		kind:   Store,
 		charge: charge,
+		left:   Lifetime,
 	})
 }
 
 // lift ends a charge that this VM has refuted, and makes that known.
 func (c *Core) lift(now time.Time, charge Charge, reason string) {
 	c.lifted[charge.ID()] = now
+	c.end(now, charge.ID())
 	c.drop(charge.ID(), reason)
 	c.emit(Action{
 		kind:   Announce,
@@ -270,24 +280,37 @@
 // Learn puts a charge in force that another VM has found.
 func (c *Core) Learn(now time.Time, charge Charge) []Action {
 	c.begin(now)
+	c.learn(now, charge)
+	return c.actions
+}
+
+// learn puts a charge in force unless it was lifted just now.
+func (c *Core) learn(now time.Time, charge Charge) {
 	if at, ok := c.lifted[charge.ID()]; !ok || now.Sub(at) >= settleTime {
 		c.adopt(now, charge, "learned")
 	}
-	return c.actions
 }
 
-// Expire ends the charges whose lifetime is over.
+// Expire ends the charges whose lifetime is over, and stores those again that a restored
+// store still lacks.
 func (c *Core) Expire(now time.Time) []Action {
 	c.begin(now)
+	c.storeAgain(now, len(c.vms))
 	return c.actions
 }
 
 // Lift ends the charge with an id.
 func (c *Core) Lift(now time.Time, id string) []Action {
 	c.begin(now)
+	c.liftID(now, id)
+	return c.actions
+}
+
+// liftID ends the charge with an id that another VM has lifted.
+func (c *Core) liftID(now time.Time, id string) {
 	c.lifted[id] = now
+	c.end(now, id)
 	c.drop(id, "lifted")
-	return c.actions
 }
 
 // adopt puts a charge in force and reports whether it was not yet.
@@ -301,6 +324,7 @@
 			return c.charges[a].since.Compare(c.charges[b].since)
 		}), "too many charges")
 	}
+	delete(c.ended, id)
 	c.charges[id] = inForce{
 		charge: charge,
 		since:  now,
--- a/internal/blame/script_test.go
+++ b/internal/blame/script_test.go
@@ -72,6 +72,17 @@
 		return s.print(s.core.Learn(now, NewCharge("llm", s.list(d, "parts"), s.text(d, "version", "v1"), d.HasArg("restricted"))))
 	case "lift":
 		return s.print(s.core.Lift(now, NewCharge("llm", s.list(d, "parts"), s.text(d, "version", "v1"), d.HasArg("restricted")).ID()))
+	case "stored":
+		return s.print(s.core.Stored(now, NewCharge("llm", s.list(d, "parts"), s.text(d, "version", "v1"), false), d.HasArg("again")))
+	case "missing":
+		return s.print(s.core.Missing(now, NewCharge("llm", s.list(d, "parts"), s.text(d, "version", "v1"), false).ID(), d.HasArg("confirmed")))
+	case "restored":
+		// Each word of the input holds the parts of a charge that the store lists.
+		var listed []Charge
+		for parts := range strings.FieldsSeq(d.Input) {
+			listed = append(listed, NewCharge("llm", strings.Split(parts, "+"), "v1", false))
+		}
+		return s.print(s.core.Restored(now, listed))
 	case "expire":
 		return s.print(s.core.Expire(now))
 	case "match":
@@ -116,6 +127,9 @@
 			if a.Lifted() {
 				b.WriteString(" lifted")
 			}
+			if a.Again() {
+				fmt.Fprintf(&b, " again for %s", a.Left())
+			}
 			if a.Reason() != "" {
 				fmt.Fprintf(&b, " (%s)", a.Reason())
 			}
--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -172,6 +172,9 @@
 		v.charges.Store(int64(len(charges)))
 		v.dispatcher.notify(ctx, proxy.NewCharges(charges))
 	}, func(name string) {
+		if name == accord.Rewrite {
+			v.rewritten("charge")
+		}
 		m.Counter("blame_total", "Steps of the agreement on prompt parts that crash engines.", "step", name).Inc()
 	}, log)
 	v.dispatcher.runLost, v.dispatcher.runSurvived = v.accord.RunLost, v.accord.RunSurvived
