edge, move: A record names the order of its move

A VM took a record in the store for that of its move if it was later than the order. After a restoration the order may stay in force although the store lacks it, and everything that the copy has is later: the record of the move before, of another target, ended the move.

Records now name the order as evidence does, by its earliest and its latest known revision. A status has the form of the users, so the one that was there before the order is remembered and is not taken for that of this move while the order stands in an earlier era only.

With the comparison of revisions, TestMoves/move/restored-before found "limit banned" for a move that was in progress.

--- a/internal/edge/mover.go
+++ b/internal/edge/mover.go
@@ -279,7 +279,7 @@
 	// A final status ends the move, whatever its record and evidence say.
 	for _, e := range c.Put() {
 		for _, t := range m.moves {
-			if e.Revision() > t.origin.Latest() {
+			if t.origin.Follows(e.Revision()) {
 				m.applyStatus(ctx, t, e)
 			}
 		}
@@ -319,11 +319,15 @@
 	if t := m.moves[o.Service()]; t != nil && (t.origin.Latest() >= revision || m.adopt(t, o, revision)) {
 		return nil
 	}
+	status, _, err := m.sources.MoveStatus(o.Service(), o.Target(), origin.Active)
+	if err != nil {
+		m.log.Error().Err(err).Msg("move: A state can't be encoded.")
+	}
 	now := m.now().Add(-elapsed)
 	plan := world.NewMove(o.Service(), oldVersion, o.Target(), now, now.Add(o.Duration()), initialShare)
 	t := &trackedMove{
 		order:       o,
-		origin:      origin.New(m.now(), revision, !m.listed),
+		origin:      origin.New(m.now(), revision, !m.listed).After(m.revisions[status]),
 		plan:        plan,
 		late:        !m.listed,
 		takenBefore: move.Unknown,
@@ -342,7 +346,7 @@
 // applyRecord applies the record of a move, unless it belongs to an earlier order.
 func (m *mover) applyRecord(ctx context.Context, service string, e store.Entry) {
 	t := m.moves[service]
-	if t == nil || e.Revision() < t.origin.Latest() {
+	if t == nil {
 		return
 	}
 	r, err := move.DecodeRecord(e.Value())
@@ -350,6 +354,9 @@
 		m.log.Error().Err(err).Str("key", e.Key()).Msg("move: Invalid record.")
 		return
 	}
+	if first, latest := r.Order(); first != 0 && !t.origin.Matches(first, latest) || first == 0 && e.Revision() < t.origin.Latest() {
+		return
+	}
 	if r.Before(t.record) {
 		t.recordLost = true
 		return
@@ -453,7 +460,7 @@
 // queueRecord encodes the record that the controller wants to store and keeps
 // it as pending.
 func (m *mover) queueRecord(t *trackedMove, a move.Action) {
-	value, err := a.Record().Encode()
+	value, err := a.Record().WithOrder(t.origin.First(), t.origin.Latest()).Encode()
 	if err != nil {
 		m.log.Error().Err(err).Msg("move: Encoding a record failed.")
 		return
--- a/internal/edge/mover_test.go
+++ b/internal/edge/mover_test.go
@@ -206,6 +206,14 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		if d.HasArg("order") {
+			var order uint64
+			d.ScanArgs(t, "order", &order)
+			if value, err = move.NewRecord(state, s.now, "test").WithOrder(order, order).Encode(); err != nil {
+				t.Fatal(err)
+			}
+			s.sent[movesPrefix+"desk"] = value
+		}
 		if d.HasArg("stage") {
 			var stage int
 			d.ScanArgs(t, "stage", &stage)
--- a/internal/edge/restore.go
+++ b/internal/edge/restore.go
@@ -60,7 +60,7 @@
 		}
 		return
 	}
-	value, err := t.record.Encode()
+	value, err := t.record.WithOrder(t.origin.First(), t.origin.Latest()).Encode()
 	if err != nil {
 		m.log.Error().Err(err).Msg("move: Encoding a record failed.")
 		return
--- a/internal/move/record.go
+++ b/internal/move/record.go
@@ -54,6 +54,10 @@
 	reason string
 	// fence is the fencing number of the lease under which it was decided.
 	fence uint64
+	// first and latest are the store revisions of the move's order, or 0 if the key
+	// names the move.
+	first  uint64
+	latest uint64
 }
 
 // NewRecord returns a record for a result that a peer reported, for use while the
@@ -78,6 +82,17 @@
 // Reason returns why the move got this state and stage.
 func (r Record) Reason() string { return r.reason }
 
+// WithOrder returns a copy of r that names the move by the earliest and the latest known
+// store revision of its order.
+func (r Record) WithOrder(first, latest uint64) Record {
+	r.first, r.latest = first, latest
+	return r
+}
+
+// Order returns the earliest and the latest store revision of the move's order that the
+// writer of the record knew, or 0 if the record does not name it.
+func (r Record) Order() (first, latest uint64) { return r.first, r.latest }
+
 // Before reports whether a move has this record before it has o. A store that was
 // restored from a copy has earlier records than those that were read.
 func (r Record) Before(o Record) bool {
@@ -97,6 +112,8 @@
 	Time   time.Time `json:"time"`
 	Reason string    `json:"reason"`
 	Fence  uint64    `json:"fence"`
+	First  uint64    `json:"order,omitempty"`
+	Latest uint64    `json:"again,omitempty"`
 }
 
 // Encode returns the stored form of the record.
@@ -107,6 +124,8 @@
 		Time:   r.at.UTC(),
 		Reason: r.reason,
 		Fence:  r.fence,
+		First:  r.first,
+		Latest: r.latest,
 	})
 }
 
@@ -130,6 +149,8 @@
 		at:     w.Time,
 		reason: w.Reason,
 		fence:  w.Fence,
+		first:  w.First,
+		latest: w.Latest,
 	}, nil
 }
 
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -21,6 +21,8 @@
 	latest uint64
 	// known holds all known positions.
 	known map[uint64]bool
+	// before is the position of the status of the move before, or 0.
+	before uint64
 	// restoredAt is when the VM learned of the order's latest era.
 	restoredAt time.Time
 }
@@ -42,6 +44,24 @@
 	return o
 }
 
+// After sets the position of the latest status when the order arrived, which belongs to
+// the move before unless it is later than the order. It returns o.
+func (o *Origin) After(status uint64) *Origin {
+	if status < o.first {
+		o.before = status
+	}
+	return o
+}
+
+// Follows reports whether a status at a position belongs to the order. A copy of the store
+// that lacks the order may have the status of the move before.
+func (o *Origin) Follows(position uint64) bool {
+	if store.Era(position) > store.Era(o.latest) {
+		return store.Number(position) != store.Number(o.before)
+	}
+	return position > o.latest
+}
+
 // First returns the earliest known position of the order.
 func (o *Origin) First() uint64 { return o.first }
 
--- a/internal/origin/script_test.go
+++ b/internal/origin/script_test.go
@@ -23,7 +23,8 @@
 
 // TestOrigin guards against an order that starts again because a restoration of the
 // store has changed its position, against a new order that is taken for the one before,
-// and against evidence of another order. Times are in milliseconds.
+// and against evidence or
+// the status of another order. Times are in milliseconds.
 func TestOrigin(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var o *Origin
@@ -42,6 +43,10 @@
 					o = New(now, position(t, words[0]), d.HasArg("started"))
 				case "adopt":
 					fmt.Fprintf(&out, "%s %t\n", words[0], o.Adopt(now, position(t, words[0])))
+				case "after":
+					o.After(position(t, words[0]))
+				case "follows":
+					fmt.Fprintf(&out, "%s %t\n", words[0], o.Follows(position(t, words[0])))
 				case "match":
 					fmt.Fprintf(&out, "%s %t\n", strings.Join(words, " "), o.Matches(position(t, words[0]), position(t, words[1])))
 				default:
