feed: Give the released and the listed entries in a fixed order

TestRestored failed once in a few runs: the entries that a log releases after a restoration came in the order of a map. They come in the order of their revisions now, and lists in that of their keys, as the store gives them.

--- a/internal/feed/restored.go
+++ b/internal/feed/restored.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"cmp"
+	"slices"
 	"time"
 
 	"clementinelink.example/clementinelink/internal/store"
@@ -120,6 +122,7 @@
 			events = append(events, e)
 		}
 	}
+	slices.SortFunc(events, byRevision)
 	return events
 }
 
@@ -130,7 +133,7 @@
 	return len(l.held)
 }
 
-// inForce returns the entries in force. The caller must hold the mutex.
+// inForce returns the entries in force, in order of their keys. The caller must hold the mutex.
 func (l *Log) inForce() []store.Entry {
 	entries := make([]store.Entry, 0, len(l.latest))
 	for key, e := range l.latest {
@@ -141,5 +144,6 @@
 			entries = append(entries, e.Entry())
 		}
 	}
+	slices.SortFunc(entries, func(a, b store.Entry) int { return cmp.Compare(a.Key(), b.Key()) })
 	return entries
 }
