--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -103,7 +103,7 @@
 	// misdirected is the resume that waits until the service of the incarnation that
 	// received it is known, or nil. No attempt runs meanwhile.
 	misdirected *misdirectedResume
-	// stallHandled is true once the stream has been silent for stallAfter. A
+	// stallHandled is true once the stream has been silent for gaps.Limits.Stall. A
 	// stall is handled this early only once per stream.
 	stallHandled bool
 	// stallPostponed is the earliest time of the next check of a stall, or zero.
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -6,6 +6,7 @@
 	"clementinelink.example/clementinelink/internal/alarm"
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/expect"
+	"clementinelink.example/clementinelink/internal/gaps"
 )
 
 const (
@@ -13,25 +14,6 @@
 	// engine reads the prompt too. A read takes about a second of the goal's
 	// 4.5 s.
 	streamHedgeShare = 0.55
-	// probeShare is the fraction of the longest on-time pause after which the
-	// state of a silent engine is queried. The remaining time must suffice for
-	// the query and the resume.
-	probeShare = 0.36
-	// defaultMaxGap is the longest on-time pause of a route that does not state
-	// one.
-	defaultMaxGap = 700 * time.Millisecond
-	// prefillProbeInterval is the interval of state queries to an engine that
-	// is reading a prompt, during which it sends nothing.
-	prefillProbeInterval = 500 * time.Millisecond
-	// hungGaps is the silence, as a multiple of the longest on-time pause,
-	// after which a stream continues at another engine although its engine
-	// answers state queries.
-	hungGaps = 2
-	// stallShare is the silence, as a fraction of the longest on-time pause,
-	// after which a stream resumes from an intact standby copy, once per
-	// stream. Pauses last 230 ms while an engine reads another prompt, and the
-	// remaining time must suffice for the resume.
-	stallShare = 0.65
 	// retryPause is the wait before a started stream is retried for which there
 	// was no upstream or no retry budget.
 	retryPause = 150 * time.Millisecond
@@ -45,22 +27,8 @@
 	maxCopyResends = 3
 )
 
-// maxGap returns the longest pause between pieces that is on time.
-func (x *exchange) maxGap() time.Duration {
-	if g := x.route.Gap(); g > 0 {
-		return g
-	}
-	return defaultMaxGap
-}
-
-// probeAfter returns how long an attempt may be silent before the state of its
-// engine is queried.
-func (x *exchange) probeAfter(a *attempt) time.Duration {
-	if a.begun {
-		return time.Duration(probeShare * float64(x.maxGap()))
-	}
-	return prefillProbeInterval
-}
+// gaps returns how long the stream may pause.
+func (x *exchange) gaps() gaps.Limits { return gaps.New(x.route.Goal(), x.route.Gap()) }
 
 // nextCheck returns the time at which the progress of an attempt must be
 // checked.
@@ -68,8 +36,8 @@
 	if !x.stream() || a.heldBack {
 		return x.deadline
 	}
-	at := a.lastProgress.Add(x.probeAfter(a))
-	switch stop, resume := x.stallCheck(), a.sent.Add(x.resumeTimeout()); {
+	at := a.lastProgress.Add(x.gaps().Probe(a.begun))
+	switch stop, resume := x.stallCheck(), a.sent.Add(x.gaps().Resume()); {
 	case a.begun && !x.stallHandled && stop.Before(at):
 		return stop
 	case !a.begun && x.headSent && !a.overdue && resume.Before(at):
@@ -81,21 +49,12 @@
 
 // stallCheck returns the earliest time of the next check of a stall.
 func (x *exchange) stallCheck() time.Time {
-	if at := x.lastDelivered.Add(x.stallAfter()); at.After(x.stallPostponed) {
+	if at := x.lastDelivered.Add(x.gaps().Stall()); at.After(x.stallPostponed) {
 		return at
 	}
 	return x.stallPostponed
 }
 
-// stallAfter returns the silence after which a stream resumes from its standby
-// copy.
-func (x *exchange) stallAfter() time.Duration { return time.Duration(stallShare * float64(x.maxGap())) }
-
-// resumeTimeout returns how long a resume may take to its first piece. The
-// stream is late by then, so the timeout is only meant for resumes that never
-// start: a new attempt gets no better place in the engine's queue.
-func (x *exchange) resumeTimeout() time.Duration { return max(x.route.Goal(), hungGaps*x.maxGap()) }
-
 // handleTimer handles the deadlines and timers of an exchange that are due.
 func (c *Core) handleTimer(now time.Time, x *exchange) {
 	if !now.Before(x.deadline) && x.cutShort {
@@ -168,12 +127,12 @@
 		// The check of the stall would stay due otherwise.
 		x.stallHandled = true
 	}
-	if heard := a.upstream.LastActivity(); now.Sub(heard) < x.probeAfter(a) {
+	if heard := a.upstream.LastActivity(); now.Sub(heard) < x.gaps().Probe(a.begun) {
 		// Answers to other requests show that the engine is alive.
 		a.lastProgress = heard
 		return
 	}
-	// The next check is due after another interval of probeAfter.
+	// The next check is due after another interval.
 	a.lastProgress = now
 	if x.route.Repeatable() && x.need.Memory() > 0 {
 		c.checkAlive(now, a.upstream, "silent")
@@ -185,7 +144,7 @@
 func (c *Core) stallReason(now time.Time, x *exchange, a *attempt) string {
 	silence := now.Sub(x.lastDelivered)
 	switch {
-	case !a.begun && (!x.headSent || now.Sub(a.sent) < x.resumeTimeout()):
+	case !a.begun && (!x.headSent || now.Sub(a.sent) < x.gaps().Resume()):
 		return ""
 	case !a.begun:
 		a.overdue = true
@@ -194,9 +153,9 @@
 		// The next check of a stall is due after another query may have been answered.
 		x.stallPostponed = now.Add(queryTimeout)
 		return ""
-	case silence >= hungGaps*x.maxGap():
+	case silence >= x.gaps().Hung():
 		return "hung"
-	case x.stallHandled || silence < x.stallAfter():
+	case x.stallHandled || silence < x.gaps().Stall():
 		return ""
 	}
 	x.stallHandled = true
