proxy, pool: Wait for a silent engine while there is no better place

What callers saw: a sound engine fell silent for a second and went on while the only other one stated that it was full. The stream was given up 0.34 s after its latest byte (0.63 s before its first piece), the full engine refused it, and the same engine got the request again: the prompt was read two or three times, and the pause was longer than the engine's.

Cause: an attempt at an engine that seems dead, or that makes no progress, was given up if a repeat and an attempt of the route were left. Whether any engine could take the stream was not asked.

Change: it is given up if there is a copy of its run, or an upstream that neither has failed lately nor states that its memory is full. Else it is kept, and the question comes again with the next silence. After 2 s of silence any other upstream will do, since a sound engine is silent for about a second. A refused connection ends an attempt as before. The log line of a denied repeat and its metric have the reason.

--- a/internal/edge/eventlog.go
+++ b/internal/edge/eventlog.go
@@ -153,9 +153,9 @@
 		j.log.Info().Str("request", r.id).Int("attempt", a.Attempt()).Str("holder", a.Holder().ID()).Str("reason", a.Reason()).
 			Msg("proxy: A copy is ordered.")
 	case proxy.Denied:
-		j.metrics.Counter("denied_total", "Repeats that the budget denied, once for each wait.").Inc()
+		j.metrics.Counter("denied_total", "Repeats that were denied, once for each wait.", "reason", a.Reason()).Inc()
 		j.flushDeferredSend(r)
-		j.log.Info().Str("request", r.id).Int("left", a.Left()).Int64("more", a.Timeout().Milliseconds()).Int("pieces", r.pieces).Msg("proxy: A repeat is denied.")
+		j.log.Info().Str("request", r.id).Int("left", a.Left()).Int64("more", a.Timeout().Milliseconds()).Int("pieces", r.pieces).Str("reason", a.Reason()).Msg("proxy: A repeat is denied.")
 	case proxy.Cancel:
 		j.flushDeferredSend(r)
 		j.log.Info().Str("request", r.id).Int("attempt", a.Attempt()).Str("reason", a.Reason()).Msg("proxy: Attempt given up.")
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -119,6 +119,14 @@
 	return slices.ContainsFunc(p.byService[n.service], func(u *Upstream) bool { return p.eligible(now, n, u) && !skip(u) })
 }
 
+// HasRoom reports whether Pick would return an upstream that neither has failed lately nor
+// is known to be full.
+func (p *Pool) HasRoom(now time.Time, n Need, skip func(*Upstream) bool) bool {
+	return p.HasUpstream(now, n, func(u *Upstream) bool {
+		return u.BackingOff(now) || p.Suspect(now, u) || u.full(now, n) || skip(u)
+	})
+}
+
 // Best returns the upstream of the list with the lowest score, or nil if none
 // may be sent work. The result of extra is added to an upstream's score; extra
 // may be nil.
--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -73,6 +73,11 @@
 	return !u.stateAt.IsZero() && now.Sub(u.stateAt) < stateTTL
 }
 
+// full reports whether the engine's latest state leaves no memory for the need.
+func (u *Upstream) full(now time.Time, n Need) bool {
+	return n.memory > 0 && u.HasFreshState(now) && u.state.spec.Used+n.tokens > n.memory
+}
+
 // unreportedAttempts returns the number of this VM's attempts that the latest
 // state does not include.
 func (u *Upstream) unreportedAttempts() int {
--- a/internal/proxy/action.go
+++ b/internal/proxy/action.go
@@ -38,7 +38,8 @@
 	// ReportSurvival one that its engine has survived.
 	ReportCrash
 	ReportSurvival
-	// Denied reports that the budget denies a repeat of the request.
+	// Denied reports that the budget denies a repeat of the request, or that its attempt
+	// is kept since there is no better place.
 	Denied
 	// SendHead sends the caller the head of a stream.
 	SendHead
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -33,6 +33,8 @@
 	// overdue is true once a resume has taken too long to produce its first
 	// piece.
 	overdue bool
+	// kept is true once the attempt was kept since there was no better place.
+	kept bool
 	// timeToFirst is the time from the transmission to the first piece.
 	timeToFirst time.Duration
 	head        *Answer
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"clementinelink.example/clementinelink/internal/alarm"
 	"clementinelink.example/clementinelink/internal/budget"
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/pool"
@@ -18,6 +19,9 @@
 	// newRank is the rank of new work at an engine; ranks run from 0 (first) to
 	// 9.
 	newRank = 5
+	// maxSilence is the longest silence of an engine for which a stream waits while the
+	// other ones are full or have failed. A sound engine is silent for about a second.
+	maxSilence = 2 * time.Second
 	// minTimeLeft is the shortest remaining time in which an attempt is
 	// started; no upstream answers faster.
 	minTimeLeft = 10 * time.Millisecond
@@ -157,7 +161,32 @@
 	if !x.route.Repeatable() || runs >= x.route.Attempts() && c.standbyUnusable(now, x, a) != "" && !c.orderedUsable(now, x, a) {
 		return false
 	}
-	return c.budgets.Of(x.need.Service()).Permits(now, x.budgetShare())
+	return c.budgets.Of(x.need.Service()).Permits(now, x.budgetShare()) && c.hasPlace(now, x, a)
+}
+
+// hasPlace reports whether there is a better place for a stream than an attempt that is
+// silent: a copy of its run, or an upstream that is likely to take it. After maxSilence any
+// other upstream is one.
+func (c *Core) hasPlace(now time.Time, x *exchange, a *attempt) bool {
+	other := func(u *pool.Upstream) bool { return u == a.upstream || x.fence.excludes(u) }
+	heard := alarm.Later(a.sent, a.upstream.LastActivity())
+	switch {
+	case c.standbyUnusable(now, x, a) == "", c.orderedUsable(now, x, a):
+		return true
+	case now.Sub(heard) >= maxSilence && c.pool.HasUpstream(now, x.need, other):
+		return true
+	case c.pool.HasRoom(now, x.need, func(u *pool.Upstream) bool { return other(u) || x.wrongVersion(u) }):
+		return true
+	}
+	if !a.kept {
+		a.kept = true
+		c.emit(x, Action{
+			kind:    Denied,
+			attempt: a.number,
+			reason:  "no better place",
+		})
+	}
+	return false
 }
 
 // budgetShare returns the share of the budget of repeats that the exchange leaves to others.
