--- a/internal/pool/hear.go
+++ b/internal/pool/hear.go
@@ -149,6 +149,15 @@
 	return best
 }
 
+// Beside returns a function that reports whether an upstream is in another failure domain
+// of the region of u, so that it shares the path to u, but not its fate. One that is
+// backing off may have failed itself.
+func Beside(now time.Time, u *Upstream) func(*Upstream) bool {
+	return func(w *Upstream) bool {
+		return w.entry.Region() == u.entry.Region() && w.entry.Domain() != u.entry.Domain() && !w.BackingOff(now)
+	}
+}
+
 // placesChanged counts a change of the listed upstreams.
 func (p *Pool) placesChanged() {
 	if p.fleet != nil {
--- a/internal/pool/upstream.go
+++ b/internal/pool/upstream.go
@@ -99,6 +99,27 @@
 // one has replaced it.
 func (u *Upstream) Gone() bool { return u.gone }
 
+// Available reports whether the upstream may be sent work, has not failed lately, and is
+// the latest known incarnation at its address.
+func (u *Upstream) Available(now time.Time) bool { return u.Unavailable(now) == "" && u.Latest() == u }
+
+// Unavailable returns why the upstream may not be sent work, or "" if it may be and has not
+// failed lately.
+func (u *Upstream) Unavailable(now time.Time) string {
+	switch {
+	case u.gone:
+		return "gone"
+	case u.Leaving():
+		return "leaving"
+	case u.Resting(now):
+		return "resting"
+	case u.BackingOff(now):
+		return "backing off"
+	default:
+		return ""
+	}
+}
+
 // Latest returns the newest known incarnation at the upstream's address. It
 // holds what was placed there by address shortly before.
 func (u *Upstream) Latest() *Upstream {
--- a/internal/proxy/cancel.go
+++ b/internal/proxy/cancel.go
@@ -58,7 +58,7 @@
 		switch {
 		case a.onDemandCopy.handle != "" && u == a.onDemandCopy.holder:
 			return 0
-		case !available(now, u) || u.Entry().Version() != a.upstream.Entry().Version():
+		case !u.Available(now) || u.Entry().Version() != a.upstream.Entry().Version():
 			return 3
 		case u == a.holder:
 			return 2
--- a/internal/proxy/copy.go
+++ b/internal/proxy/copy.go
@@ -39,7 +39,7 @@
 	if retention == 0 {
 		return
 	}
-	if o.holder == nil || !available(now, o.holder) {
+	if o.holder == nil || !o.holder.Available(now) {
 		c.releaseCopy(x, a)
 		o.handle = ""
 		if o.holder = c.pool.PickCopy(now, x.need, a.upstream, x.excludesHolder(a.upstream)); o.holder == nil {
@@ -85,12 +85,6 @@
 	return s != nil && s.Engine() != nil && s.Engine().CopyRetention() > 0 && now.Sub(x.lastDelivered) > s.Engine().CopyRetention()
 }
 
-// available reports whether the upstream may be sent work and is the latest
-// known incarnation at its address.
-func available(now time.Time, u *pool.Upstream) bool {
-	return u.Usable() && !u.Resting(now) && !u.BackingOff(now) && u.Latest() == u
-}
-
 // handleCopied applies the result of a copy request; an empty handle means that
 // it failed.
 func (c *Core) handleCopied(now time.Time, a *attempt, handle string) {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -109,7 +109,7 @@
 func (c *Core) retryStream(now time.Time, x *exchange) {
 	from := x.awaitedCopy
 	x.awaitedCopy = nil
-	if from == nil || c.copyEnded(now, x) || x.fence.closed || x.fence.excludes(from.upstream) || !available(now, from.upstream) || c.versionFull(x, from.upstream) {
+	if from == nil || c.copyEnded(now, x) || x.fence.closed || x.fence.excludes(from.upstream) || !from.upstream.Available(now) || c.versionFull(x, from.upstream) {
 		c.startAttempt(now, x, "retry")
 		return
 	}
@@ -327,7 +327,7 @@
 			copied:   true,
 			reason:   "copy moved",
 		}
-	case a.copied && !a.begun && e.cause == Broken && x.copyResends < maxCopyResends && available(now, a.upstream):
+	case a.copied && !a.begun && e.cause == Broken && x.copyResends < maxCopyResends && a.upstream.Available(now):
 		// Only this answer may be lost. The engine keeps a copy after its use,
 		// and an engine without the copy refuses to run.
 		x.copyResends++
@@ -364,7 +364,7 @@
 // orderedUsable reports whether there is an ordered copy of an attempt's run to resume from.
 func (c *Core) orderedUsable(now time.Time, x *exchange, a *attempt) bool {
 	o := &a.onDemandCopy
-	return o.handle != "" && available(now, o.holder) && !c.versionFull(x, o.holder) && !c.copyEnded(now, x)
+	return o.handle != "" && o.holder.Available(now) && !c.versionFull(x, o.holder) && !c.copyEnded(now, x)
 }
 
 // standbyUnusable returns why an attempt's standby copy can't be used, or "" if
@@ -380,14 +380,8 @@
 		return "copy ended"
 	}
 	switch h := a.holder.Latest(); {
-	case h.Gone():
-		return "holder gone"
-	case !h.Usable():
-		return "holder leaving"
-	case h.Resting(now):
-		return "holder resting"
-	case h.BackingOff(now):
-		return "holder backing off"
+	case h.Unavailable(now) != "":
+		return "holder " + h.Unavailable(now)
 	case c.versionFull(x, h):
 		return "holder unproven"
 	default:
--- a/internal/proxy/successor.go
+++ b/internal/proxy/successor.go
@@ -32,7 +32,7 @@
 // upstream of the request's service, since addresses pass between services.
 func (c *Core) successor(now time.Time, x *exchange, a *attempt, instance string) *pool.Upstream {
 	u := c.pool.Get(instance)
-	if u == nil || u.Entry().Service() != x.need.Service() || u.Address() != a.upstream.Address() || !available(now, u) || c.versionFull(x, u) {
+	if u == nil || u.Entry().Service() != x.need.Service() || u.Address() != a.upstream.Address() || !u.Available(now) || c.versionFull(x, u) {
 		return nil
 	}
 	return u
--- a/internal/proxy/witness.go
+++ b/internal/proxy/witness.go
@@ -19,7 +19,7 @@
 		return
 	}
 	c.witnessAskedAt = now
-	if !c.queryWitness(now, u, besides(now, u)) {
+	if !c.queryWitness(now, u, pool.Beside(now, u)) {
 		c.queryWitness(now, u, anywhere)
 	}
 }
@@ -34,7 +34,7 @@
 		return
 	}
 	if c.queryState(now, u, "", "unheard") {
-		c.queryWitness(now, u, besides(now, u))
+		c.queryWitness(now, u, pool.Beside(now, u))
 		c.queryWitness(now, u, func(w *pool.Upstream) bool { return w.Entry().Region() != u.Entry().Region() })
 	}
 }
@@ -54,15 +54,6 @@
 	})
 }
 
-// besides returns a function that reports whether an upstream is in another failure
-// domain of the region of u, so that it shares the path to u, but not its fate. One that
-// is backing off may have failed itself.
-func besides(now time.Time, u *pool.Upstream) func(*pool.Upstream) bool {
-	return func(w *pool.Upstream) bool {
-		return w.Entry().Region() == u.Entry().Region() && w.Entry().Domain() != u.Entry().Domain() && !w.BackingOff(now)
-	}
-}
-
 // anywhere returns true.
 func anywhere(*pool.Upstream) bool { return true }
 
@@ -94,7 +85,7 @@
 	switch {
 	case !c.paths.Region(u.Entry().Region()).Before(began):
 		return true
-	case c.paths.WasSilent(u.ID()) || c.pool.Witness(now, u, besides(now, u)) == nil:
+	case c.paths.WasSilent(u.ID()) || c.pool.Witness(now, u, pool.Beside(now, u)) == nil:
 		return !c.paths.Latest().Before(began) || c.pool.Witness(now, u, anywhere) == nil
 	default:
 		return false
