pace, proxy: Put off attempts of a stream after two without output

Cause: attempts of a stream that has begun followed each other at once, as far as the budget of repeats allowed. An address that accepts a connection and breaks it off may have run the request, so that each counts towards the attempts of the route.

Change: after two attempts in a row that broke off without output, or one if a single attempt is left, the next one waits 0.15 to 1.2 s, twice as long each time, and goes only to an engine that has sent something since; some are asked for their state meanwhile. Attempts that did not run are spaced in the same way while all engines have failed or are full, in place of using up the budget of repeats at them. A stream waits until its deadline.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/alarm"
+	"clementinelink.example/clementinelink/internal/pace"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/table"
 )
@@ -68,6 +69,8 @@
 	possibleRuns int
 	// consecutiveNotRun counts the latest attempts in a row that did not run.
 	consecutiveNotRun int
+	// pace spaces the attempts of a stream that has begun.
+	pace pace.Pace
 	// position is the index of the last piece that the caller has.
 	position int
 	// headSent is true once the caller has the head of a stream.
@@ -149,6 +152,12 @@
 	return n
 }
 
+// unheard reports whether the upstream may have crashed with those of the latest attempts,
+// so that the next one must not go there.
+func (x *exchange) unheard(u *pool.Upstream) bool {
+	return !x.pace.Permits(u.LastActivity(), x.route.Attempts()-x.possibleRuns)
+}
+
 func (x *exchange) stream() bool { return x.route.Kind() == table.Stream }
 
 // mayRepeat reports whether the request may be sent again although an attempt
--- a/internal/proxy/move.go
+++ b/internal/proxy/move.go
@@ -162,7 +162,11 @@
 
 // excludes reports whether a new attempt must not go to the upstream, because
 // of its version or because the request was sent there before.
-func (x *exchange) excludes(u *pool.Upstream) bool { return x.wrongVersion(u) || x.tried(u) }
+func (x *exchange) excludes(u *pool.Upstream) bool { return x.unfit(u) || x.tried(u) }
+
+// unfit reports whether a new attempt must not go to the upstream even if the request was
+// sent there before.
+func (x *exchange) unfit(u *pool.Upstream) bool { return x.wrongVersion(u) || x.unheard(u) }
 
 // excludesHolder reports which upstreams must not hold a copy of a run: those of
 // another version, those that may not be sent the prompt, and those that the request
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -58,7 +58,7 @@
 		// A stream may be sent again to an upstream that refused it, a lookup to its
 		// only upstream after a failed response, and any request to an upstream that
 		// it has waited for.
-		upstream = c.pool.Pick(now, x.need, x.wrongVersion)
+		upstream = c.pool.Pick(now, x.need, x.unfit)
 	}
 	if upstream == nil && c.fallBack(now, x) {
 		upstream = c.pool.Pick(now, x.need, x.excludes)
@@ -249,6 +249,9 @@
 	} else {
 		x.consecutiveNotRun++
 	}
+	if x.headSent && !a.copied && !a.begun && e.cause < Silent {
+		x.pace.Ended(now, e.cause.mayHaveRun())
+	}
 	if len(x.running()) > 0 {
 		return
 	}
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -7,6 +7,7 @@
 	"clementinelink.example/clementinelink/internal/errs"
 	"clementinelink.example/clementinelink/internal/expect"
 	"clementinelink.example/clementinelink/internal/gaps"
+	"clementinelink.example/clementinelink/internal/pool"
 )
 
 const (
@@ -94,13 +95,25 @@
 	}
 }
 
-// awaitUpstream makes a stream that has begun wait if there is no upstream for it, before
-// it uses up a repeat, and reports whether it did.
+// awaitUpstream makes a stream that has begun wait if there is no upstream for it, or its
+// next attempt is not due, before it uses up a repeat, and reports whether it did.
 func (c *Core) awaitUpstream(now time.Time, x *exchange) bool {
-	if !x.headSent || c.pool.HasUpstream(now, x.need, x.fence.excludes) {
+	if !x.headSent {
+		return false
+	}
+	due := x.pace.Due(x.route.Attempts()-x.possibleRuns, c.pool.HasRoom(now, x.need, x.fence.excludes))
+	if !now.Before(due) && c.pool.HasUpstream(now, x.need, func(u *pool.Upstream) bool { return x.fence.excludes(u) || x.unheard(u) }) {
 		return false
 	}
 	c.noUpstream(now, x)
+	x.retryAt = alarm.Later(x.retryAt, due)
+	latest := x.attempts[len(x.attempts)-1].upstream
+	if x.unheard(latest) && !latest.Gone() {
+		c.queryState(now, latest, "", "awaited")
+	}
+	for range placementCandidates {
+		c.queryWitness(now, latest, x.unheard)
+	}
 	return true
 }
 
@@ -185,6 +198,7 @@
 	a.lastProgress = now
 	if !a.begun {
 		a.begun = true
+		x.pace.Begun()
 		a.timeToFirst = now.Sub(a.sent)
 		c.observeBeginning(x, a)
 		a.upstream.FinishPrefill()
