proxy: Put off attempts of a stream after answers that are errors

Cause: an answer that can't continue a stream that has begun, such as a status of 500, counts as an attempt, and the next one followed at once. Engines that fail together used up the attempts of the route as crashed ones did (LOST); callers have not reported it.

Change: such answers are spaced like attempts that break off. The longest silence of an engine moves to gaps.

proxy/testdata/answered had the attempts at 220, 230 and 310 ms, and the stream broken off at 320. They are due at 220, 530 and 1,140 ms now, at engines that have sent something since; as many attempts as before precede the end. With the old code the script fails: the fifth attempt is sent at 230 ms.

--- a/internal/gaps/gaps.go
+++ b/internal/gaps/gaps.go
@@ -4,6 +4,10 @@
 
 import "time"
 
+// MaxSilence is the longest silence of an engine for which a stream waits while the other
+// ones are full or have failed. A sound engine is silent for about a second.
+const MaxSilence = 2 * time.Second
+
 const (
 	// probeShare is the fraction of the longest on-time pause after which the
 	// state of a silent engine is queried. The remaining time must suffice for
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -93,6 +93,7 @@
 		})
 		return
 	}
+	x.pace.Ended(now, true)
 	c.reportOutcome(now, x, a, move.Errors)
 	a.upstream.RecordActivity(now)
 	a.upstream.RecordFault(now)
@@ -113,6 +114,7 @@
 	switch {
 	case !x.mayRepeat():
 		c.fail(now, x, "failed by upstream", errs.Upstream)
+	case c.awaitUpstream(now, x):
 	case c.allowed(now, x):
 		c.startAttempt(now, x, "after failure")
 	case x.headSent:
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -6,6 +6,7 @@
 	"clementinelink.example/clementinelink/internal/alarm"
 	"clementinelink.example/clementinelink/internal/budget"
 	"clementinelink.example/clementinelink/internal/errs"
+	"clementinelink.example/clementinelink/internal/gaps"
 	"clementinelink.example/clementinelink/internal/pool"
 )
 
@@ -19,9 +20,6 @@
 	// newRank is the rank of new work at an engine; ranks run from 0 (first) to
 	// 9.
 	newRank = 5
-	// maxSilence is the longest silence of an engine for which a stream waits while the
-	// other ones are full or have failed. A sound engine is silent for about a second.
-	maxSilence = 2 * time.Second
 	// minTimeLeft is the shortest remaining time in which an attempt is
 	// started; no upstream answers faster.
 	minTimeLeft = 10 * time.Millisecond
@@ -165,7 +163,7 @@
 }
 
 // hasPlace reports whether there is a better place for a stream than an attempt that is
-// silent: a copy of its run, or an upstream that is likely to take it. After maxSilence any
+// silent: a copy of its run, or an upstream that is likely to take it. After gaps.MaxSilence any
 // other upstream is one.
 func (c *Core) hasPlace(now time.Time, x *exchange, a *attempt) bool {
 	other := func(u *pool.Upstream) bool { return u == a.upstream || x.fence.excludes(u) }
@@ -173,7 +171,7 @@
 	switch {
 	case c.standbyUnusable(now, x, a) == "", c.orderedUsable(now, x, a):
 		return true
-	case now.Sub(heard) >= maxSilence && c.pool.HasUpstream(now, x.need, other):
+	case now.Sub(heard) >= gaps.MaxSilence && c.pool.HasUpstream(now, x.need, other):
 		return true
 	case c.pool.HasRoom(now, x.need, func(u *pool.Upstream) bool { return other(u) || x.wrongVersion(u) }):
 		return true
@@ -249,7 +247,7 @@
 	} else {
 		x.consecutiveNotRun++
 	}
-	if x.headSent && !a.copied && !a.begun && e.cause < Silent {
+	if !a.copied && !a.begun && e.cause < Silent {
 		x.pace.Ended(now, e.cause.mayHaveRun())
 	}
 	if len(x.running()) > 0 {
