pool, proxy: Judge engines that are listed no more as others

Cause: the answer to a query for the state of an engine counted only while the registry listed the engine. A stream at one that is listed no more, since it leaves or its entry has lapsed with an outage of the store, was given up as "engine dead" with the first query, also when the engine answered it, when the VM had paused, or when no witness answered. Its run was cut, and a repeat and an attempt of the route used up (the class of LOST). Callers have not reported it; it was found while the causes were looked for elsewhere.

Change: the pool knows an upstream that is listed no more while attempts are in flight there. If another incarnation answers at its address, it has ended, as before.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -30,6 +31,9 @@
 	region string
 	domain string
 	byID   map[string]*Upstream
+	// unlisted holds the latest upstreams that were removed while attempts were in flight
+	// there, by id.
+	unlisted map[string]*Upstream
 	// byService holds the upstreams of each service, sorted by id.
 	byService map[string][]*Upstream
 	// byAddress holds the upstream that was listed last at each address, even
@@ -60,6 +64,7 @@
 		region:    region,
 		domain:    domain,
 		byID:      make(map[string]*Upstream),
+		unlisted:  make(map[string]*Upstream),
 		byService: make(map[string][]*Upstream),
 		byAddress: make(map[string]*Upstream),
 		failures:  make(map[string]*domainFailures),
@@ -72,6 +77,18 @@
 // Get returns the listed upstream with the id, or nil.
 func (p *Pool) Get(id string) *Upstream { return p.byID[id] }
 
+// Find returns the listed upstream with the id, or one that is listed no more but has
+// attempts in flight, or nil.
+func (p *Pool) Find(id string) *Upstream {
+	if u := p.byID[id]; u != nil {
+		return u
+	}
+	if u := p.unlisted[id]; u != nil && u.attempts > 0 {
+		return u
+	}
+	return nil
+}
+
 // PassedOn reports whether the upstream that was listed last at the address is one of
 // another service.
 func (p *Pool) PassedOn(address, service string) bool {
@@ -160,6 +177,10 @@
 	}
 	u.gone = true
 	delete(p.byID, id)
+	maps.DeleteFunc(p.unlisted, func(_ string, old *Upstream) bool { return old.attempts == 0 })
+	if u.attempts > 0 {
+		p.unlisted[id] = u
+	}
 	name := u.entry.Service()
 	p.byService[name] = slices.DeleteFunc(p.byService[name], func(a *Upstream) bool { return a == u })
 	p.placesChanged()
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -77,7 +77,7 @@
 	began := c.stateQueries[stateQueryKey(e.upstream, e.instance)]
 	delete(c.stateQueries, stateQueryKey(e.upstream, e.instance))
 	if e.responded || e.refused {
-		c.noteAnswer(c.pool.Get(e.upstream), began)
+		c.noteAnswer(c.pool.Find(e.upstream), began)
 	}
 	if e.instance != "" {
 		c.otherAnswered(now, e)
@@ -85,11 +85,11 @@
 		c.endAwaitingID(now, e.upstream, e.instance)
 		return
 	}
-	u := c.pool.Get(e.upstream)
+	listed, u := c.pool.Get(e.upstream), c.pool.Find(e.upstream)
 	switch {
-	case e.responded && u != nil && u.FromOtherIncarnation(e.state):
+	case e.responded && listed != nil && listed.FromOtherIncarnation(e.state):
 		c.queryID(u, e.state)
-	case e.responded && u != nil:
+	case e.responded && u != nil && !u.FromOtherIncarnation(e.state):
 		c.pool.UpdateState(now, u, e.state)
 	case u != nil && !e.refused && (e.late > 0 || began.Before(c.pausedAt)):
 		c.askAgain(now, u)
@@ -97,8 +97,8 @@
 		c.checkAgain(now, u)
 	default:
 		c.paths.Forget(e.upstream)
-		if u != nil {
-			c.upstreamUnreachable(now, u)
+		if listed != nil {
+			c.upstreamUnreachable(now, listed)
 		}
 		c.engineDown(now, e.upstream, e.refused)
 	}
