proxy: Leave a run that stands still although its engine answers

Cause: a stream that waits since there is no better place left its run after 2 s without a sign of its engine. An engine that answers queries gives such signs, so that a run that stands still there would have been kept until the deadline while all others are full.

Change: the 2 s count from the latest piece once the run has begun. Before its first piece the engine may read other prompts, and its own silence counts as before.

--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -163,17 +163,17 @@
 }
 
 // hasPlace reports whether there is a better place for a stream than an attempt that is
-// silent: a copy of its run, or an upstream that is likely to take it. After gaps.MaxSilence any
-// other upstream is one.
+// silent: a copy of its run, or an upstream that is likely to take it. After
+// gaps.MaxSilence of the run, or of its engine before the first piece, any other one is.
 func (c *Core) hasPlace(now time.Time, x *exchange, a *attempt) bool {
 	other := func(u *pool.Upstream) bool { return u == a.upstream || x.fence.excludes(u) }
-	heard := alarm.Later(a.sent, a.upstream.LastActivity())
-	switch {
-	case c.standbyUnusable(now, x, a) == "", c.orderedUsable(now, x, a):
-		return true
-	case now.Sub(heard) >= gaps.MaxSilence && c.pool.HasUpstream(now, x.need, other):
-		return true
-	case c.pool.HasRoom(now, x.need, func(u *pool.Upstream) bool { return other(u) || x.wrongVersion(u) }):
+	heard := x.lastDelivered
+	if !a.begun {
+		heard = alarm.Later(a.sent, a.upstream.LastActivity())
+	}
+	if c.standbyUnusable(now, x, a) == "" || c.orderedUsable(now, x, a) ||
+		now.Sub(heard) >= gaps.MaxSilence && c.pool.HasUpstream(now, x.need, other) ||
+		c.pool.HasRoom(now, x.need, func(u *pool.Upstream) bool { return other(u) || x.wrongVersion(u) }) {
 		return true
 	}
 	if !a.kept {
