proxy, pool: Bound the engines that waiting streams ask

When all engines crash at once, the streams of a VM would have asked for the state of each engine, over and over.

The answers count for all streams. The two functions that choose witnesses are in pool.

--- a/internal/pool/hear.go
+++ b/internal/pool/hear.go
@@ -158,6 +158,9 @@
 	}
 }
 
+// Anywhere returns true.
+func Anywhere(*Upstream) bool { return true }
+
 // placesChanged counts a change of the listed upstreams.
 func (p *Pool) placesChanged() {
 	if p.fleet != nil {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -111,8 +111,11 @@
 	if x.unheard(latest) && !latest.Gone() {
 		c.queryState(now, latest, "", "awaited")
 	}
-	for range placementCandidates {
-		c.queryWitness(now, latest, x.unheard)
+	// Many streams may wait for the same engines.
+	for len(c.stateQueries) < 2*placementCandidates {
+		if !c.queryWitness(now, latest, x.unheard) {
+			break
+		}
 	}
 	return true
 }
--- a/internal/proxy/witness.go
+++ b/internal/proxy/witness.go
@@ -20,7 +20,7 @@
 	}
 	c.witnessAskedAt = now
 	if !c.queryWitness(now, u, pool.Beside(now, u)) {
-		c.queryWitness(now, u, anywhere)
+		c.queryWitness(now, u, pool.Anywhere)
 	}
 }
 
@@ -54,9 +54,6 @@
 	})
 }
 
-// anywhere returns true.
-func anywhere(*pool.Upstream) bool { return true }
-
 // queryWitness queries the state of another engine of the service for which match
 // returns true, and reports whether there is one that is not being queried.
 func (c *Core) queryWitness(now time.Time, u *pool.Upstream, match func(*pool.Upstream) bool) bool {
@@ -86,7 +83,7 @@
 	case !c.paths.Region(u.Entry().Region()).Before(began):
 		return true
 	case c.paths.WasSilent(u.ID()) || c.pool.Witness(now, u, pool.Beside(now, u)) == nil:
-		return !c.paths.Latest().Before(began) || c.pool.Witness(now, u, anywhere) == nil
+		return !c.paths.Latest().Before(began) || c.pool.Witness(now, u, pool.Anywhere) == nil
 	default:
 		return false
 	}
