feed: Release held changes when the store has confirmed its own

A model with drawn histories found that a VM went back to the copy's entry of an upstream, such as ready after draining: the store was away again before the upstream had written, and five seconds after the restoration the VM released what it held by the clock alone.

--- a/internal/feed/restored.go
+++ b/internal/feed/restored.go
@@ -106,13 +106,13 @@
 	return true
 }
 
-// Release returns the changes that are in force from now on, since their writers have had
-// the time to write again after a restoration.
+// Release returns the changes that are in force from now on, since the store has confirmed
+// them after their writers have had the time to write again.
 func (l *Log) Release() []store.Event {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	now := l.now()
-	if now.Before(l.settledAt) {
+	if l.confirmed.Before(l.settledAt) {
 		return nil
 	}
 	var events []store.Event
