config, submit: Write an accepted revision again that the store lost

A store that was restored from a copy has an earlier head. A VM never goes back to it, but the next change was accepted under a number that had been given out, and no VM that knew the earlier change with that number put it in force: the change was confirmed and without effect.

A VM that watches the store and reads a head below the revision in force writes the missing parts and the head again, by compare-and-swap and after a random time of 1 to 3 s, so that usually one does. A VM that has a higher revision than the store accepts no change meanwhile.

Without the change, TestDuty found "accepted 9" twice after a restoration while all twelve VMs had revision 10, and the store never had it again.

--- a/internal/config/action.go
+++ b/internal/config/action.go
@@ -8,8 +8,8 @@
 // ActionKind is the kind of an Action.
 type ActionKind uint8
 
-// The kinds of action. Read, Watch, Ask and Fetch are operations; each must be
-// answered with one event.
+// The kinds of action. Read, Watch, Ask, Fetch and Repair are operations; each
+// must be answered with one event.
 const (
 	// Read reads the head from the store.
 	Read ActionKind = iota
@@ -19,6 +19,9 @@
 	Ask
 	// Fetch requests parts from a peer or, if Peer is "", from the store.
 	Fetch
+	// Repair writes the revision in force to the store again, which has an earlier
+	// one since it was restored from a copy.
+	Repair
 	// Publish announces a newly adopted revision.
 	Publish
 	// Reject reports a head that can't be decoded or a revision that can't be
@@ -28,7 +31,7 @@
 	Wake
 )
 
-var kindNames = [...]string{"read", "watch", "ask", "fetch", "publish", "reject", "wake"}
+var kindNames = [...]string{"read", "watch", "ask", "fetch", "repair", "publish", "reject", "wake"}
 
 // String returns the kind's lower-case name.
 func (k ActionKind) String() string { return kindNames[k] }
@@ -65,7 +68,7 @@
 // At returns the time of a Wake.
 func (a Action) At() time.Time { return a.at }
 
-// Snapshot returns the revision of a Publish.
+// Snapshot returns the revision of a Publish or a Repair.
 func (a Action) Snapshot() *Snapshot { return a.snapshot }
 
 // Err returns the reason of a Reject.
@@ -82,6 +85,8 @@
 		return fmt.Sprintf("fetch(%d parts %s)", len(a.keys), a.peer)
 	case Publish:
 		return fmt.Sprintf("publish(%d)", a.snapshot.Revision())
+	case Repair:
+		return fmt.Sprintf("repair(%d)", a.snapshot.Revision())
 	case Reject:
 		return fmt.Sprintf("reject(%v)", a.err)
 	case Wake:
--- a/internal/config/core.go
+++ b/internal/config/core.go
@@ -80,7 +80,11 @@
 	read        operation
 	watch       operation
 	fetch       operation
-	lastOp      uint64
+	repair      operation
+	// repairAt is the time from which a read that finds an earlier head in the store
+	// leads to a Repair, or zero if the latest read has not found one.
+	repairAt time.Time
+	lastOp   uint64
 	// lastWake is the time requested by the last Wake, zero after a Tick.
 	lastWake time.Time
 	actions  []Action
@@ -134,6 +138,8 @@
 		}
 	case evPartsRead, evPartsFailed:
 		c.handleFetch(now, e)
+	case evRepaired:
+		c.repair.complete(e.op)
 	}
 	c.advanceStartup(now)
 	c.adoptNewest(now)
@@ -192,6 +198,7 @@
 	c.cursor = max(c.cursor, e.revision)
 	c.cursorValid = true
 	c.observeHeads(e.heads, "")
+	c.considerRepair(now, e.heads)
 	c.starting = false
 }
 
--- a/internal/config/core_test.go
+++ b/internal/config/core_test.go
@@ -125,6 +125,7 @@
 		"asked":     config.PeerAnswered(s.pending[peer], peer, head(s.heads(spec))),
 		"parts":     config.PartsRead(s.pending["fetch"], parts),
 		"partsfail": config.PartsFailed(s.pending["fetch"]),
+		"repaired":  config.Repaired(s.pending["repair"]),
 	}
 	e, ok := events[name]
 	if !ok {
--- a/internal/config/duty.go
+++ b/internal/config/duty.go
@@ -176,6 +176,8 @@
 		return d.watchHead(ctx, a)
 	case Ask:
 		return d.askPeer(ctx, a, peer)
+	case Repair:
+		return d.repair(ctx, a)
 	default:
 		return d.fetchParts(ctx, a, peer)
 	}
--- a/internal/config/duty_test.go
+++ b/internal/config/duty_test.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	return submit.NewSubmitter(submit.NewClientStore(f.client)).Apply(context.Background(), now, submit.NewRequest(change, "ana", base, parts))
+	return submit.NewSubmitter(submit.NewClientStore(f.client)).WithKnown(func() uint64 { return f.duties[0].Load().Snapshot().Revision() }).Apply(context.Background(), now, submit.NewRequest(change, "ana", base, parts))
 }
 
 // await waits up to ten seconds for all VMs to adopt a revision. It returns
@@ -101,8 +101,35 @@
 	return strings.Join(late, ", ")
 }
 
+// awaitHead waits up to ten seconds for the store to have a revision and its parts. It
+// returns "stored" or what the store has.
+func (f *fleet) awaitHead(revision uint64) string {
+	result := ""
+	for range 400 {
+		e, err := f.client.Get(f.t.Context(), config.HeadKey)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		h, err := config.DecodeHead(e.Value())
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		if result = fmt.Sprintf("store has %d", h.Revision()); h.Revision() == revision {
+			for _, p := range h.Parts() {
+				if e, err := f.client.Get(f.t.Context(), p.Key()); err != nil || config.Digest(e.Value()) != p.Digest() {
+					return fmt.Sprintf("part %s, error %v", p.Key(), err)
+				}
+			}
+			return "stored"
+		}
+		time.Sleep(25 * time.Millisecond)
+	}
+	return result
+}
+
 // TestDuty guards against a VM that misses or lowers a revision when the store
-// fails, its watches lose events, or the VM restarts.
+// fails, its watches lose events, or the VM restarts, and against an accepted revision
+// that is lost or whose number is given to another one when the store was restored.
 func TestDuty(t *testing.T) {
 	server := simkv.New()
 	base, stop, err := server.Start()
@@ -154,6 +181,12 @@
 			case "stored":
 				entries, _, err := f.client.List(context.Background(), "config/parts/")
 				result = fmt.Sprintf("%d parts, error %v", len(entries), err)
+			case "head":
+				result = f.awaitHead(n)
+			case "pause":
+				time.Sleep(time.Duration(n) * time.Millisecond)
+			case "restore":
+				server.Inject(simkv.Restore(time.Duration(n) * time.Millisecond))
 			case "fault":
 				server.Inject(faults[arg])
 			case "restart":
--- a/internal/config/event.go
+++ b/internal/config/event.go
@@ -16,6 +16,7 @@
 	evPeerAnswered
 	evPartsRead
 	evPartsFailed
+	evRepaired
 )
 
 // Event is one input of the core. An event that answers an action carries the
@@ -127,6 +128,14 @@
 	}
 }
 
+// Repaired answers Repair, whatever came of it; the next read of the head tells.
+func Repaired(op uint64) Event {
+	return Event{
+		kind: evRepaired,
+		op:   op,
+	}
+}
+
 // PartsFailed answers Fetch after a failure.
 func PartsFailed(op uint64) Event {
 	return Event{
--- a/internal/edge/restore.go
+++ b/internal/edge/restore.go
@@ -46,7 +46,7 @@
 		return false
 	}
 	m.unsettle(t)
-	m.log.Info().Str("service", o.Service()).Str("target", o.Target()).Uint64("revision", revision).Bool("ended", t.ended).Msg("move: The order stands at another revision.")
+	m.log.Info().Str("service", o.Service()).Str("target", o.Target()).Str("revision", store.Text(revision)).Bool("ended", t.ended).Msg("move: The order stands at another revision.")
 	return true
 }
 
--- a/internal/enrol/duty.go
+++ b/internal/enrol/duty.go
@@ -102,7 +102,7 @@
 		if again {
 			d.rewritten()
 		}
-		d.log.Info().Bool("again", again).Str("lease", own.Lease()).Uint64("revision", own.Revision()).Msg("enrol: The store was restored.")
+		d.log.Info().Bool("again", again).Str("lease", own.Lease()).Str("revision", store.Text(own.Revision())).Msg("enrol: The store was restored.")
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -289,7 +289,7 @@
 	if n.settings.dial != nil {
 		submissions.WithDial(n.settings.dial)
 	}
-	h := submit.NewHandler(submit.NewSubmitter(submit.NewClientStore(submissions)), submit.Sources{
+	h := submit.NewHandler(submit.NewSubmitter(submit.NewClientStore(submissions)).WithKnown(n.Revision), submit.Sources{
 		Now:   time.Now,
 		Head:  n.head,
 		Parts: func() map[string][]byte { return n.configDuty.Snapshot().PartsByName() },
--- a/internal/submit/apply.go
+++ b/internal/submit/apply.go
@@ -48,22 +48,38 @@
 // safe for concurrent use.
 type Submitter struct {
 	store Store
+	// known returns the revision in force on this VM.
+	known func() uint64
 }
 
 // NewSubmitter returns a submitter that uses the operations of store.
 func NewSubmitter(store Store) *Submitter {
 	return &Submitter{
 		store: store,
+		known: func() uint64 { return 0 },
 	}
 }
 
+// WithKnown sets the function that returns the revision in force on this VM. While the
+// store has an earlier one, since it was restored from a copy, no change is applied: it
+// would get the number of a change that was accepted before. Call it before any other
+// method.
+func (s *Submitter) WithKnown(known func() uint64) *Submitter {
+	s.known = known
+	return s
+}
+
 // Apply applies a change, or returns its earlier result if a change with the
 // same id was applied before. now is recorded as the time of the change.
 func (s *Submitter) Apply(ctx context.Context, now time.Time, r *Request) *Result {
+	known := s.known()
 	head, storeRevision, err := s.readHead(ctx)
 	if err != nil {
 		return newResult(Unavailable, &Head{}, r, err.Error())
 	}
+	if head.Revision() < known {
+		return newResult(Unavailable, head, r, fmt.Sprintf("the store has revision %d, and revision %d is being written to it again", head.Revision(), known))
+	}
 	if result := Precheck(head, r); result != nil {
 		return s.completeConflict(ctx, head, r, result)
 	}
