claim: Write claims again that a restored store lacks

A store that was restored from a copy lacks the claims and outcomes of the last seconds. A key whose claim was lost was free again, and a repeated booking ran a second time.

A VM keeps the latest table that it has read or written of each slot. A slot never loses a record of the last minutes otherwise, so records that a later read lacks, or has in an earlier state, are written again with the next write of the slot, before anything is decided about its keys. The soft owner of a slot has all of them.

--- a/internal/call/server.go
+++ b/internal/call/server.go
@@ -57,7 +57,12 @@
 	askPeer func(peer string, op claim.Operation, done func(v claim.Verdict, r *claim.Record)) bool
 	book    func(ctx context.Context, address string, call *plain.Call) plain.Result
 	lookup  func(ctx context.Context, address string, call *plain.Call) plain.Result
-	now     func() time.Time
+	// rewritten is called with the number of records that slots had lost and that are
+	// written again.
+	rewritten func(records int)
+	// reportedRewrites counts the records that rewritten was called with.
+	reportedRewrites int
+	now              func() time.Time
 }
 
 type attemptKey struct {
@@ -135,6 +140,7 @@
 		askPeer:     func(string, claim.Operation, func(claim.Verdict, *claim.Record)) bool { return false },
 		book:        client.Book,
 		lookup:      client.Lookup,
+		rewritten:   func(int) {},
 		now:         time.Now,
 	}
 }
@@ -158,6 +164,13 @@
 	return s
 }
 
+// WithRewritten makes the server call rewritten with the number of records that the store
+// had lost and that are written again. It must be called before Run.
+func (s *Server) WithRewritten(rewritten func(records int)) *Server {
+	s.rewritten = rewritten
+	return s
+}
+
 // UnstoredOutcomes returns the number of outcomes that are not in the store
 // yet. If a VM shuts down before it is zero, repeats of those calls get the
 // outcome unknown.
@@ -210,6 +223,10 @@
 			s.handle(m)
 		}
 		s.unstoredOutcomes.Store(int64(s.claims.UnstoredOutcomes()))
+		if n := s.claims.Rewritten(); n > s.reportedRewrites {
+			s.rewritten(n - s.reportedRewrites)
+			s.reportedRewrites = n
+		}
 		s.notifyDrained()
 	}
 }
--- a/internal/claim/core.go
+++ b/internal/claim/core.go
@@ -66,6 +66,8 @@
 	limiter   writeLimiter
 	// storeDown is true from a failed store operation until one succeeds.
 	storeDown bool
+	// rewritten counts the records that slots had lost.
+	rewritten int
 	// probe is the slot that is read at probeAt while the store is down.
 	probe         *slot
 	probeAt       time.Time
@@ -181,6 +183,10 @@
 	return n
 }
 
+// Rewritten returns the number of records that slots had lost since the start, because the
+// store was restored from a copy, and that were written again.
+func (c *Core) Rewritten() int { return c.rewritten }
+
 // StoreDown reports whether the last store operation failed.
 func (c *Core) StoreDown() bool { return c.storeDown }
 
--- a/internal/claim/script_test.go
+++ b/internal/claim/script_test.go
@@ -46,6 +46,11 @@
 			scan(t, l, "down", &from)
 			scan(t, l, "up", &to)
 			m.after(from, func() { m.storeDownUntil = m.start.Add(to) })
+		case "restore":
+			var at, back time.Duration
+			scan(t, l, "at", &at)
+			scan(t, l, "back", &back)
+			m.after(at, func() { m.restore(back) })
 		case "call":
 			m.scriptCall(t, l)
 		default:
--- a/internal/claim/sim_test.go
+++ b/internal/claim/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"time"
@@ -82,6 +83,12 @@
 	value    []byte
 }
 
+// storedState is the state of the store at a time.
+type storedState struct {
+	at    time.Time
+	slots map[int]storedSlot
+}
+
 // sim is a deterministic simulation of VMs, their network, the store and an
 // upstream that counts its runs.
 type sim struct {
@@ -98,7 +105,9 @@
 	// wholeLimit replaces the cores' limit for whole records when it is positive.
 	wholeLimit  int
 	storedSlots map[int]storedSlot
-	revision    uint64
+	// history holds the slots after each write.
+	history  []storedState
+	revision uint64
 	// The store fails until storeDownUntil. Until then it refuses requests, or
 	// doesn't reply when storeSilent is true.
 	storeDownUntil time.Time
@@ -359,6 +368,25 @@
 	return false
 }
 
+// restore returns the store to its state of some time ago. Revisions are positions, which
+// only increase.
+func (m *sim) restore(back time.Duration) {
+	slots := make(map[int]storedSlot)
+	for _, s := range m.history {
+		if !s.at.After(m.now.Add(-back)) {
+			slots = s.slots
+		}
+	}
+	m.storedSlots = make(map[int]storedSlot)
+	for n, s := range slots {
+		m.revision++
+		m.storedSlots[n] = storedSlot{
+			revision: m.revision,
+			value:    s.value,
+		}
+	}
+}
+
 // apply makes the write take effect if the revision matches.
 func (m *sim) apply(a Action) (Result, uint64) {
 	if m.storedSlots[a.Slot()].revision != a.Revision() {
@@ -372,6 +400,10 @@
 		revision: m.revision,
 		value:    a.Value(),
 	}
+	m.history = append(m.history, storedState{
+		at:    m.now,
+		slots: maps.Clone(m.storedSlots),
+	})
 	return OK, m.revision
 }
 
--- a/internal/claim/slot.go
+++ b/internal/claim/slot.go
@@ -37,6 +37,13 @@
 	// whose result is unknown.
 	table    *table
 	revision uint64
+	// known is the latest table that this VM has read or written. lost holds its records
+	// that the slot lacks, because the store was restored from a copy; they are written
+	// again before anything else is decided. repair is true if there are any, or packed
+	// ones, which table has already.
+	known  *table
+	lost   []*Record
+	repair bool
 	// readAt is the time at which the store operation that gave the cached table
 	// started.
 	readAt time.Time
@@ -88,6 +95,9 @@
 		changed:    map[Digest]*Record{},
 		wholeLimit: wholeLimit,
 	}
+	for _, r := range s.lost {
+		d.put(r)
+	}
 	// Outcomes are applied before claims, so that a claim sees every outcome that
 	// is queued with it.
 	slices.SortStableFunc(s.queue, func(a, b *pendingOp) int {
--- a/internal/claim/table_test.go
+++ b/internal/claim/table_test.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"bytes"
 	"encoding/binary"
 	"testing"
 	"time"
@@ -120,3 +121,26 @@
 		unpack(packed, k, now)
 	}
 }
+
+// TestMissingPacked guards against a packed key that runs a second time, since a restored
+// store lacks the latest packed records.
+func TestMissingPacked(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	var packed []byte
+	for i := range 5 {
+		r := NewClaim(testKey(i), Body("POST", "/", nil), NewID(1, uint64(i+1)), now).newRecord(now)
+		packed = appendPacked(packed, r)
+	}
+	known := newTable(nil)
+	known.packed = packed
+	for n := range 6 {
+		stored := newTable(nil)
+		stored.packed = packed[:n*packedSize]
+		if lost := stored.missingPacked(known, now); !bytes.Equal(lost, packed[n*packedSize:]) {
+			t.Errorf("of 5 records the store has %d: %d are lost", n, len(lost)/packedSize)
+		}
+	}
+	if lost := newTable(nil).missingPacked(known, now.Add(2*Retention)); len(lost) != 0 {
+		t.Errorf("%d expired records are lost", len(lost)/packedSize)
+	}
+}
--- a/internal/claim/write.go
+++ b/internal/claim/write.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"bytes"
 	"time"
 
 	"clementinelink.example/clementinelink/internal/alarm"
@@ -98,7 +99,7 @@
 		return true
 	}
 	s.queue = nil
-	if len(toWrite) > 0 {
+	if len(toWrite) > 0 || s.repair {
 		c.startWrite(now, s, toWrite, d)
 	}
 	for _, o := range done {
@@ -160,11 +161,26 @@
 		return
 	}
 	c.storeSucceeded(s)
-	s.table = t
+	c.takeTable(now, s, t)
 	s.revision = e.revision
 	s.readAt = s.startedAt
 }
 
+// takeTable takes a table that was read. What the slot has lost is written again.
+func (c *Core) takeTable(now time.Time, s *slot, t *table) {
+	s.lost = t.missing(s.known, now)
+	packed := t.missingPacked(s.known, now)
+	s.repair = len(s.lost) > 0 || len(packed) > 0
+	if s.repair {
+		t.packed = append(bytes.Clone(t.packed), packed...)
+		t.size += len(packed)
+		c.rewritten += len(s.lost) + len(packed)/packedSize
+	} else {
+		s.known = t
+	}
+	s.table = t
+}
+
 func (c *Core) writeDone(now time.Time, e Event) {
 	s := c.slots[e.slot]
 	s.inFlight = false
@@ -174,7 +190,8 @@
 	switch e.result {
 	case OK:
 		c.storeSucceeded(s)
-		s.table = s.nextTable
+		s.table, s.known = s.nextTable, s.nextTable
+		s.lost, s.repair = nil, false
 		s.revision = e.revision
 		s.readAt = s.startedAt
 		for _, o := range batch {
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -80,7 +80,10 @@
 	retries := budget.NewRetry(budget.DefaultRatio, budget.DefaultFloor, budget.DefaultBurst)
 	c.server = call.NewServer(claims, call.New(c.directory.upstreams, retries), c.client).
 		WithStore(c.slots.read, c.slots.write).
-		WithPeers(c.requestClaim)
+		WithPeers(c.requestClaim).
+		WithRewritten(func(records int) {
+			c.log.Warn().Int("records", records).Msg("claim: Records that the store had lost are written again.")
+		})
 	return c
 }
 
