mover: A move's record never goes back

After a restoration of the store a VM took the record of the copy for a newer one, since its revision is of a later era: the stage went back, and a move that was done was running again. If the copy had no record at all, the VM ignored that and then wrote with the revision of the earlier era, which is a conflict each time.

A record that the move had earlier, or none in a read that began after the last change, marks the record as lost. It holds, and the holder of the lease writes it again.

Without the change, TestScripts/restored found no write after the first restoration.

--- a/internal/mover/move_tracker.go
+++ b/internal/mover/move_tracker.go
@@ -54,6 +54,10 @@
 	record  move.Record
 	// revision is the store revision of record, or 0.
 	revision uint64
+	// lost is true if the store has an earlier record, since it was restored from a
+	// copy. changedAt is when revision was last set.
+	lost      bool
+	changedAt time.Time
 	// recordKnown is true once the record was read or a peer reported the
 	// result. Until then this VM sends no traffic to the new version, because
 	// it may have been rolled back.
@@ -128,6 +132,9 @@
 	if ok {
 		t.stepPlanner(ctx, now, fence)
 	}
+	if ok && t.lost {
+		t.write(ctx, t.record, t.revision, time.Time{})
+	}
 }
 
 // updateContention starts or ends the contention for the lease.
@@ -209,6 +216,10 @@
 				return
 			}
 			t.lastRead = now
+			if e.Revision() == 0 && t.revision > 0 && now.After(t.changedAt) {
+				t.lose(later, r, 0)
+				return
+			}
 			t.applyRecord(ctx, later, r, e.Revision())
 		})
 	})
@@ -220,18 +231,30 @@
 	if t.duty.trackers[t.service.Name()] != t || revision < t.revision {
 		return
 	}
+	if t.recordKnown && revision > t.revision && r.Before(t.record) {
+		t.lose(now, r, revision)
+		return
+	}
 	if !t.recordKnown || revision > t.revision {
 		if revision > 0 {
 			t.duty.logDecision("record", t).Str("state", r.State().String()).Int("stage", r.Stage()).
 				Str("reason", r.Reason()).Uint64("fence", r.Fence()).Msg("move: The record changed.")
 		}
 		t.recordKnown = true
-		t.record, t.revision = r, revision
+		t.record, t.revision, t.changedAt, t.lost = r, revision, now, false
 		t.step(ctx, now)
 		t.duty.publish(now)
 	}
 }
 
+// lose notes that the store has an earlier record at a revision, or none, since it was
+// restored from a copy. The record holds, and the holder of the lease writes it again.
+func (t *moveTracker) lose(now time.Time, r move.Record, revision uint64) {
+	t.duty.log.Warn().Str("service", t.service.Name()).Str("state", t.record.State().String()).Int("stage", t.record.Stage()).
+		Str("stored", r.State().String()).Int("stored_stage", r.Stage()).Msg("move: The store lacks the record, which holds.")
+	t.revision, t.changedAt, t.lost = revision, now, true
+}
+
 // perform carries out an action of the controller.
 func (t *moveTracker) perform(ctx context.Context, now time.Time, a move.Action) {
 	switch a.Kind() {
@@ -261,11 +284,16 @@
 
 func (t *moveTracker) banned() bool { return t.failure != "" || t.record.State() == move.RolledBack }
 
-// writeRecord writes the record in another goroutine. If the result is unknown or
-// another VM changed the record, it is read again; the controller repeats the
-// write if it is still due.
+// writeRecord writes the record that the controller wants to store.
 func (t *moveTracker) writeRecord(ctx context.Context, a move.Action) {
-	value, err := a.Record().Encode()
+	t.write(ctx, a.Record(), a.Revision(), a.Before())
+}
+
+// write writes a record in another goroutine if the store has it at a revision, no later
+// than before unless that is zero. If the result is unknown or another VM changed the
+// record, it is read again; the controller repeats the write if it is still due.
+func (t *moveTracker) write(ctx context.Context, r move.Record, expect uint64, before time.Time) {
+	value, err := r.Encode()
 	if err != nil {
 		t.duty.log.Error().Err(err).Msg("move: The record can't be encoded.")
 		return
@@ -274,14 +302,13 @@
 	if _, ok := t.mayAct(d.now()); !ok {
 		return
 	}
-	r := a.Record()
 	d.logDecision("write", t).Str("state", r.State().String()).Int("stage", r.Stage()).
-		Str("reason", r.Reason()).Uint64("revision", a.Revision()).Msg("move: Writing the record.")
+		Str("reason", r.Reason()).Uint64("revision", expect).Msg("move: Writing the record.")
 	d.runAsync(func() {
-		if !a.Before().IsZero() && !d.now().Before(a.Before()) {
+		if !before.IsZero() && !d.now().Before(before) {
 			return
 		}
-		revision, err := d.write(ctx, t.key, value, a.Revision())
+		revision, err := d.write(ctx, t.key, value, expect)
 		d.completions.Put(ctx, func(ctx context.Context, now time.Time) {
 			if err == nil {
 				t.applyRecord(ctx, now, r, revision)
--- a/internal/mover/script_test.go
+++ b/internal/mover/script_test.go
@@ -32,6 +32,7 @@
 //	                                   version fails PERCENT; down stops the store, cut
 //	                                   disconnects the peers, and lose drops the answer to
 //	                                   the next write of a record
+//	restore back=D                     restores the store from a copy of that age
 //	kill vm=N, restart vm=N            stops an entry VM, or starts a new incarnation
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
@@ -48,6 +49,8 @@
 				s.vms[vm].duty = nil
 			case "restart":
 				s.start(vm)
+			case "restore":
+				s.store.Inject(simkv.Restore(span(t, d, "back")))
 			}
 			return ""
 		})
