feed: Drawn histories of a store that is restored

A model with drawn histories plays one to nine VMs against a store that comes back from copies of before, up to 10 s old, while writers write and upstreams begin and end, VMs restart, freeze and lose the store or each other, and the store is away for other reasons. Positions and values never go back in a VM, the configuration and upstreams that run stay, a version that is written while nothing fails is in force everywhere within 4 s, also just after a return, and in the end each VM has what the store has.

--- a/internal/feed/model_test.go
+++ b/internal/feed/model_test.go
@@ -107,14 +107,71 @@
 	e := store.NewEntry(key, value, s.position(), "")
 	s.entries[key] = e
 	s.events = append(s.events, store.NewEvent(e, false))
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 	return s.position()
 }
 
 // position returns the position of the latest change. The caller must hold the mutex.
 func (s *modelStore) position() uint64 { return store.Position(s.era, s.revision) }
 
+// wake wakes all watches. The caller must hold the mutex.
+func (s *modelStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// remove deletes a key, if it exists.
+func (s *modelStore) remove(key string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if _, ok := s.entries[key]; !ok {
+		return
+	}
+	s.revision++
+	delete(s.entries, key)
+	s.events = append(s.events, store.NewEvent(store.NewEntry(key, nil, s.position(), ""), true))
+	s.wake()
+}
+
+// values returns the value of each key.
+func (s *modelStore) values() map[string]string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	values := make(map[string]string, len(s.entries))
+	for key, e := range s.entries {
+		values[key] = string(e.Value())
+	}
+	return values
+}
+
+// length returns the number of changes since the store's start.
+func (s *modelStore) length() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.revision
+}
+
+// restoreTo lets the store come back from a copy that has the first changes of its history,
+// whose number is given. The history must be whole.
+func (s *modelStore) restoreTo(number uint64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	history := s.events[:number]
+	s.era, s.revision = s.era+1, number
+	s.entries, s.events = make(map[string]store.Entry), nil
+	for _, e := range history {
+		key, at := e.Entry().Key(), store.Position(s.era, store.Number(e.Entry().Revision()))
+		e = store.NewEvent(store.NewEntry(key, e.Entry().Value(), at, ""), e.Deleted())
+		s.events = append(s.events, e)
+		if e.Deleted() {
+			delete(s.entries, key)
+		} else {
+			s.entries[key] = e.Entry()
+		}
+	}
+	s.wake()
+}
+
 // restore lets the store come back from a copy that has all keys.
 func (s *modelStore) restore() {
 	s.mutex.Lock()
@@ -124,8 +181,7 @@
 		s.entries[key] = store.NewEntry(key, e.Value(), store.Position(s.era, store.Number(e.Revision())), "")
 	}
 	s.events, s.compacted = nil, s.position()
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 }
 
 // forget discards the history.
@@ -133,8 +189,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.events, s.compacted = nil, s.position()
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wake()
 }
 
 func (s *modelStore) list(context.Context, string) ([]store.Entry, uint64, error) {
@@ -161,7 +216,7 @@
 	for last := false; ; {
 		s.mutex.Lock()
 		events, revision, changed := s.since(after), s.position(), s.changed
-		compacted, down := after < s.compacted, s.down
+		compacted, down := after < s.compacted || after > revision || store.Era(after) != s.era, s.down
 		s.mutex.Unlock()
 		switch {
 		case down:
@@ -217,6 +272,10 @@
 	revisions map[string]uint64
 	// era is the era of the store's latest answer to the VM.
 	era atomic.Uint64
+	// cut is true while the store does not answer the VM, and alone while the VM reaches
+	// no other one.
+	cut   atomic.Bool
+	alone atomic.Bool
 	// wentBack is true if a key got an older value than before.
 	wentBack bool
 	listedAt time.Time
@@ -239,8 +298,11 @@
 type fleet struct {
 	mutex sync.Mutex
 	store *modelStore
-	vms   map[string]*modelVM
-	order []*modelVM
+	rules feed.Rules
+	// applied is called with the changes of each VM, or nil.
+	applied func(v *modelVM, c follow.Change)
+	vms     map[string]*modelVM
+	order   []*modelVM
 	// between holds the link from the store's region to each other one.
 	between map[string]*link
 	running sync.WaitGroup
@@ -249,6 +311,7 @@
 func newFleet(p plan) *fleet {
 	f := &fleet{
 		store:   newModelStore(p.upstreams),
+		rules:   modelRules,
 		vms:     make(map[string]*modelVM),
 		between: make(map[string]*link),
 	}
@@ -291,20 +354,27 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
-	v.cancel, v.log = cancel, feed.NewLog().WithRules(modelRules)
+	v.cancel, v.log = cancel, feed.NewLog().WithRules(f.rules)
 	v.frozen, v.listedAt = false, time.Time{}
 	v.up.free = time.Time{}
 	v.started = false
 	v.revisions = make(map[string]uint64)
+	v.era.Store(0)
 	log := v.log
 	r := feed.NewTestReader(v.name, log, batchDelay, feed.Sources{
 		List: func(ctx context.Context, prefix string) ([]store.Entry, uint64, error) {
+			if v.cut.Load() {
+				return nil, 0, store.ErrUnavailable
+			}
 			entries, revision, err := f.store.list(ctx, prefix)
 			v.hear(f.store)
 			f.fromStore(v, len(entries), size(entries))
 			return entries, revision, err
 		},
 		Watch: func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error) {
+			if v.cut.Load() {
+				return nil, 0, store.ErrUnavailable
+			}
 			events, revision, err := f.store.watch(ctx, prefix, after, wait)
 			v.hear(f.store)
 			var entries []store.Entry
@@ -387,6 +457,9 @@
 	if v.listedAt.IsZero() {
 		v.listedAt = time.Now()
 	}
+	if f.applied != nil {
+		f.applied(v, c)
+	}
 }
 
 // size returns the number of bytes of the entries' values.
@@ -419,7 +492,7 @@
 	log, dark, frozen, started := peer.log, peer.dark, peer.frozen, peer.started
 	f.mutex.Unlock()
 	switch {
-	case dark:
+	case dark || v.alone.Load():
 		time.Sleep(darkDelay)
 		return feed.Changes{}, errors.New("no connection")
 	case log == nil || !started:
