feed, mirror: Move the log to a package of its own

No decision changes.

mirror exports what the client and the server used of the log's fields (Large, Value, Packer) and a seam for the present time (WithClock). The measures of a transfer leave Changes for feed.Answer, which holds it. The errors' texts keep their prefix, since other VMs and logs show them.

The tests of the log alone move with their data files, which are unchanged.

--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -14,6 +14,7 @@
 	"clementinelink.example/clementinelink/internal/feed"
 	"clementinelink.example/clementinelink/internal/ledger"
 	"clementinelink.example/clementinelink/internal/meter"
+	"clementinelink.example/clementinelink/internal/mirror"
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/origin"
 	"clementinelink.example/clementinelink/internal/pool"
@@ -98,13 +99,12 @@
 	// keys. MoveStatus encodes the state of a move for operators.
 	MoveOrder  func(key string, value []byte) (*origin.Order, error)
 	MoveStatus func(service, target string, s origin.State) (key string, value []byte, err error)
-	// ID returns the id of the upstream of a registry key, or "" for other
-	// keys.
+	// ID returns the id of the upstream of a registry key, or "" for others.
 	ID func(key string) string
 	// Entry decodes the entry under a registry key.
 	Entry func(key string, value []byte) (pool.Entry, error)
 	// Restored decides what stays in force after a restoration of the store.
-	Restored feed.Rules
+	Restored mirror.Rules
 }
 
 // VM is an entry VM. Its exported methods may be called concurrently once Start
@@ -131,8 +131,8 @@
 	charges atomic.Int64
 	stop    context.CancelFunc
 	// peers holds the enrolled VMs. Only the watcher's goroutine uses it.
-	peers *roster.Roster
-	feed  *feed.Log
+	peers  *roster.Roster
+	mirror *mirror.Log
 	// account bounds what is held on behalf of callers and upstreams.
 	account *ledger.Account
 	// controlShare is the part of the VM's link that changes of the store may use on
@@ -157,7 +157,7 @@
 		log:        log,
 		metrics:    m,
 		peers:      roster.New(),
-		feed:       feed.NewLog().WithRules(sources.Restored),
+		mirror:     mirror.NewLog().WithRules(sources.Restored),
 		account:    ledger.New(s.Held, int64(begunShare*float64(s.Held))),
 		dispatcher: newDispatcher(core, u, j),
 		progress:   newProgress(s.EffectTime, m, log),
@@ -182,7 +182,7 @@
 	self := tree.NewVM(s.Name, s.Feed, s.LinkMbps).In(s.Domain, s.Region)
 	v.enrol = enrol.New(self, sources.EnrolledPrefix, s.FirstStart, c, v.watcher.join, v.watcher.isJoined.Load, func() { v.rewritten("enrolment") }, log)
 	v.watcher.alone = s.Feed == ""
-	v.watcher.reader = feed.NewReader(s.Name, c, v.feed, s.BatchDelay, log).WithObserver(func(source, result string) {
+	v.watcher.reader = feed.NewReader(s.Name, c, v.mirror, s.BatchDelay, log).WithObserver(func(source, result string) {
 		m.Counter("feed_reads_total", "Reads of changes by the kind of source.", "source", source, "result", result).Inc()
 	}).WithReceived(func(source string, bytes int) {
 		m.Counter("feed_received_bytes_total", "Bytes of values in changes by the kind of source, as they were sent.", "source", source).Add(bytes)
@@ -281,7 +281,7 @@
 	})
 	v.metrics.Watch("entries_kept", "Entries that are missing from the store but kept after an outage.", func() float64 { return float64(v.watcher.kept()) })
 	v.metrics.Watch("store_era", "Number of times that the store was restored from a copy, as it states.", func() float64 { return float64(v.store.Era()) })
-	v.metrics.Watch("entries_held", "Entries that stay in force although the restored store has others.", func() float64 { return float64(v.feed.Held()) })
+	v.metrics.Watch("entries_held", "Entries that stay in force although the restored store has others.", func() float64 { return float64(v.mirror.Held()) })
 	v.metrics.Watch("store_age_seconds", "Time since the store, or a VM that it answered lately, confirmed the table and the upstreams.", func() float64 { return v.watcher.age().Seconds() })
 }
 
@@ -323,7 +323,7 @@
 		return errors.Wrap(err, "edge: feed")
 	}
 	handlers := http.NewServeMux()
-	handlers.Handle(wire.FeedPathPrefix, feed.NewServer(v.feed).WithPace(v.settings.LinkMbps, v.controlShare).Handler())
+	handlers.Handle(wire.FeedPathPrefix, feed.NewServer(v.mirror).WithPace(v.settings.LinkMbps, v.controlShare).Handler())
 	handlers.Handle(wire.BlamePathPrefix, accord.NewServer(v.accord).Handler())
 	server := &http.Server{
 		Handler:           handlers,
--- a/internal/feed/diff_test.go
+++ b/internal/feed/diff_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/mirror"
 	"clementinelink.example/clementinelink/internal/store"
 	"clementinelink.example/clementinelink/internal/wire"
 	"github.com/cockroachdb/datadriven"
@@ -19,7 +20,7 @@
 // it was made from, and against one that is made again by each VM on the way, which
 // stands still for that (LOST).
 func TestDiff(t *testing.T) {
-	served, own := NewLog(), NewLog()
+	served, own := mirror.NewLog(), mirror.NewLog()
 	s := httptest.NewServer(NewServer(served).Handler())
 	defer s.Close()
 	client := NewClient(own)
@@ -47,22 +48,23 @@
 			own.Append(c.Events(), c.Revision(), 0)
 		case "spoil":
 			// The VM's copy differs from the value that the store has at its revision.
-			e := own.large()[0]
+			e := own.Large()[0]
 			e.Value()[5000] ^= 1
 		case "ask":
-			c, err := client.Changes(t.Context(), s.Listener.Addr().String(), own.Revision(), time.Second)
+			a, err := client.Changes(t.Context(), s.Listener.Addr().String(), own.Revision(), time.Second)
 			if err != nil {
 				t.Fatal(err)
 			}
+			c := a.Changes()
 			own.Append(c.Events(), c.Revision(), 0)
 			for _, e := range c.Events() {
 				fmt.Fprintf(&out, "%s at revision %d: right %t, at most 1 KB %t, asked again %t\n", e.Entry().Key(), e.Entry().Revision(),
-					bytes.Equal(e.Entry().Value(), value), c.wireBytes <= 1<<10, c.mismatch != nil)
+					bytes.Equal(e.Entry().Value(), value), a.wireBytes <= 1<<10, a.mismatch != nil)
 			}
 		case "relay":
 			// Without the earlier value, a difference can only be the one that arrived.
-			e := own.large()[0]
-			d := own.packer.Diff(e, nil, uint64(number(t, d, "base")))
+			e := own.Large()[0]
+			d := own.Packer().Diff(e, nil, uint64(number(t, d, "base")))
 			fmt.Fprintf(&out, "revision %d: passed on as it came %t\n", e.Revision(), d != nil)
 		case "forged":
 			// An answer names a value that the VM does not have.
--- a/internal/feed/endless_test.go
+++ b/internal/feed/endless_test.go
@@ -7,6 +7,7 @@
 
 	"clementinelink.example/clementinelink/internal/bound"
 	"clementinelink.example/clementinelink/internal/flood"
+	"clementinelink.example/clementinelink/internal/mirror"
 )
 
 // allowed is the largest number of bytes that a client may read for one answer: a
@@ -21,7 +22,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		c := NewClient(NewLog())
+		c := NewClient(mirror.NewLog())
 		m := flood.NewMeter(c.dial)
 		c.dial = m.Dial
 		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
--- a/internal/feed/export_test.go
+++ b/internal/feed/export_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/mirror"
 	"clementinelink.example/clementinelink/internal/store"
 	"github.com/rs/zerolog"
 )
@@ -12,14 +13,14 @@
 type Sources struct {
 	List     func(ctx context.Context, prefix string) ([]store.Entry, uint64, error)
 	Watch    func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error)
-	AskPeer  func(ctx context.Context, address string, after uint64, wait time.Duration) (Changes, error)
-	ListPeer func(ctx context.Context, address string, after uint64, wait time.Duration) (Changes, error)
+	AskPeer  func(ctx context.Context, address string, after uint64, wait time.Duration) (mirror.Changes, error)
+	ListPeer func(ctx context.Context, address string, after uint64, wait time.Duration) (mirror.Changes, error)
 	// Era is the era of the store's latest answer to the VM, 0 if it is nil.
 	Era func() uint64
 }
 
 // NewTestReader returns a reader that calls the given sources.
-func NewTestReader(self string, l *Log, batchDelay time.Duration, s Sources) *Reader {
+func NewTestReader(self string, l *mirror.Log, batchDelay time.Duration, s Sources) *Reader {
 	if s.Era == nil {
 		s.Era = func() uint64 { return 0 }
 	}
@@ -29,12 +30,17 @@
 		log:        l,
 		list:       s.List,
 		watch:      s.Watch,
-		askPeer:    s.AskPeer,
-		listPeer:   s.ListPeer,
-		era:        s.Era,
-		now:        time.Now,
-		sleep:      sleep,
-		logger:     zerolog.Nop(),
+		askPeer: func(ctx context.Context, address string, after uint64, wait time.Duration) (Answer, error) {
+			c, err := s.AskPeer(ctx, address, after, wait)
+			return Answer{
+				changes: c,
+			}, err
+		},
+		listPeer: s.ListPeer,
+		era:      s.Era,
+		now:      time.Now,
+		sleep:    sleep,
+		logger:   zerolog.Nop(),
 
 		observe: func(string, string) {},
 	}
--- a/internal/feed/histories_test.go
+++ b/internal/feed/histories_test.go
@@ -12,8 +12,8 @@
 	"testing/synctest"
 	"time"
 
-	"clementinelink.example/clementinelink/internal/feed"
 	"clementinelink.example/clementinelink/internal/follow"
+	"clementinelink.example/clementinelink/internal/mirror"
 	"clementinelink.example/clementinelink/internal/store"
 	"pgregory.net/rapid"
 )
@@ -139,7 +139,7 @@
 	numbers []uint64
 	written []time.Time
 	// views holds what each VM has in force, by its log.
-	views    map[*feed.Log]*historyView
+	views    map[*mirror.Log]*historyView
 	failures []string
 }
 
@@ -159,9 +159,9 @@
 		}),
 		started: time.Now(),
 		rng:     rand.New(rand.NewPCG(seed, 0)),
-		views:   make(map[*feed.Log]*historyView),
+		views:   make(map[*mirror.Log]*historyView),
 	}
-	h.fleet.rules = feed.Rules{
+	h.fleet.rules = mirror.Rules{
 		Foreign: func(key string) bool { return !strings.HasPrefix(key, "own/") },
 		Stays:   historyStays,
 	}
--- a/internal/feed/model_test.go
+++ b/internal/feed/model_test.go
@@ -11,6 +11,7 @@
 	"clementinelink.example/clementinelink/internal/bulk"
 	"clementinelink.example/clementinelink/internal/feed"
 	"clementinelink.example/clementinelink/internal/follow"
+	"clementinelink.example/clementinelink/internal/mirror"
 	"clementinelink.example/clementinelink/internal/store"
 	"clementinelink.example/clementinelink/internal/tree"
 	"github.com/cockroachdb/errors"
@@ -81,7 +82,7 @@
 }
 
 // modelRules are the rules after a restoration. VMs write the keys under vm/.
-var modelRules = feed.Rules{
+var modelRules = mirror.Rules{
 	Foreign: func(key string) bool { return !strings.HasPrefix(key, "vm/") },
 	Stays:   func(store.Entry, store.Entry, bool) bool { return false },
 }
@@ -253,7 +254,7 @@
 	domain string
 	region string
 	mbps   float64
-	log    *feed.Log
+	log    *mirror.Log
 	cancel context.CancelFunc
 	// started is true while the VM accepts calls, and enrolled once it has.
 	started  bool
@@ -298,7 +299,7 @@
 type fleet struct {
 	mutex sync.Mutex
 	store *modelStore
-	rules feed.Rules
+	rules mirror.Rules
 	// applied is called with the changes of each VM, or nil.
 	applied func(v *modelVM, c follow.Change)
 	vms     map[string]*modelVM
@@ -354,7 +355,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
-	v.cancel, v.log = cancel, feed.NewLog().WithRules(f.rules)
+	v.cancel, v.log = cancel, mirror.NewLog().WithRules(f.rules)
 	v.frozen, v.listedAt = false, time.Time{}
 	v.up.free = time.Time{}
 	v.started = false
@@ -385,11 +386,11 @@
 			return events, revision, err
 		},
 		Era: v.era.Load,
-		AskPeer: func(ctx context.Context, address string, after uint64, wait time.Duration) (feed.Changes, error) {
-			return f.call(ctx, v, address, func(l *feed.Log) (feed.Changes, error) { return l.Wait(ctx, after, wait) })
+		AskPeer: func(ctx context.Context, address string, after uint64, wait time.Duration) (mirror.Changes, error) {
+			return f.call(ctx, v, address, func(l *mirror.Log) (mirror.Changes, error) { return l.Wait(ctx, after, wait) })
 		},
-		ListPeer: func(ctx context.Context, address string, after uint64, wait time.Duration) (feed.Changes, error) {
-			return f.call(ctx, v, address, func(l *feed.Log) (feed.Changes, error) { return l.List(ctx, after, wait) })
+		ListPeer: func(ctx context.Context, address string, after uint64, wait time.Duration) (mirror.Changes, error) {
+			return f.call(ctx, v, address, func(l *mirror.Log) (mirror.Changes, error) { return l.List(ctx, after, wait) })
 		},
 	})
 	emit := func(_ context.Context, c follow.Change) { f.apply(v, log, c) }
@@ -444,7 +445,7 @@
 	}
 }
 
-func (f *fleet) apply(v *modelVM, log *feed.Log, c follow.Change) {
+func (f *fleet) apply(v *modelVM, log *mirror.Log, c follow.Change) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if v.log != log {
@@ -485,7 +486,7 @@
 
 // call performs a call of another VM by v, including the time that the links need for
 // the answer.
-func (f *fleet) call(ctx context.Context, v *modelVM, address string, answer func(l *feed.Log) (feed.Changes, error)) (feed.Changes, error) {
+func (f *fleet) call(ctx context.Context, v *modelVM, address string, answer func(l *mirror.Log) (mirror.Changes, error)) (mirror.Changes, error) {
 	time.Sleep(peerDelay)
 	f.mutex.Lock()
 	peer := f.vms[address]
@@ -494,12 +495,12 @@
 	switch {
 	case dark || v.alone.Load():
 		time.Sleep(darkDelay)
-		return feed.Changes{}, errors.New("no connection")
+		return mirror.Changes{}, errors.New("no connection")
 	case log == nil || !started:
-		return feed.Changes{}, errors.New("connection refused")
+		return mirror.Changes{}, errors.New("connection refused")
 	case frozen:
 		<-ctx.Done()
-		return feed.Changes{}, ctx.Err()
+		return mirror.Changes{}, ctx.Err()
 	}
 	c, err := answer(log)
 	if err != nil {
@@ -534,7 +535,7 @@
 		case <-time.After(min(time.Until(done), partDelay)):
 			bulk.Progressed(ctx)
 		case <-ctx.Done():
-			return feed.Changes{}, ctx.Err()
+			return mirror.Changes{}, ctx.Err()
 		}
 	}
 	return c, nil
--- a/internal/feed/pack_test.go
+++ b/internal/feed/pack_test.go
@@ -11,6 +11,7 @@
 
 	"clementinelink.example/clementinelink/internal/bound"
 	"clementinelink.example/clementinelink/internal/bulk"
+	"clementinelink.example/clementinelink/internal/mirror"
 	"clementinelink.example/clementinelink/internal/store"
 	"clementinelink.example/clementinelink/internal/wire"
 	"github.com/cockroachdb/datadriven"
@@ -21,7 +22,7 @@
 // that its upstreams seem to be dead (LOST), and against packed values that take more
 // memory than an answer may.
 func TestPacked(t *testing.T) {
-	l := NewLog()
+	l := mirror.NewLog()
 	server := NewServer(l)
 	s := httptest.NewServer(server.Handler())
 	defer s.Close()
@@ -66,12 +67,12 @@
 // ask asks for all changes as another VM does, and compares the values.
 func ask(t *testing.T, address string, want map[string][]byte) string {
 	t.Helper()
-	c, err := NewClient(NewLog()).Changes(t.Context(), address, 0, time.Second)
+	a, err := NewClient(mirror.NewLog()).Changes(t.Context(), address, 0, time.Second)
 	if err != nil {
 		t.Fatal(err)
 	}
 	var b strings.Builder
-	for _, e := range c.Events() {
+	for _, e := range a.Changes().Events() {
 		fmt.Fprintf(&b, "%s: whole %v\n", e.Entry().Key(), bytes.Equal(e.Entry().Value(), want[e.Entry().Key()]))
 	}
 	return b.String()
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/bulk"
+	"clementinelink.example/clementinelink/internal/mirror"
 	"clementinelink.example/clementinelink/internal/store"
 	"clementinelink.example/clementinelink/internal/tree"
 	"github.com/cockroachdb/errors"
@@ -72,19 +73,23 @@
 // a link of 10 Mbit/s.
 const largeChanges = 64 << 10
 
+// ErrStale means that the store's latest answer that another VM knows of is too old, or is
+// older than that of the VM that asks.
+var ErrStale = errors.New("feed: the VM's answer of the store is old")
+
 // Reader reads changes from another VM or the store. List, Watch and Pause must
 // be called from the same goroutine.
 type Reader struct {
 	batchDelay time.Duration
 	selector   *Selector
-	log        *Log
+	log        *mirror.Log
 	// vms holds the VMs that Watch has not yet adopted, or nil.
 	vms atomic.Pointer[[]tree.VM]
 	// list and watch call the store, and askPeer and listPeer call another VM.
 	list     func(ctx context.Context, prefix string) ([]store.Entry, uint64, error)
 	watch    func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error)
-	askPeer  func(ctx context.Context, address string, after uint64, wait time.Duration) (Changes, error)
-	listPeer func(ctx context.Context, address string, after uint64, wait time.Duration) (Changes, error)
+	askPeer  func(ctx context.Context, address string, after uint64, wait time.Duration) (Answer, error)
+	listPeer func(ctx context.Context, address string, after uint64, wait time.Duration) (mirror.Changes, error)
 	// era returns the era of the store's latest answer to this VM.
 	era func() uint64
 	now func() time.Time
@@ -109,7 +114,7 @@
 
 // NewReader returns a reader for the VM named self. It adds what it reads to l.
 // Its pause after an answer from the store is batchDelay.
-func NewReader(self string, c *store.Client, l *Log, batchDelay time.Duration, logger zerolog.Logger) *Reader {
+func NewReader(self string, c *store.Client, l *mirror.Log, batchDelay time.Duration, logger zerolog.Logger) *Reader {
 	peers := NewClient(l)
 	return &Reader{
 		batchDelay: batchDelay,
@@ -180,7 +185,7 @@
 			return entries, revision, err
 		}
 		elapsed := r.now().Sub(began)
-		if !errors.Is(err, ErrNotListed) && elapsed > listPeerTime || elapsed > listPatience || round == listRounds {
+		if !errors.Is(err, mirror.ErrNotListed) && elapsed > listPeerTime || elapsed > listPatience || round == listRounds {
 			return nil, 0, err
 		}
 		r.sleep(ctx, listRetryDelay)
@@ -188,7 +193,7 @@
 }
 
 // listFirst returns the keys from the first source that answers. Otherwise it
-// returns the store's error, or without the store ErrNotListed if a VM is reading
+// returns the store's error, or without the store mirror.ErrNotListed if a VM is reading
 // its list, else the error of the last VM. VMs that do not answer are skipped from
 // listPeerTime after began on, so that VMs without power delay the list no longer
 // than that.
@@ -215,7 +220,7 @@
 		case v.IsStore():
 			storeFailure = err
 		default:
-			reading = reading || errors.Is(err, ErrNotListed)
+			reading = reading || errors.Is(err, mirror.ErrNotListed)
 			failure = err
 			r.peerFailed(v, 0, err)
 		}
@@ -224,7 +229,7 @@
 	case storeFailure != nil:
 		failure = storeFailure
 	case reading:
-		failure = ErrNotListed
+		failure = mirror.ErrNotListed
 	}
 	return nil, 0, failure
 }
@@ -250,16 +255,16 @@
 	switch {
 	case err != nil:
 		return nil, 0, 0, err
-	case c.age > r.scaled(maxAgeFactor) || c.revision < max(after, r.log.Revision()):
-		return nil, 0, 0, errors.Wrapf(ErrStale, "%s, revision %d", c.age, c.revision)
+	case c.Age() > r.scaled(maxAgeFactor) || c.Revision() < max(after, r.log.Revision()):
+		return nil, 0, 0, errors.Wrapf(ErrStale, "%s, revision %d", c.Age(), c.Revision())
 	}
 	var entries []store.Entry
-	for _, e := range c.events {
+	for _, e := range c.Events() {
 		if strings.HasPrefix(e.Entry().Key(), prefix) {
 			entries = append(entries, e.Entry())
 		}
 	}
-	return entries, c.revision, c.age, nil
+	return entries, c.Revision(), c.Age(), nil
 }
 
 // reset passes a list to the log and returns the entries with a prefix that are in force.
@@ -295,7 +300,7 @@
 	}
 	var failure error
 	for _, v := range r.selector.Sources(r.now()) {
-		c, err := r.readFrom(ctx, v, prefix, after, wait)
+		a, err := r.readFrom(ctx, v, prefix, after, wait)
 		r.observe(sourceKind(v), result(err))
 		switch {
 		case ctx.Err() != nil:
@@ -305,14 +310,14 @@
 				// The store refuses this VM but serves others.
 				r.selector.Failed(r.now(), tree.VM{})
 			}
-			events := r.received(v, c)
-			return events, max(after, c.revision), nil
+			events := r.received(v, a)
+			return events, max(after, a.changes.Revision()), nil
 		case errors.Is(err, store.ErrCompacted):
-			if v, c, ok := r.crossFrom(ctx, prefix, after); ok {
-				return r.received(v, c), c.revision, nil
+			if v, a, ok := r.crossFrom(ctx, prefix, after); ok {
+				return r.received(v, a), a.changes.Revision(), nil
 			}
 			return nil, after, err
-		case errors.Is(err, ErrTooOld):
+		case errors.Is(err, mirror.ErrTooOld):
 			// A list from that VM costs less than the changes from the store.
 			return nil, after, errors.Mark(err, store.ErrCompacted)
 		case v.IsStore():
@@ -325,40 +330,41 @@
 }
 
 // received adds an answer to a watch to the log and returns the changes that are in force.
-func (r *Reader) received(v tree.VM, c Changes) []store.Event {
+func (r *Reader) received(v tree.VM, a Answer) []store.Event {
+	c := a.changes
 	r.selector.Answered(v)
-	r.logSource(v, c.revision)
-	r.logLarge(v, c)
-	r.countReceived(v, c)
+	r.logSource(v, c.Revision())
+	r.logLarge(v, a)
+	r.countReceived(v, a)
 	before := r.log.Revision()
-	events := r.log.Append(c.events, c.revision, c.age)
-	r.logRestored(before, c.revision, len(c.events))
-	r.log.Hear(c.quiet)
+	events := r.log.Append(c.Events(), c.Revision(), c.Age())
+	r.logRestored(before, c.Revision(), len(c.Events()))
+	r.log.Hear(c.Quiet())
 	return events
 }
 
 // crossFrom returns the changes over a restoration of the store, of which the store has
 // told this VM, from a VM before it in the tree. These are about to read the store and
 // know what has changed, which is less than a list.
-func (r *Reader) crossFrom(ctx context.Context, prefix string, after uint64) (tree.VM, Changes, bool) {
+func (r *Reader) crossFrom(ctx context.Context, prefix string, after uint64) (tree.VM, Answer, bool) {
 	if !r.restored() {
-		return tree.VM{}, Changes{}, false
+		return tree.VM{}, Answer{}, false
 	}
 	peers := r.selector.Ancestors(r.now())
 	for end := r.now().Add(crossPatience); len(peers) > 0 && r.now().Before(end) && ctx.Err() == nil; r.sleep(ctx, crossRetryDelay) {
 		for _, v := range peers {
-			c, err := r.readFrom(ctx, v, prefix, after, 0)
+			a, err := r.readFrom(ctx, v, prefix, after, 0)
 			r.observe(sourceKind(v), result(err))
-			if errors.Is(err, ErrTooOld) {
-				return tree.VM{}, Changes{}, false
+			if errors.Is(err, mirror.ErrTooOld) {
+				return tree.VM{}, Answer{}, false
 			}
-			if err == nil && store.Era(c.revision) >= r.era() {
-				return v, c, true
+			if err == nil && store.Era(a.changes.Revision()) >= r.era() {
+				return v, a, true
 			}
 		}
 	}
 	r.listStore = true
-	return tree.VM{}, Changes{}, false
+	return tree.VM{}, Answer{}, false
 }
 
 // peerFailed starts the backoff of another VM that did not deliver changes.
@@ -382,7 +388,7 @@
 	switch {
 	case err == nil:
 		return "ok"
-	case errors.IsAny(err, ErrNotListed, ErrTooOld, ErrStale):
+	case errors.IsAny(err, mirror.ErrNotListed, mirror.ErrTooOld, ErrStale):
 		return "behind"
 	default:
 		return "failed"
@@ -390,7 +396,7 @@
 }
 
 // readFrom reads changes from one source.
-func (r *Reader) readFrom(ctx context.Context, v tree.VM, prefix string, after uint64, wait time.Duration) (Changes, error) {
+func (r *Reader) readFrom(ctx context.Context, v tree.VM, prefix string, after uint64, wait time.Duration) (Answer, error) {
 	if v.IsStore() {
 		if r.selector.Shared() {
 			wait = min(wait, r.scaled(storeWaitFactor))
@@ -399,28 +405,31 @@
 		heard := store.WithProgress(ctx, func() { r.log.Hear(0) })
 		events, revision, err := r.watch(heard, prefix, after, wait)
 		r.noteStore(began, err)
-		return NewChanges(events, revision, 0), err
+		return Answer{
+			changes: mirror.NewChanges(events, revision, 0),
+		}, err
 	}
 	begin := r.scaled(peerWaitFactor + peerSlackFactor)
 	limited, cancel := bulk.WithProgress(ctx, begin, begin+r.scaled(transferFactor))
 	defer cancel()
-	c, err := r.askPeer(limited, v.Address(), after, r.scaled(peerWaitFactor))
-	if err == nil && (r.stale(c) || store.Era(c.revision) < store.Era(after) || r.selector.Follows(v) && r.knows(c)) {
-		err = errors.Wrapf(ErrStale, "%s, quiet for %s", c.age, c.quiet)
+	a, err := r.askPeer(limited, v.Address(), after, r.scaled(peerWaitFactor))
+	c := a.changes
+	if err == nil && (r.stale(c) || store.Era(c.Revision()) < store.Era(after) || r.selector.Follows(v) && r.knows(c)) {
+		err = errors.Wrapf(ErrStale, "%s, quiet for %s", c.Age(), c.Quiet())
 	}
-	return c, err
+	return a, err
 }
 
 // knows reports whether an answer is no newer than what this VM has. A VM that reads from
 // this one has no other.
-func (r *Reader) knows(c Changes) bool {
-	return c.revision <= r.log.Revision() && !r.now().Add(-c.age).After(r.log.Confirmed())
+func (r *Reader) knows(c mirror.Changes) bool {
+	return c.Revision() <= r.log.Revision() && !r.now().Add(-c.Age()).After(r.log.Confirmed())
 }
 
 // stale reports whether the store's latest answer to another VM is too old. If all VMs
 // asked the store as soon as a large answer takes long, their answers would take longer.
-func (r *Reader) stale(c Changes) bool {
-	return c.age > r.scaled(maxArrivalFactor) || c.quiet > r.scaled(maxAgeFactor)
+func (r *Reader) stale(c mirror.Changes) bool {
+	return c.Age() > r.scaled(maxArrivalFactor) || c.Quiet() > r.scaled(maxAgeFactor)
 }
 
 // noteStore notes the result of a call of the store that began at the given time.
@@ -444,24 +453,24 @@
 }
 
 // logLarge logs changes that occupy the links of the VMs for a while.
-func (r *Reader) logLarge(v tree.VM, c Changes) {
-	if c.mismatch != nil {
-		r.logger.Warn().Err(c.mismatch).Str("peer", v.Name()).Str("revision", store.Text(c.revision)).Msg("feed: Whole values take the place of differences.")
+func (r *Reader) logLarge(v tree.VM, a Answer) {
+	if a.mismatch != nil {
+		r.logger.Warn().Err(a.mismatch).Str("peer", v.Name()).Str("revision", store.Text(a.changes.Revision())).Msg("feed: Whole values take the place of differences.")
 	}
-	if n := c.size(); n >= largeChanges {
-		r.logger.Info().Str("peer", v.Name()).Str("revision", store.Text(c.revision)).Int("bytes", n).Int("sent", c.wireBytes).Int64("ms", c.transfer.Milliseconds()).
+	if n := a.size(); n >= largeChanges {
+		r.logger.Info().Str("peer", v.Name()).Str("revision", store.Text(a.changes.Revision())).Int("bytes", n).Int("sent", a.wireBytes).Int64("ms", a.transfer.Milliseconds()).
 			Msg("feed: Large changes arrived.")
 	}
 }
 
 // countReceived reports the size of changes.
-func (r *Reader) countReceived(v tree.VM, c Changes) {
+func (r *Reader) countReceived(v tree.VM, a Answer) {
 	switch {
 	case r.countBytes == nil:
 	case v.IsStore():
-		r.countBytes(sourceKind(v), c.size())
+		r.countBytes(sourceKind(v), a.size())
 	default:
-		r.countBytes(sourceKind(v), c.wireBytes)
+		r.countBytes(sourceKind(v), a.wireBytes)
 	}
 }
 
--- a/internal/feed/reader_test.go
+++ b/internal/feed/reader_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/mirror"
 	"clementinelink.example/clementinelink/internal/store"
 	"github.com/cockroachdb/datadriven"
 	"github.com/cockroachdb/errors"
@@ -36,8 +37,7 @@
 		now = base.Add(time.Duration(number(t, d, "at")) * time.Millisecond)
 		switch d.Cmd {
 		case "vms":
-			l := NewLog()
-			l.now = func() time.Time { return now }
+			l := mirror.NewLog().WithClock(func() time.Time { return now })
 			r = &Reader{
 				batchDelay: time.Second,
 				selector:   NewSelector(text(t, d, "self")),
@@ -72,12 +72,12 @@
 		name, how, _ := strings.Cut(strings.TrimSpace(l), " ")
 		answers[name] = how
 	}
-	reply := func(name string, wait time.Duration) (Changes, error) {
+	reply := func(name string, wait time.Duration) (Answer, error) {
 		fmt.Fprintf(&out, "%s asked for %s\n", name, wait)
 		failures := map[string]error{
 			"timeout":     context.DeadlineExceeded,
-			"unconfirmed": ErrNotListed,
-			"too-old":     ErrTooOld,
+			"unconfirmed": mirror.ErrNotListed,
+			"too-old":     mirror.ErrTooOld,
 			"unavailable": store.ErrUnavailable,
 			"compacted":   store.ErrCompacted,
 		}
@@ -85,7 +85,7 @@
 			if d.HasArg("takes") {
 				pass(time.Duration(number(t, d, "takes")) * time.Millisecond)
 			}
-			return Changes{}, err
+			return Answer{}, err
 		}
 		var at string
 		var age int
@@ -94,37 +94,43 @@
 			t.Fatalf("%s: %s: %v", d.Pos, name, err)
 		}
 		revision := position(t, d, at)
-		c := NewChanges(nil, revision, time.Duration(age)*time.Millisecond)
+		var events []store.Event
+		wireBytes := 0
+		if d.HasArg("bytes") {
+			// The value is sent packed.
+			events = []store.Event{store.NewEvent(store.NewEntry("k", make([]byte, 10*number(t, d, "bytes")), revision, ""), false)}
+			wireBytes = number(t, d, "bytes")
+		}
+		c := mirror.NewChanges(events, revision, time.Duration(age)*time.Millisecond)
 		if arriving {
 			ms, err := strconv.Atoi(quiet)
 			if err != nil {
 				t.Fatalf("%s: %s: %v", d.Pos, name, err)
 			}
-			c.quiet = time.Duration(ms) * time.Millisecond
+			c = c.WithQuiet(time.Duration(ms) * time.Millisecond)
 		}
-		if d.HasArg("bytes") {
-			// The value is sent packed.
-			c.events = []store.Event{store.NewEvent(store.NewEntry("k", make([]byte, 10*number(t, d, "bytes")), revision, ""), false)}
-			c.wireBytes = number(t, d, "bytes")
-		}
-		return c, nil
+		return Answer{
+			changes:   c,
+			wireBytes: wireBytes,
+		}, nil
 	}
-	r.askPeer = func(_ context.Context, address string, _ uint64, wait time.Duration) (Changes, error) {
+	r.askPeer = func(_ context.Context, address string, _ uint64, wait time.Duration) (Answer, error) {
 		return reply(address, wait)
 	}
 	r.watch = func(_ context.Context, _ string, _ uint64, wait time.Duration) ([]store.Event, uint64, error) {
-		c, err := reply("store", wait)
-		return c.Events(), c.Revision(), err
+		a, err := reply("store", wait)
+		return a.changes.Events(), a.changes.Revision(), err
 	}
-	r.listPeer = func(_ context.Context, address string, after uint64, wait time.Duration) (Changes, error) {
+	r.listPeer = func(_ context.Context, address string, after uint64, wait time.Duration) (mirror.Changes, error) {
 		if after > 0 {
 			fmt.Fprintf(&out, "after %s: ", store.Text(after))
 		}
-		return reply(address, wait)
+		a, err := reply(address, wait)
+		return a.changes, err
 	}
 	r.list = func(context.Context, string) ([]store.Entry, uint64, error) {
-		c, err := reply("store", 0)
-		return nil, c.Revision(), err
+		a, err := reply("store", 0)
+		return nil, a.changes.Revision(), err
 	}
 	r.countBytes = func(source string, bytes int) {
 		if bytes > 0 {
--- a/internal/feed/held_test.go
+++ b/internal/mirror/held_test.go
@@ -1,11 +1,11 @@
-package feed_test
+package mirror_test
 
 import (
 	"testing"
 	"time"
 
-	"clementinelink.example/clementinelink/internal/feed"
 	"clementinelink.example/clementinelink/internal/follow"
+	"clementinelink.example/clementinelink/internal/mirror"
 	"clementinelink.example/clementinelink/internal/store"
 )
 
@@ -16,11 +16,11 @@
 		return store.NewEntry("s2", []byte("5"), store.Position(era, revision), "")
 	}
 	gone := []store.Event{store.NewEvent(store.NewEntry("s2", nil, store.Position(1, 24), ""), true)}
-	rules := feed.Rules{
+	rules := mirror.Rules{
 		Foreign: func(string) bool { return true },
 		Stays:   func(store.Entry, store.Entry, bool) bool { return false },
 	}
-	first, log, state, now := feed.NewLog().WithRules(rules), feed.NewLog().WithRules(rules), follow.NewState(), time.Now()
+	first, log, state, now := mirror.NewLog().WithRules(rules), mirror.NewLog().WithRules(rules), follow.NewState(), time.Now()
 	first.Reset([]store.Entry{entry(1, 12)}, store.Position(1, 18), 0)
 	first.Append(gone, store.Position(1, 24), 0)
 	state.Listed(now, log.Reset([]store.Entry{entry(1, 12)}, store.Position(1, 18), 0), store.Position(1, 18))
@@ -28,7 +28,7 @@
 
 	list := first.Reset([]store.Entry{entry(2, 12)}, store.Position(2, 21), 0)
 	state.Listed(now, log.Reset(list, store.Position(2, 21), 0), store.Position(2, 21))
-	restarted := feed.NewLog().WithRules(rules).Reset([]store.Entry{entry(2, 12)}, store.Position(2, 22), 0)
+	restarted := mirror.NewLog().WithRules(rules).Reset([]store.Entry{entry(2, 12)}, store.Position(2, 22), 0)
 	c := state.Listed(now, log.Reset(restarted, store.Position(2, 22), 0), store.Position(2, 22))
 	if len(c.Put()) > 0 {
 		t.Errorf("%s is used again", c.Put()[0].Key())
--- a/internal/feed/history.go
+++ b/internal/mirror/history.go
@@ -1,4 +1,4 @@
-package feed
+package mirror
 
 import (
 	"clementinelink.example/clementinelink/internal/bulk"
--- a/internal/feed/log.go
+++ b/internal/mirror/log.go
@@ -1,4 +1,4 @@
-package feed
+package mirror
 
 import (
 	"cmp"
@@ -16,20 +16,18 @@
 // more deletions must ask the store.
 const maxDeleted = 4000
 
-// The errors for which a VM can't be used as a source.
+// The errors for which a VM can't be used as a source. Their texts begin with the part that
+// passes them on to other VMs.
 var (
 	// ErrTooOld means that the VM has dropped changes after the requested
 	// revision.
 	ErrTooOld = errors.New("feed: the changes are no longer kept")
 	// ErrNotListed means that the VM has not read the store's keys yet.
 	ErrNotListed = errors.New("feed: the VM has no list of the keys")
-	// ErrStale means that the store's latest answer that the VM knows of is too
-	// old, or is older than that of the VM that asks.
-	ErrStale = errors.New("feed: the VM's answer of the store is old")
 )
 
-// Log holds a copy of the store's keys and the latest change of each. It is safe
-// for concurrent use.
+// Log holds a copy of the store's keys and the latest change of each. Apart from the
+// methods that set it up, it is safe for concurrent use.
 type Log struct {
 	mutex sync.Mutex
 	// latest holds the latest change of each key, including deleted keys, which keep
@@ -84,6 +82,17 @@
 	return l
 }
 
+// WithClock sets the function that returns the present time, time.Now by default. Call it
+// before any other method.
+func (l *Log) WithClock(now func() time.Time) *Log {
+	l.now = now
+	return l
+}
+
+// Packer returns what keeps the short forms of large values for the VMs that ask. It may be
+// called concurrently.
+func (l *Log) Packer() *bulk.Packer { return l.packer }
+
 // Reset replaces the keys by a list as of revision, which the store confirmed age
 // ago, and returns the entries in force. Keys that the list lacks count as deleted at
 // revision, so VMs that know the keys before the list need only the difference. A change
@@ -108,13 +117,19 @@
 	for _, e := range entries {
 		l.apply(now, store.NewEvent(e, false))
 	}
+	l.deleteOthers(now, listed, revision)
+	l.finish(revision, age)
+	return l.inForce()
+}
+
+// deleteOthers deletes the keys that a list as of revision lacks. The caller must hold the
+// mutex.
+func (l *Log) deleteOthers(now time.Time, listed map[string]bool, revision uint64) {
 	for key, e := range l.latest {
 		if !listed[key] && !e.Deleted() && e.Entry().Revision() <= revision {
 			l.apply(now, store.NewEvent(store.NewEntry(key, nil, revision, ""), true))
 		}
 	}
-	l.finish(revision, age)
-	return l.inForce()
 }
 
 // Append adds all changes up to revision, which the store confirmed age ago, and returns
@@ -226,9 +241,7 @@
 // the mutex.
 func (l *Log) answer(events []store.Event) Changes {
 	now := l.now()
-	c := NewChanges(events, l.revision, now.Sub(l.confirmed))
-	c.quiet = min(c.age, now.Sub(l.heardAt))
-	return c
+	return NewChanges(events, l.revision, now.Sub(l.confirmed)).WithQuiet(now.Sub(l.heardAt))
 }
 
 // Revision returns the revision up to which the log is complete, or 0 before the
@@ -239,8 +252,8 @@
 	return l.revision
 }
 
-// large returns the large values, present and held.
-func (l *Log) large() []store.Entry {
+// Large returns the large values, present and held.
+func (l *Log) Large() []store.Entry {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	var list []store.Entry
@@ -254,8 +267,8 @@
 	return list
 }
 
-// value returns the value that a key had at a revision, or nil if it is not kept.
-func (l *Log) value(key string, revision uint64) []byte {
+// Value returns the value that a key had at a revision, or nil if it is not kept.
+func (l *Log) Value(key string, revision uint64) []byte {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	for _, e := range []store.Event{l.latest[key], l.held[key]} {
@@ -274,52 +287,6 @@
 	return l.confirmed
 }
 
-// Changes is a VM's answer to another VM. It is immutable.
-type Changes struct {
-	events   []store.Event
-	revision uint64
-	age      time.Duration
-	// quiet is the time since a part of an answer of the store arrived. It is at most age.
-	quiet time.Duration
-	// transfer is the time from the first byte of the answer to its last one, or 0 if
-	// it was not measured.
-	transfer time.Duration
-	// wireBytes is the size of the values as they were sent by another VM, or 0.
-	wireBytes int
-	// mismatch is the error of differences that did not fit and were asked for again as
-	// whole values, or nil.
-	mismatch error
-}
-
-// NewChanges returns an answer with the changes up to revision, which the store
-// confirmed age ago.
-func NewChanges(events []store.Event, revision uint64, age time.Duration) Changes {
-	return Changes{
-		events:   events,
-		revision: revision,
-		age:      age,
-		quiet:    age,
-	}
-}
-
-// Events returns the latest change of each key.
-func (c Changes) Events() []store.Event { return c.events }
-
-// Revision returns the revision up to which the changes are complete.
-func (c Changes) Revision() uint64 { return c.revision }
-
-// Age returns the time since the store confirmed the revision.
-func (c Changes) Age() time.Duration { return c.age }
-
-// size returns the number of bytes of the changes' values.
-func (c Changes) size() int {
-	n := 0
-	for _, e := range c.events {
-		n += len(e.Entry().Value())
-	}
-	return n
-}
-
 // Wait returns the changes after a revision as soon as there are any. It returns
 // no changes when wait has passed, and ctx's error when ctx ends. Other errors
 // are ErrTooOld and ErrNotListed.
--- a/internal/feed/restored.go
+++ b/internal/mirror/restored.go
@@ -1,4 +1,4 @@
-package feed
+package mirror
 
 import (
 	"bytes"
--- a/internal/feed/restored_test.go
+++ b/internal/mirror/restored_test.go
@@ -1,4 +1,4 @@
-package feed
+package mirror
 
 import (
 	"context"
@@ -20,8 +20,7 @@
 func TestRestored(t *testing.T) {
 	datadriven.Walk(t, "testdata/restored", func(t *testing.T, path string) {
 		now := base
-		l := NewLog().WithRules(numberRules)
-		l.now = func() time.Time { return now }
+		l := NewLog().WithRules(numberRules).WithClock(func() time.Time { return now })
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			now = base.Add(time.Duration(number(t, d, "at")) * time.Millisecond)
 			at := position(t, d, text(t, d, "revision"))
