--- a/internal/feed/histories_test.go
+++ b/internal/feed/histories_test.go
@@ -20,7 +20,7 @@
 
 const (
 	// historyConfig is the key of the configuration, whose value is its version.
-	historyConfig = "op/config"
+	historyConfig = "conf"
 	// historyUpstreams is the number of upstreams. The value of one's key is its
 	// incarnation times incarnationSpan plus the number of its writes.
 	historyUpstreams = 3
