pace, proxy: Send the last attempt of a stream to an engine heard lately

Cause: the last attempt went to the engine with the least work, whether it had been heard or not. Attempts that took their time before they were lost did not count for this.

Change: it goes to an engine that has sent something within a second before the latest loss, an answer to a query for example. Others are asked first.

--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -10,6 +10,9 @@
 	// with each further one, up to maxPause.
 	firstPause = 150 * time.Millisecond
 	maxPause   = 1200 * time.Millisecond
+	// recent is the time within which an upstream must have sent something to get the last
+	// attempt.
+	recent = time.Second
 	// atOnce is the number of attempts in a row that may have run without output after
 	// which the next one is put off.
 	atOnce = 2
@@ -24,15 +27,19 @@
 	endedAt time.Time
 }
 
-// Ended records an attempt that ended without output. ran is true if it may have run.
-func (p *Pace) Ended(now time.Time, ran bool) {
+// Ended records the end of an attempt. ran is true if it may have run, and lasted if it had
+// output or was given up for its silence, so that it did not end at once.
+func (p *Pace) Ended(now time.Time, ran, lasted bool) {
 	p.endedAt = now
-	if !ran {
+	switch {
+	case !ran:
 		p.refused++
-		return
+	case lasted:
+		p.refused = 0
+	default:
+		p.empty++
+		p.refused = 0
 	}
-	p.empty++
-	p.refused = 0
 }
 
 // Begun records output of an attempt.
@@ -41,12 +48,19 @@
 // Permits reports whether the next attempt may go to an upstream that last sent something at
 // the time heard. left is the number of attempts that may still run.
 func (p *Pace) Permits(heard time.Time, left int) bool {
-	return !p.putOff(left) || heard.After(p.endedAt)
+	switch {
+	case p.putOff(left):
+		return heard.After(p.endedAt)
+	case left <= 1 && !p.endedAt.IsZero():
+		// The last attempt is not risked at an upstream that may have crashed.
+		return heard.After(p.endedAt.Add(-recent))
+	default:
+		return true
+	}
 }
 
 // putOff reports whether the next attempt is not sent at once, and only to an upstream that
-// was heard since the latest one ended. The last attempt is not risked at one that may have
-// crashed with others.
+// was heard since the latest one ended.
 func (p *Pace) putOff(left int) bool { return p.empty >= atOnce || p.empty > 0 && left <= 1 }
 
 // Due returns the earliest time of the next attempt, or the zero time if it may be sent at
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -20,20 +20,20 @@
 		return fmt.Sprint(at.Sub(base).Milliseconds())
 	}
 	datadriven.RunTest(t, "testdata/pace", func(t *testing.T, d *datadriven.TestData) string {
-		at, left := 0, 5
-		for key, value := range map[string]*int{"at": &at, "left": &left} {
+		at, left, heard := 0, 5, 0
+		for key, value := range map[string]*int{"at": &at, "left": &left, "heard": &heard} {
 			if d.HasArg(key) {
 				d.ScanArgs(t, key, value)
 			}
 		}
 		switch d.Cmd {
 		case "ended":
-			p.Ended(base.Add(time.Duration(at)*time.Millisecond), !d.HasArg("refused"))
+			p.Ended(base.Add(time.Duration(at)*time.Millisecond), !d.HasArg("refused"), d.HasArg("lasted"))
 		case "begun":
 			p.Begun()
 		default:
 			t.Fatalf("%s: unknown command %q", d.Pos, d.Cmd)
 		}
-		return fmt.Sprintf("due %s, %s if all have failed; an upstream that was not heard since: %v\n", since(p.Due(left, true)), since(p.Due(left, false)), p.Permits(time.Time{}, left))
+		return fmt.Sprintf("due %s, %s if all have failed; an upstream heard %d ms before: %v\n", since(p.Due(left, true)), since(p.Due(left, false)), heard, p.Permits(base.Add(time.Duration(at-heard)*time.Millisecond), left))
 	})
 }
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -93,7 +93,7 @@
 		})
 		return
 	}
-	x.pace.Ended(now, true)
+	x.pace.Ended(now, true, false)
 	c.reportOutcome(now, x, a, move.Errors)
 	a.upstream.RecordActivity(now)
 	a.upstream.RecordFault(now)
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -247,8 +247,8 @@
 	} else {
 		x.consecutiveNotRun++
 	}
-	if !a.copied && !a.begun && e.cause < Silent {
-		x.pace.Ended(now, e.cause.mayHaveRun())
+	if !a.copied {
+		x.pace.Ended(now, e.cause.mayHaveRun(), a.begun || e.cause >= Silent)
 	}
 	if len(x.running()) > 0 {
 		return
