proxy: Wait only for engines to be heard

Cause: after attempts that broke off, the next one goes to an upstream that has sent something since, and upstreams are asked for their state meanwhile. Upstreams that are no engines do not know that question: a stream there would have waited until its deadline (the class of LOST).

Change: the demand holds for engines. Elsewhere the attempts are only put off.

proxy/testdata/crashed-plain; before the change no attempt is sent at 1,302 ms.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -155,7 +155,7 @@
 // unheard reports whether the upstream may have crashed with those of the latest attempts,
 // so that the next one must not go there.
 func (x *exchange) unheard(u *pool.Upstream) bool {
-	return x.headSent && !x.pace.Permits(u.LastActivity(), x.route.Attempts()-x.possibleRuns)
+	return x.headSent && x.need.Memory() > 0 && !x.pace.Permits(u.LastActivity(), x.route.Attempts()-x.possibleRuns)
 }
 
 func (x *exchange) stream() bool { return x.route.Kind() == table.Stream }
