--- a/internal/feed/export_test.go
+++ b/internal/feed/export_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
 	"time"
 
 	"clementinelink.example/clementinelink/internal/mirror"
@@ -19,6 +21,33 @@
 	Era func() uint64
 }
 
+// NewTestClient returns a client of the VM whose log is own that reaches the one whose log
+// is peer, at any address, without a network.
+func NewTestClient(own, peer *mirror.Log) *Client {
+	c := NewClient(own)
+	c.http = &http.Client{
+		Transport: serverTransport{
+			handler: NewServer(peer).Handler(),
+		},
+	}
+	return c
+}
+
+// serverTransport passes requests to a handler.
+type serverTransport struct {
+	handler http.Handler
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t serverTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	t.handler.ServeHTTP(w, req)
+	if err := req.Context().Err(); err != nil {
+		return nil, err
+	}
+	return w.Result(), nil
+}
+
 // NewTestReader returns a reader that calls the given sources.
 func NewTestReader(self string, l *mirror.Log, batchDelay time.Duration, s Sources) *Reader {
 	if s.Era == nil {
