follow: Keep what a restored store lacks until it can be written again

A model with drawn histories found two ways in which a sound upstream that a copy lacks was listed no more before it could write again, so that calls were refused: - the time for which it is kept was bounded from the store's latest answer before the restoration, and a watch may have waited for 4 s since; - the store was away again 0.7 s after its return, for 8 s, and the time ran out meanwhile.

The time is bounded by what tells of the store's absence only, and for keys that a restored store lacks it stands still while the store is away.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -112,7 +112,6 @@
 		}
 		if err == nil {
 			f.answeredAt.Store(f.now().UnixNano())
-			f.state.Confirmed(f.confirmed())
 		}
 		switch {
 		case err == nil && (!c.Empty() || c.Restored()):
--- a/internal/follow/state.go
+++ b/internal/follow/state.go
@@ -85,6 +85,16 @@
 	c.deleted = slices.DeleteFunc(c.deleted, func(k string) bool { return k == key })
 }
 
+// absence is that of a key that is still kept.
+type absence struct {
+	// until is the time until which the key is kept.
+	until time.Time
+	// lost is true if a restored store lacks the key. The upstream can only write it again
+	// while the store serves it, so that a later outage prolongs the time; it does not
+	// prolong that of other keys, which may have been removed.
+	lost bool
+}
+
 // State decides which call to make next and computes the changes from the
 // answers. It is not safe for concurrent use.
 type State struct {
@@ -100,9 +110,6 @@
 	// lostAt is the latest time at which the store is known not to have served this
 	// VM: when it refused a call, or when a call began that was never answered.
 	lostAt time.Time
-	// confirmedAt is when the store confirmed the latest answer, or zero if that is not
-	// known.
-	confirmedAt time.Time
 	// backAt is when the store first stated, since the latest answer, that it has lost the
 	// history, or zero.
 	backAt time.Time
@@ -111,9 +118,8 @@
 	keepUntil time.Time
 	// maxKeep is how long after the store's recovery missing keys are kept at most.
 	maxKeep time.Duration
-	// missing holds the keys that are missing from the store but still kept, with
-	// the time until which they are. A later outage does not prolong that.
-	missing map[string]time.Time
+	// missing holds the keys that are missing from the store but still kept.
+	missing map[string]absence
 	// changed holds the keys of the change that is being computed.
 	changed map[string]bool
 }
@@ -122,7 +128,7 @@
 func NewState() *State {
 	return &State{
 		revisions: make(map[string]uint64),
-		missing:   make(map[string]time.Time),
+		missing:   make(map[string]absence),
 		maxKeep:   defaultSettleTime - settleMargin,
 	}
 }
@@ -218,8 +224,8 @@
 // outage, as deleted.
 func (s *State) Expired(now time.Time) Change {
 	var c Change
-	for key, until := range s.missing {
-		if now.Before(until) {
+	for key, m := range s.missing {
+		if now.Before(m.until) || s.waits(m) {
 			continue
 		}
 		delete(s.revisions, key)
@@ -233,14 +239,17 @@
 // time if none is kept.
 func (s *State) NextExpiry() time.Time {
 	var next time.Time
-	for _, until := range s.missing {
-		if next.IsZero() || until.Before(next) {
-			next = until
+	for _, m := range s.missing {
+		if !s.waits(m) && (next.IsZero() || m.until.Before(next)) {
+			next = m.until
 		}
 	}
 	return next
 }
 
+// waits reports whether a key is kept until the store is back.
+func (s *State) waits(m absence) bool { return m.lost && s.failures > 0 }
+
 // Wait returns how long a watch that starts at now should wait for a change. The
 // wait is short after a failure, because a watch that starts while the store is
 // unresponsive is never answered. It ends no later than missing keys expire.
@@ -260,18 +269,23 @@
 func (s *State) resetFailures(now time.Time) {
 	if s.failures > 0 && now.Sub(s.failingSince) >= minOutage {
 		s.keep(now)
+		for key, m := range s.missing {
+			if m.lost {
+				m.until = s.keepUntil
+				s.missing[key] = m
+			}
+		}
 	}
 	s.failures, s.backAt = 0, time.Time{}
 }
 
 // keep starts the time in which missing keys are kept. The store has not been back for
-// longer than since the latest time at which it is known to have been lost, or to have had
-// what it lacks.
+// longer than since the latest time at which it is known to have been lost.
 func (s *State) keep(now time.Time) {
 	s.keepUntil = now.Add(rewriteTime)
-	away := s.lostAt
-	if s.confirmedAt.After(away) {
-		away = s.confirmedAt
+	away := time.Time{}
+	if s.failures > 0 {
+		away = s.lostAt
 	}
 	for _, at := range []time.Time{away, s.backAt} {
 		if latest := at.Add(s.maxKeep); !at.IsZero() && latest.Before(s.keepUntil) {
@@ -280,9 +294,6 @@
 	}
 }
 
-// Confirmed notes when the store confirmed the latest answer.
-func (s *State) Confirmed(at time.Time) { s.confirmedAt = at }
-
 // put adds an entry to the change if it is newer than the known one, or stays in force
 // instead of it after a restoration of the store.
 func (s *State) put(c *Change, e store.Entry) {
@@ -311,9 +322,12 @@
 		return
 	}
 	if now.Before(s.keepUntil) {
-		if _, ok := s.missing[key]; !ok {
-			s.missing[key] = s.keepUntil
+		m, ok := s.missing[key]
+		if !ok {
+			m.until = s.keepUntil
 		}
+		m.lost = c.restored
+		s.missing[key] = m
 		return
 	}
 	delete(s.revisions, key)
