--- a/internal/accord/duty.go
+++ b/internal/accord/duty.go
@@ -205,7 +205,7 @@
 		charge, again, err := decodeEntry(e)
 		switch {
 		case err != nil:
-			d.log.Warn().Err(err).Str("key", e.Key()).Uint64("revision", e.Revision()).Msg("blame: Invalid charge.")
+			d.log.Warn().Err(err).Str("key", e.Key()).Str("revision", store.Text(e.Revision())).Msg("blame: Invalid charge.")
 		case c.Restored():
 			listed = append(listed, charge)
 		default:
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -29,7 +29,7 @@
 		}
 		if strings.HasPrefix(e.Key(), v.sources.EnrolledPrefix) {
 			if err := v.peers.Put(e); err != nil {
-				v.log.Warn().Err(err).Uint64("revision", e.Revision()).Msg("edge: Invalid VM key.")
+				v.log.Warn().Err(err).Str("revision", store.Text(e.Revision())).Msg("edge: Invalid VM key.")
 			}
 		}
 		id := v.sources.ID(e.Key())
@@ -38,7 +38,7 @@
 		}
 		entry, err := v.sources.Entry(e.Key(), e.Value())
 		if err != nil {
-			v.log.Warn().Err(err).Str("key", e.Key()).Uint64("revision", e.Revision()).Msg("pool: An entry is skipped.")
+			v.log.Warn().Err(err).Str("key", e.Key()).Str("revision", store.Text(e.Revision())).Msg("pool: An entry is skipped.")
 			gone = append(gone, id)
 			continue
 		}
@@ -74,7 +74,7 @@
 	took := time.Since(began)
 	v.metrics.Histogram("read_seconds", "Time that it took to read a version of the configuration.").Observe(took)
 	if err != nil {
-		v.log.Error().Err(err).Str("key", e.Key()).Uint64("revision", e.Revision()).Msg("config: A version can't be read.")
+		v.log.Error().Err(err).Str("key", e.Key()).Str("revision", store.Text(e.Revision())).Msg("config: A version can't be read.")
 		return
 	}
 	if took >= pause.Shortest {
--- a/internal/edge/mover.go
+++ b/internal/edge/mover.go
@@ -339,7 +339,7 @@
 	}
 	t.controller = move.NewController(o.Service(), plan, t.set).WithExposure(m.exposure)
 	m.moves[o.Service()] = t
-	m.log.Info().Str("service", o.Service()).Str("target", o.Target()).Dur("duration", o.Duration()).Uint64("revision", revision).Msg("move: A move is ordered.")
+	m.log.Info().Str("service", o.Service()).Str("target", o.Target()).Dur("duration", o.Duration()).Str("revision", store.Text(revision)).Msg("move: A move is ordered.")
 	return t
 }
 
