proxy: Wait for an engine of a version that the stream may go to

What callers would see: during a move of a service, a stream of the old version whose engines have crashed or refuse connections stands still until its deadline, or is broken off, since the budget of repeats is used up (the class of LOST). Found by review; not reported.

Cause: whether there is an engine for a stream that waits, and whether one is sound, was asked of the engines of all versions. An engine of the unproven one made attempts that are refused follow one another at once. It also made each check of the wait take a repeat without sending anything, and the engines that the stream could go to were not asked.

Change: only engines count that the next attempt may go to; after the end of a move also those of the old version if it would fall back to them.

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -50,10 +50,7 @@
 
 // stallCheck returns the earliest time of the next check of a stall.
 func (x *exchange) stallCheck() time.Time {
-	if at := x.lastDelivered.Add(x.gaps().Stall()); at.After(x.stallPostponed) {
-		return at
-	}
-	return x.stallPostponed
+	return alarm.Later(x.lastDelivered.Add(x.gaps().Stall()), x.stallPostponed)
 }
 
 // handleTimer handles the deadlines and timers of an exchange that are due.
@@ -79,7 +76,7 @@
 	}
 	if !x.retryAt.IsZero() && !now.Before(x.retryAt) {
 		x.retryAt = time.Time{}
-		if c.awaitUpstream(now, x) {
+		if x.awaitedCopy == nil && c.awaitUpstream(now, x) {
 			return
 		}
 		if !c.allowed(now, x) {
@@ -101,8 +98,12 @@
 	if !x.headSent {
 		return false
 	}
-	due := x.pace.Due(x.route.Attempts()-x.possibleRuns, c.pool.HasRoom(now, x.need, x.fence.excludes))
-	if !now.Before(due) && c.pool.HasUpstream(now, x.need, func(u *pool.Upstream) bool { return x.fence.excludes(u) || x.unheard(u) }) {
+	skip := x.wrongVersion
+	if x.move != nil && x.move.limits.Done() && !c.pool.HasUpstream(now, x.need, x.unfit) {
+		skip = x.fence.excludes
+	}
+	due := x.pace.Due(x.route.Attempts()-x.possibleRuns, c.pool.HasRoom(now, x.need, skip))
+	if !now.Before(due) && c.pool.HasUpstream(now, x.need, func(u *pool.Upstream) bool { return skip(u) || x.unheard(u) }) {
 		return false
 	}
 	c.noUpstream(now, x)
@@ -112,10 +113,8 @@
 		c.queryState(now, latest, "", "awaited")
 	}
 	// Many streams may wait for the same engines.
-	for len(c.stateQueries) < 2*placementCandidates {
-		if !c.queryWitness(now, latest, x.unheard) {
-			break
-		}
+	for ask := true; ask && len(c.stateQueries) < 2*placementCandidates; {
+		ask = c.queryWitness(now, latest, func(u *pool.Upstream) bool { return !skip(u) && x.unheard(u) })
 	}
 	return true
 }
