pool: Ask engines in turn that owe an answer

What callers would see: a stream whose engines have crashed stands still until its deadline although another engine is sound (the class of LOST). Found by review; not reported.

Cause: a stream that waits asks no more than eight engines at once, and chooses them by failure domain and by what was heard of them last. If none of them answers, their silence may be the link's, so that they do not back off and are chosen again each time. A ninth engine was never asked.

Change: an upstream that has sent nothing since it was last queried is a witness only after those that owe no answer, and of such upstreams the one that was queried first.

--- a/internal/pool/hear.go
+++ b/internal/pool/hear.go
@@ -27,8 +27,17 @@
 // way, and counts it against the few that a rest permits.
 func (u *Upstream) PermitMessage(now time.Time) bool { return u.standing.PermitMessage(now) }
 
-// PermitQuery is PermitMessage for a query.
-func (u *Upstream) PermitQuery(now time.Time) bool { return u.standing.PermitQuery(now) }
+// PermitQuery is PermitMessage for a query, which is sent if it is permitted.
+func (u *Upstream) PermitQuery(now time.Time) bool {
+	if !u.standing.PermitQuery(now) {
+		return false
+	}
+	u.queriedAt = now
+	return true
+}
+
+// owesAnswer reports whether the upstream has sent nothing since it was last queried.
+func (u *Upstream) owesAnswer() bool { return u.queriedAt.After(u.lastActivity) }
 
 // Limit returns the requests a second that the upstream accepts from all VMs together,
 // or 0 if it has named no limit.
@@ -124,8 +133,9 @@
 
 // Witness returns the upstream of the same service that is the most likely to answer a
 // query besides u, or nil if there is none: one that is not backing off before others,
-// one in another failure domain before others, and of these the one that sent something
-// last. It considers only upstreams for which match returns true.
+// one that owes no answer before others, one in another failure domain before others, and
+// of these the one that sent something last. Of those that owe an answer it is the one that
+// was queried first. It considers only upstreams for which match returns true.
 func (p *Pool) Witness(now time.Time, u *Upstream, match func(*Upstream) bool) *Upstream {
 	var best *Upstream
 	better := func(w *Upstream) bool {
@@ -135,6 +145,11 @@
 		if backing := w.BackingOff(now); backing != best.BackingOff(now) {
 			return !backing
 		}
+		if owes := w.owesAnswer(); owes != best.owesAnswer() {
+			return !owes
+		} else if owes && !w.queriedAt.Equal(best.queriedAt) {
+			return w.queriedAt.Before(best.queriedAt)
+		}
 		elsewhere, found := w.entry.Domain() != u.entry.Domain(), best.entry.Domain() != u.entry.Domain()
 		if elsewhere != found {
 			return elsewhere
--- a/internal/pool/upstream.go
+++ b/internal/pool/upstream.go
@@ -57,6 +57,8 @@
 
 	// lastActivity is the time at which the upstream last sent anything.
 	lastActivity time.Time
+	// queriedAt is the time of the latest query of the upstream's state.
+	queriedAt time.Time
 	// backoffUntil is the time until which the upstream is only a last resort.
 	// backoffDoublings is the number of doublings of its next backoff.
 	backoffUntil     time.Time
