proxy: Leave a resume that does not start although the others are full

What callers would see: a stream stands still until its deadline and is broken off (LOST). Found by review; not reported.

Cause: an attempt is kept while all others are full or have failed, up to 2 s of silence of its engine before its first piece. A resume is overdue after 4.5 s without one. If its engine answers queries, it was kept until the deadline, also when its request had been lost.

Change: an overdue resume is given up if there is any other upstream, as it was before streams waited for a better place.

proxy/testdata/overdue-full; before the change the resume is kept at each check from 5,800 to 24,300 ms.

--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -164,11 +164,12 @@
 
 // hasPlace reports whether there is a better place for a stream than an attempt that is
 // silent: a copy of its run, or an upstream that is likely to take it. After
-// gaps.MaxSilence of the run, or of its engine before the first piece, any other one is.
+// gaps.MaxSilence of the run, or of its engine before the first piece, any other one is. So
+// it is for a resume that is overdue.
 func (c *Core) hasPlace(now time.Time, x *exchange, a *attempt) bool {
 	other := func(u *pool.Upstream) bool { return u == a.upstream || x.fence.excludes(u) }
 	heard := x.lastDelivered
-	if !a.begun {
+	if !a.begun && !a.overdue {
 		heard = alarm.Later(a.sent, a.upstream.LastActivity())
 	}
 	if c.standbyUnusable(now, x, a) == "" || c.orderedUsable(now, x, a) ||
