proxy: Keep a silent attempt if only other versions have a place

What callers would see: during a move, a stream of the old version whose only engine is silent is given up after 2 s, and the same engine gets the request again: an attempt of the route and a repeat are used up, and the prompt is read again. Found by review; not reported.

Cause: after 2 s any other upstream was a better place, also one of a version to which the stream may not go. Before that, one of the old version to which a stream falls back once the move is done was none.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -132,14 +132,7 @@
 }
 
 // tried reports whether the request was sent to the upstream before.
-func (x *exchange) tried(u *pool.Upstream) bool {
-	for _, a := range x.attempts {
-		if a.upstream == u {
-			return true
-		}
-	}
-	return false
-}
+func (x *exchange) tried(u *pool.Upstream) bool { return x.sendCount(u) > 0 }
 
 // sendCount returns how often the request was sent to the upstream.
 func (x *exchange) sendCount(u *pool.Upstream) int {
--- a/internal/proxy/move.go
+++ b/internal/proxy/move.go
@@ -168,6 +168,15 @@
 // sent there before.
 func (x *exchange) unfit(u *pool.Upstream) bool { return x.wrongVersion(u) || x.unheard(u) }
 
+// skips returns a function that reports whether a stream that has begun must not be sent to
+// an upstream. Once a move is done, it falls back to the old version if there is no other.
+func (c *Core) skips(now time.Time, x *exchange) func(*pool.Upstream) bool {
+	if x.move != nil && x.move.limits.Done() && !c.pool.HasUpstream(now, x.need, x.unfit) {
+		return x.fence.excludes
+	}
+	return x.wrongVersion
+}
+
 // excludesHolder reports which upstreams must not hold a copy of a run: those of
 // another version, those that may not be sent the prompt, and those that the request
 // was sent to before.
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -167,14 +167,15 @@
 // gaps.MaxSilence of the run, or of its engine before the first piece, any other one is. So
 // it is for a resume that is overdue.
 func (c *Core) hasPlace(now time.Time, x *exchange, a *attempt) bool {
-	other := func(u *pool.Upstream) bool { return u == a.upstream || x.fence.excludes(u) }
+	skip := c.skips(now, x)
+	other := func(u *pool.Upstream) bool { return u == a.upstream || skip(u) }
 	heard := x.lastDelivered
 	if !a.begun && !a.overdue {
 		heard = alarm.Later(a.sent, a.upstream.LastActivity())
 	}
 	if c.standbyUnusable(now, x, a) == "" || c.orderedUsable(now, x, a) ||
 		now.Sub(heard) >= gaps.MaxSilence && c.pool.HasUpstream(now, x.need, other) ||
-		c.pool.HasRoom(now, x.need, func(u *pool.Upstream) bool { return other(u) || x.wrongVersion(u) }) {
+		c.pool.HasRoom(now, x.need, other) {
 		return true
 	}
 	if !a.kept {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -98,10 +98,7 @@
 	if !x.headSent {
 		return false
 	}
-	skip := x.wrongVersion
-	if x.move != nil && x.move.limits.Done() && !c.pool.HasUpstream(now, x.need, x.unfit) {
-		skip = x.fence.excludes
-	}
+	skip := c.skips(now, x)
 	due := x.pace.Due(x.route.Attempts()-x.possibleRuns, c.pool.HasRoom(now, x.need, skip))
 	if !now.Before(due) && c.pool.HasUpstream(now, x.need, func(u *pool.Upstream) bool { return skip(u) || x.unheard(u) }) {
 		return false
