proxy: Put off attempts of a stream after answers with missing pieces

What callers would see: a stream is broken off although an engine could go on with it (LOST). Found by review; not reported.

Cause: the first piece of an attempt ended the pauses between attempts also if it did not follow the latest one that the caller has, so that it was dropped. Engines that answer so used up the attempts of the route within milliseconds, as those did that crashed or answered with errors.

proxy/testdata/missing; before the change the fourth attempt is sent at 418 ms, and at 720 ms after it.

--- a/internal/proxy/move.go
+++ b/internal/proxy/move.go
@@ -259,11 +259,8 @@
 // reportLost reports an attempt that ended without an answer. The loss of an
 // engine is not attributed to its version.
 func (c *Core) reportLost(now time.Time, x *exchange, a *attempt, cause Cause) {
-	switch {
-	case cause == Garbled, cause == Oversized, cause == Broken && x.need.Memory() == 0:
+	if cause == Garbled || cause == Oversized || cause == Broken && x.need.Memory() == 0 {
 		c.reportOutcome(now, x, a, move.Truncated)
-	case cause == Unsent:
-		return
 	}
 }
 
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -197,7 +197,6 @@
 	a.lastProgress = now
 	if !a.begun {
 		a.begun = true
-		x.pace.Begun()
 		a.timeToFirst = now.Sub(a.sent)
 		c.observeBeginning(x, a)
 		a.upstream.FinishPrefill()
@@ -222,12 +221,15 @@
 		c.cancelAttempt(now, x, a, "piece missing")
 		c.trackCancelled(now, x, a, false)
 		x.possibleRuns++
+		if x.lastDelivered.Before(a.sent) {
+			x.pace.Ended(now, true)
+		}
 		c.recoverStream(now, x, a, NewLost(x.q.Number(), a.number, Garbled, "piece missing"))
 		return
 	}
 	c.sendHead(x, a)
-	x.position = index
-	x.lastDelivered = now
+	x.pace.Begun()
+	x.position, x.lastDelivered = index, now
 	c.requestCopy(now, x, a)
 	c.emit(x, Action{
 		kind:  SendPiece,
