proxy: Leave an engine at once whose address another incarnation has

What callers would see: a stream stands still for 2 s at an engine that is known to have ended. Found by review; not reported.

Cause: an engine that is listed no more and at whose address another incarnation answers was taken for one that may be silent for a second, so that its streams waited while the others were full.

Change: it is left at once, as one that refuses connections.

--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -100,7 +100,7 @@
 		if listed != nil {
 			c.upstreamUnreachable(now, listed)
 		}
-		c.engineDown(now, e.upstream, e.refused)
+		c.engineDown(now, e.upstream, e.refused, e.responded)
 	}
 	if !c.awaitingID[e.upstream] {
 		c.markAnswered(now, e.upstream, nil)
@@ -184,15 +184,15 @@
 }
 
 // engineDown ends the attempts of repeatable streams at an engine that does not answer,
-// or refuses connections. Streams that can't go on elsewhere keep theirs in the first
-// case, since the engine may be silent for a while only.
-func (c *Core) engineDown(now time.Time, id string, refused bool) {
+// refuses connections, or has ended. Streams that can't go on elsewhere keep theirs in the
+// first case, since the engine may be silent for a while only.
+func (c *Core) engineDown(now time.Time, id string, refused, ended bool) {
 	for _, x := range c.sortedExchanges() {
 		if !x.stream() || !x.route.Repeatable() {
 			continue
 		}
 		for _, a := range x.running() {
-			if a.upstream.ID() == id && (refused || c.mayLeave(now, x, a)) {
+			if a.upstream.ID() == id && (refused || ended || c.mayLeave(now, x, a)) {
 				a.refused = refused
 				c.giveUp(now, x, a, Silent, "engine dead")
 			}
