pool: An engine counts as full for two seconds

The request was refused there, and the prompt read again.

An engine that has stated that it is full counts as full for 2 s, the time for which a stream waits at a silent engine. A state older than that still counts as room.

proxy/testdata/full-others failed before (given up at 1,282 ms, the request sent to the full u2 at 1,290); no other script of proxy and pool changed.

--- a/internal/pool/state.go
+++ b/internal/pool/state.go
@@ -73,9 +73,13 @@
 	return !u.stateAt.IsZero() && now.Sub(u.stateAt) < stateTTL
 }
 
+// fullTTL is how long an engine counts as full after it has stated so. Runs take seconds,
+// and a stream that leaves a silent engine for a full one reads its prompt again.
+const fullTTL = 2 * time.Second
+
 // full reports whether the engine's latest state leaves no memory for the need.
 func (u *Upstream) full(now time.Time, n Need) bool {
-	return n.memory > 0 && u.HasFreshState(now) && u.state.spec.Used+n.tokens > n.memory
+	return n.memory > 0 && now.Sub(u.stateAt) < fullTTL && u.state.spec.Used+n.tokens > n.memory
 }
 
 // unreportedAttempts returns the number of this VM's attempts that the latest
