proxy: Record an answer with missing pieces as an end at once

An answer whose first piece is not the next one ends at once.

The scripts of proxy and pool pass as they are.

--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -222,7 +222,7 @@
 		c.trackCancelled(now, x, a, false)
 		x.possibleRuns++
 		if x.lastDelivered.Before(a.sent) {
-			x.pace.Ended(now, true)
+			x.pace.Ended(now, true, false)
 		}
 		c.recoverStream(now, x, a, NewLost(x.q.Number(), a.number, Garbled, "piece missing"))
 		return
