feed: Let the long watch of a history end before its time

TestMissingAfterLongWatch restored the store at the very moment at which the watch ended, so that it passed in the one run with the race detector. The restoration now comes 0.1 s before.

--- a/internal/feed/histories_test.go
+++ b/internal/feed/histories_test.go
@@ -100,7 +100,7 @@
 			kind: "begin",
 		},
 		{
-			at:   6 * time.Second,
+			at:   5900 * time.Millisecond,
 			kind: "restore",
 			age:  5 * time.Second,
 		},
