store: Do not take a refusal for a part of an answer

A VM that the store refuses told others that a part of an answer had just arrived, since the text of a refusal counted as one. While parts arrive they wait for that VM, and a refused one that tries again every 0.8 s would have kept them from the store as long as that is allowed.

Only the body of a successful answer is progress.

TestRefusalIsNoProgress fails before: 1 part.

--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -391,10 +391,11 @@
 		source:   resp.Body,
 		end:      time.Now().Add(bodyTimeout),
 		timer:    timer,
-		progress: progressOf(ctx),
+		progress: func() { Progressed(ctx) },
 	}
 	era, failure := c.eraOf(resp.Header)
 	if err := statusError(resp.StatusCode, resp.Header); err != nil {
+		body.progress = func() {}
 		_, _ = io.CopyN(io.Discard, body, 4096)
 		if failure != nil && !errors.Is(err, ErrUnavailable) {
 			err = errors.Mark(failure, ErrUnknown)
--- a/internal/store/progress.go
+++ b/internal/store/progress.go
@@ -11,10 +11,9 @@
 	return context.WithValue(ctx, progressKey{}, progress)
 }
 
-// progressOf returns the function that notes the progress of calls with ctx.
-func progressOf(ctx context.Context) func() {
+// Progressed notes that a part of the body of an answer to a call with ctx has arrived.
+func Progressed(ctx context.Context) {
 	if progress, ok := ctx.Value(progressKey{}).(func()); ok {
-		return progress
+		progress()
 	}
-	return func() {}
 }
--- a/internal/store/silent_test.go
+++ b/internal/store/silent_test.go
@@ -98,3 +98,16 @@
 		t.Errorf("second call: %v", err)
 	}
 }
+
+// TestRefusalIsNoProgress guards against VMs that wait for one that the store refuses,
+// since the text of the refusal passes for a part of an answer.
+func TestRefusalIsNoProgress(t *testing.T) {
+	s := startSilent(t, func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "busy", http.StatusServiceUnavailable)
+	})
+	parts := 0
+	ctx := WithProgress(t.Context(), func() { parts++ })
+	if _, _, err := New(s.URL, 1).Watch(ctx, "k", 1, time.Second); err == nil || parts > 0 {
+		t.Errorf("%d parts, %v", parts, err)
+	}
+}
