store: Begin a further connection while the first one is not there

A further connection is begun every 300 ms within the second in which one must be there, and the first one that is there is used; the others are closed. Connections between regions take under 30 ms.

--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -32,6 +32,9 @@
 	// between regions. A connection whose peer is gone is detected by keep-alive
 	// probes within 3 s.
 	connectTimeout = time.Second
+	// redialDelay is when a further connection is begun beside the first one, whose
+	// opening packet may be lost. It would be sent again after a second.
+	redialDelay = 300 * time.Millisecond
 	// maxAttempts is the number of times that a read is sent.
 	maxAttempts = 3
 	// baseBackoff is the mean delay before the second attempt; the delay doubles
@@ -84,7 +87,7 @@
 		},
 	}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         repeated(dialer.DialContext, redialDelay),
 		DisableCompression:  true,
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: 16,
