feed: Do not read from a VM that only knows what this one told it

A VM whose call of the store fails asks VMs after it, and refuses what they have from it alone. It compared the times of the store's latest answers exactly.

An answer must be younger by a fifth of the batch delay.

--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -421,9 +421,9 @@
 }
 
 // knows reports whether an answer is no newer than what this VM has. A VM that reads from
-// this one has no other.
+// this one has no other. Its answer seems younger by the time that answers are on their way.
 func (r *Reader) knows(c mirror.Changes) bool {
-	return c.Revision() <= r.log.Revision() && !r.now().Add(-c.Age()).After(r.log.Confirmed())
+	return c.Revision() <= r.log.Revision() && !r.now().Add(-c.Age()).After(r.log.Confirmed().Add(r.scaled(peerSlackFactor)))
 }
 
 // stale reports whether the store's latest answer to another VM is too old. If all VMs
