feed: Wait for an answer that arrives, however old the latest one is

A cut of nine VMs in ten interrupted the VM that reads for all twice, once in the middle of an answer of 705 KB. The latest answer of the store was then 3.5 s old at all VMs at the same moment. That was the largest accepted age while an answer arrives, so all of them asked the store, each for two versions as whole values, 1.4 MB. Over the link of 14 Mbit/s between the regions these took 4 s, and no VM of the other region could connect to one that had the versions since 41.3 s. They had them from 44.8 to 45.4 s.

Asking for what is on its way to another VM over the same links never makes it earlier. While parts of an answer arrive, the largest accepted age is now 8 s, the time that the store's client allows for one; without parts it is 2.7 s as before. A VM after the one that asks may hear of parts from it alone, so such VMs are held to 2.7 s.

--- a/internal/feed/model_test.go
+++ b/internal/feed/model_test.go
@@ -293,6 +293,11 @@
 	mbps int
 	// betweenMbps is the bandwidth between two regions, or 0 for no limit.
 	betweenMbps int
+	// windowBytes is how much of an answer of the store is on its way at a time, or 0
+	// for all of it.
+	windowBytes int
+	// windowTime is the time between two windows.
+	windowTime time.Duration
 }
 
 // fleet is a set of VMs.
@@ -308,7 +313,10 @@
 	order   []*modelVM
 	// between holds the link from the store's region to each other one.
 	between map[string]*link
-	running sync.WaitGroup
+	// windowBytes and windowTime are those of the plan.
+	windowBytes int
+	windowTime  time.Duration
+	running     sync.WaitGroup
 }
 
 func newFleet(p plan) *fleet {
@@ -317,6 +325,9 @@
 		rules:   modelRules,
 		vms:     make(map[string]*modelVM),
 		between: make(map[string]*link),
+
+		windowBytes: p.windowBytes,
+		windowTime:  p.windowTime,
 	}
 	for i := range p.vms {
 		domain := i % max(1, p.domains)
@@ -371,7 +382,9 @@
 			}
 			entries, revision, err := f.store.list(ctx, prefix)
 			v.hear(f.store)
-			f.fromStore(v, len(entries), size(entries))
+			if err := f.fromStore(ctx, v, len(entries), size(entries)); err != nil {
+				return nil, 0, err
+			}
 			return entries, revision, err
 		},
 		Watch: func(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]store.Event, uint64, error) {
@@ -384,7 +397,9 @@
 			for _, e := range events {
 				entries = append(entries, e.Entry())
 			}
-			f.fromStore(v, len(entries), size(entries))
+			if err := f.fromStore(ctx, v, len(entries), size(entries)); err != nil {
+				return nil, 0, err
+			}
 			return events, revision, err
 		},
 		Era: v.era.Load,
@@ -485,16 +500,29 @@
 	return n
 }
 
-// fromStore waits for the time that an answer of the store takes on its way to v.
-func (f *fleet) fromStore(v *modelVM, entries, bytes int) {
-	f.mutex.Lock()
-	n, now := 100+entryBytes*entries+int(textShare*float64(bytes)), time.Now()
-	done := v.down.send(now, n)
-	if t := f.between[v.region].send(now, n); t.After(done) {
-		done = t
+// fromStore waits for the time that an answer of the store takes on its way to v. A call
+// that ends before leaves only the window on the links.
+func (f *fleet) fromStore(ctx context.Context, v *modelVM, entries, bytes int) error {
+	for left := 100 + entryBytes*entries + int(textShare*float64(bytes)); left > 0; {
+		n := left
+		if f.windowBytes > 0 {
+			n = min(n, f.windowBytes)
+		}
+		left -= n
+		f.mutex.Lock()
+		now := time.Now()
+		done := v.down.send(now, n)
+		if t := f.between[v.region].send(now, n); t.After(done) {
+			done = t
+		}
+		f.mutex.Unlock()
+		time.Sleep(time.Until(done) + f.windowTime)
+		store.Progressed(ctx)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
 	}
-	f.mutex.Unlock()
-	time.Sleep(time.Until(done))
+	return nil
 }
 
 // call performs a call of another VM by v, including the time that the links need for
--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -32,9 +32,10 @@
 	// 1 MB, packed, takes 0.8 s if five VMs ask one whose link has 10 Mbit/s.
 	transferFactor = 1
 	// maxAgeFactor is the largest accepted age of the store's latest answer to
-	// another VM, and maxArrivalFactor that while a further answer arrives.
+	// another VM, and maxArrivalFactor that while a further answer arrives. The store's
+	// client gives up one that takes 8 s.
 	maxAgeFactor     = 1.7
-	maxArrivalFactor = 2.2
+	maxArrivalFactor = 5
 )
 
 const (
@@ -395,26 +396,33 @@
 	}
 }
 
+// fromStore reads changes from the store.
+func (r *Reader) fromStore(ctx context.Context, prefix string, after uint64, wait time.Duration) (mirror.Changes, error) {
+	if r.selector.Shared() {
+		wait = min(wait, r.scaled(storeWaitFactor))
+	}
+	heard := store.WithProgress(ctx, func() { r.log.Hear(0) })
+	events, revision, err := r.watch(heard, prefix, after, wait)
+	return mirror.NewChanges(events, revision, 0), err
+}
+
 // readFrom reads changes from one source.
 func (r *Reader) readFrom(ctx context.Context, v tree.VM, prefix string, after uint64, wait time.Duration) (Answer, error) {
 	if v.IsStore() {
-		if r.selector.Shared() {
-			wait = min(wait, r.scaled(storeWaitFactor))
-		}
 		began := r.now()
-		heard := store.WithProgress(ctx, func() { r.log.Hear(0) })
-		events, revision, err := r.watch(heard, prefix, after, wait)
+		c, err := r.fromStore(ctx, prefix, after, wait)
 		r.noteStore(began, err)
 		return Answer{
-			changes: mirror.NewChanges(events, revision, 0),
+			changes: c,
 		}, err
 	}
 	begin := r.scaled(peerWaitFactor + peerSlackFactor)
 	limited, cancel := bulk.WithProgress(ctx, begin, begin+r.scaled(transferFactor))
 	defer cancel()
+	follows := r.selector.Follows(v)
 	a, err := r.askPeer(limited, v.Address(), after, r.scaled(peerWaitFactor))
 	c := a.changes
-	if err == nil && (r.stale(c) || store.Era(c.Revision()) < store.Era(after) || r.selector.Follows(v) && r.knows(c)) {
+	if err == nil && (r.stale(c, follows) || store.Era(c.Revision()) < store.Era(after) || follows && r.knows(c)) {
 		err = errors.Wrapf(ErrStale, "%s, quiet for %s", c.Age(), c.Quiet())
 	}
 	return a, err
@@ -427,9 +435,10 @@
 }
 
 // stale reports whether the store's latest answer to another VM is too old. If all VMs
-// asked the store as soon as a large answer takes long, their answers would take longer.
-func (r *Reader) stale(c mirror.Changes) bool {
-	return c.Age() > r.scaled(maxArrivalFactor) || c.Quiet() > r.scaled(maxAgeFactor)
+// asked the store as soon as a large answer takes long, their answers would take longer. A
+// VM that may read from this one is not waited for.
+func (r *Reader) stale(c mirror.Changes, follows bool) bool {
+	return c.Age() > r.scaled(maxArrivalFactor) || c.Quiet() > r.scaled(maxAgeFactor) || follows && c.Age() > r.scaled(maxAgeFactor)
 }
 
 // noteStore notes the result of a call of the store that began at the given time.
--- a/internal/feed/spread_test.go
+++ b/internal/feed/spread_test.go
@@ -102,6 +102,8 @@
 			regions:     number("regions"),
 			mbps:        number("mbps"),
 			betweenMbps: number("between"),
+			windowBytes: 1000 * number("window"),
+			windowTime:  duration("every"),
 		})
 		f = s.fleet
 		for _, v := range f.order {
