feed: Ask the VMs before this one while the store's answer takes its time

While a VM waits for the store, it goes on asking the first two VMs before it in the tree, each 0.4 s; an answer with changes ends the call of the store. A store that answers within 0.4 s costs nothing more.

--- a/internal/feed/reader.go
+++ b/internal/feed/reader.go
@@ -300,8 +300,8 @@
 		return events, after, nil
 	}
 	var failure error
-	for _, v := range r.selector.Sources(r.now()) {
-		a, err := r.readFrom(ctx, v, prefix, after, wait)
+	for _, source := range r.selector.Sources(r.now()) {
+		v, a, err := r.readAny(ctx, source, prefix, after, wait)
 		r.observe(sourceKind(v), result(err))
 		switch {
 		case ctx.Err() != nil:
@@ -397,24 +397,24 @@
 }
 
 // fromStore reads changes from the store.
-func (r *Reader) fromStore(ctx context.Context, prefix string, after uint64, wait time.Duration) (mirror.Changes, error) {
+func (r *Reader) fromStore(ctx context.Context, prefix string, after uint64, wait time.Duration) (Answer, error) {
 	if r.selector.Shared() {
 		wait = min(wait, r.scaled(storeWaitFactor))
 	}
 	heard := store.WithProgress(ctx, func() { r.log.Hear(0) })
 	events, revision, err := r.watch(heard, prefix, after, wait)
-	return mirror.NewChanges(events, revision, 0), err
+	return Answer{
+		changes: mirror.NewChanges(events, revision, 0),
+	}, err
 }
 
 // readFrom reads changes from one source.
 func (r *Reader) readFrom(ctx context.Context, v tree.VM, prefix string, after uint64, wait time.Duration) (Answer, error) {
 	if v.IsStore() {
 		began := r.now()
-		c, err := r.fromStore(ctx, prefix, after, wait)
+		a, err := r.fromStore(ctx, prefix, after, wait)
 		r.noteStore(began, err)
-		return Answer{
-			changes: c,
-		}, err
+		return a, err
 	}
 	begin := r.scaled(peerWaitFactor + peerSlackFactor)
 	limited, cancel := bulk.WithProgress(ctx, begin, begin+r.scaled(transferFactor))
--- a/internal/feed/selector.go
+++ b/internal/feed/selector.go
@@ -95,6 +95,15 @@
 	return list
 }
 
+// Parents returns the first VMs before this one in the tree, whether they failed or not.
+func (o *Selector) Parents() []tree.VM {
+	if !o.Shared() {
+		return nil
+	}
+	before := o.tree.Before()
+	return before[:min(len(before), maxPeers)]
+}
+
 // available returns the first n VMs whose backoff has ended.
 func (o *Selector) available(now time.Time, vms []tree.VM, n int) []tree.VM {
 	var list []tree.VM
