mirror: List unchanged keys where the restored store has them

What callers saw: after a restoration a VM stayed at an older configuration, or without an upstream that runs, until that key was written the next time.

Cause: a log does not pass on a change by which the restored store only has again what the log had, and keeps its old position. Its list stated that position as well. A VM that had read the store before the writers wrote again has a later position for the older value or for the absence of the key, so it took the listed entry for an old one. A deleted upstream stayed away, and a held value went back to the older one at the end of the settle time.

Change: a list states the position of the repeated change, or for a key that a restoration has not changed the position at which the log learned of that. VMs that ask for changes still don't get such keys.

--- a/internal/mirror/log.go
+++ b/internal/mirror/log.go
@@ -37,6 +37,8 @@
 	// the latest ones, which are older by their writer's account. A held deletion is that
 	// of an upstream that had left and is listed again.
 	held map[string]store.Event
+	// repeated holds the positions at which a restored store has the latest changes again.
+	repeated map[string]uint64
 	// rules decide what stays in force.
 	rules Rules
 	// settledAt is the time from which the restored store's state counts again.
@@ -66,12 +68,14 @@
 // NewLog returns an empty log.
 func NewLog() *Log {
 	return &Log{
-		latest:  make(map[string]store.Event),
-		held:    make(map[string]store.Event),
-		rules:   noRules,
-		packer:  bulk.NewPacker(),
-		changed: make(chan struct{}),
-		now:     time.Now,
+		latest: make(map[string]store.Event),
+		held:   make(map[string]store.Event),
+		rules:  noRules,
+
+		repeated: make(map[string]uint64),
+		packer:   bulk.NewPacker(),
+		changed:  make(chan struct{}),
+		now:      time.Now,
 	}
 }
 
@@ -158,6 +162,7 @@
 		return l.hold(now, old, e)
 	}
 	if known && l.repeats(now, old, e) {
+		l.repeated[key] = e.Entry().Revision()
 		return false
 	}
 	view := old
@@ -169,7 +174,11 @@
 	}
 	if old.Entry().Revision() < e.Entry().Revision() && !old.Deleted() {
 		l.older.add(old.Entry())
+		if at := l.relocated(old); at.Entry().Revision() != old.Entry().Revision() {
+			l.older.add(at.Entry())
+		}
 	}
+	delete(l.repeated, key)
 	l.latest[key] = e
 	l.deleted += count(e.Deleted()) - count(old.Deleted())
 	if known && l.outlives(now, view, e) {
@@ -368,5 +377,9 @@
 	if l.confirmed.IsZero() || l.revision <= after {
 		return Changes{}, ErrNotListed
 	}
-	return l.answer(l.selected(func(e store.Event) bool { return !e.Deleted() })), nil
+	events := l.selected(func(e store.Event) bool { return !e.Deleted() })
+	for i, e := range events {
+		events[i] = l.relocated(e)
+	}
+	return l.answer(events), nil
 }
--- a/internal/mirror/passed_test.go
+++ b/internal/mirror/passed_test.go
@@ -40,6 +40,17 @@
 				return entriesText(l.Reset(entries, at, 0))
 			case "append":
 				return placedText(l.Append(placed(t, d), at, 0))
+			case "follow":
+				// The VM reads the changes after its revision from another one.
+				c, err := get(t, d, "from").Wait(context.Background(), l.Revision(), 0)
+				if err != nil {
+					return err.Error() + "\n"
+				}
+				return placedText(l.Append(c.Events(), c.Revision(), 0))
+			case "release":
+				// The store confirms its state.
+				l.Append(nil, l.Revision(), 0)
+				return placedText(l.Release())
 			case "pass":
 				// The VM reads all keys from another one.
 				c, err := get(t, d, "from").List(context.Background(), 0, 0)
--- a/internal/mirror/restored.go
+++ b/internal/mirror/restored.go
@@ -77,6 +77,21 @@
 		!old.Deleted() && !e.Deleted() && l.rules.Foreign(e.Entry().Key()) && bytes.Equal(old.Entry().Value(), e.Entry().Value())
 }
 
+// relocated returns a change of the store at a position at which the restored store has it
+// again. A VM that has read the store in between has another position for an earlier change.
+// The caller must hold the mutex.
+func (l *Log) relocated(e store.Event) store.Event {
+	old := e.Entry()
+	if len(l.gaps) == 0 || store.Era(old.Revision()) == store.Era(l.revision) || l.latest[old.Key()].Entry().Revision() != old.Revision() {
+		return e
+	}
+	at := l.repeated[old.Key()]
+	if store.Era(at) < store.Era(l.revision) {
+		at = l.gaps[len(l.gaps)-1].to
+	}
+	return store.NewEvent(store.NewEntry(old.Key(), old.Value(), at, old.Lease()), e.Deleted())
+}
+
 // outlives reports whether a change stays in force although the store has a later one. The
 // caller must hold the mutex.
 func (l *Log) outlives(now time.Time, view, latest store.Event) bool {
