mirror: Hold what another VM lists although the store lacks it

What callers saw: a VM that started after a restoration went back to an older configuration, or to an order before the present one, while the operator wrote them again in turn.

Cause: a VM that holds a value lists it beside that of the store, and a list with a key that comes twice starts the settle time of the VM that reads it. If the store lacks the key, the held value is listed alone, and the VM took the next older value for a change.

Change: an entry of an earlier era than its list starts the settle time.

Result: TestRestoredPassed/held-missing failed before (version 18 was in force after 19) and passes.

--- a/internal/mirror/log.go
+++ b/internal/mirror/log.go
@@ -114,9 +114,10 @@
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.Key()] = true
-	}
-	if len(listed) < len(entries) {
-		l.settledAt = now.Add(settleDelay)
+		if store.Era(e.Revision()) < store.Era(revision) {
+			// It stays in force although the store has another value, or none.
+			l.settledAt = now.Add(settleDelay)
+		}
 	}
 	for _, e := range entries {
 		l.apply(now, store.NewEvent(e, false))
