mirror: Take a change for a repeat only while a log crosses an era

The VM that it reads from got both changes at once, took the second one for a repeat of what the copy had, and did not pass it on.

A change repeats what was there only in the first answer of a new era. TestRestoredPassed/deleted-between failed before at the VM that reads; the line of the VM that it reads from shows the change now, which is what was missing. 2,500 drawn histories pass.

A trial that forgot the last value of what a copy lacks made it pass and failed in the drawn histories, where an upstream went back to an older entry.

--- a/internal/mirror/log.go
+++ b/internal/mirror/log.go
@@ -53,7 +53,9 @@
 	// for those in gaps.
 	completeAfter uint64
 	gaps          []gap
-	revision      uint64
+	// crossing is true while the first answer of a later era is applied.
+	crossing bool
+	revision uint64
 	// confirmed is when the store answered that revision is its latest, or zero
 	// before the first list. Another VM may have received that answer.
 	confirmed time.Time
@@ -162,7 +164,7 @@
 	if known && old.Entry().Revision() > e.Entry().Revision() {
 		return l.hold(now, old, e)
 	}
-	if known && l.repeats(now, old, e) {
+	if known && l.repeats(old, e) {
 		l.repeated[key] = e.Entry().Revision()
 		return false
 	}
@@ -203,7 +205,7 @@
 	if l.deleted > maxDeleted {
 		l.dropDeleted()
 	}
-	l.revision = max(l.revision, revision)
+	l.revision, l.crossing = max(l.revision, revision), false
 	l.confirm(age)
 }
 
--- a/internal/mirror/restored.go
+++ b/internal/mirror/restored.go
@@ -48,7 +48,7 @@
 	if l.confirmed.IsZero() || store.Era(revision) <= store.Era(l.revision) {
 		return
 	}
-	l.settledAt = now.Add(settleDelay)
+	l.settledAt, l.crossing = now.Add(settleDelay), true
 	l.gaps = append(l.gaps, gap{
 		from: l.revision,
 		to:   revision,
@@ -72,8 +72,8 @@
 
 // repeats reports whether a restored store only has again what it had. Such a change is
 // not passed on. The caller must hold the mutex.
-func (l *Log) repeats(now time.Time, old, e store.Event) bool {
-	return now.Before(l.settledAt) && store.Era(old.Entry().Revision()) < store.Era(e.Entry().Revision()) &&
+func (l *Log) repeats(old, e store.Event) bool {
+	return l.crossing && store.Era(old.Entry().Revision()) < store.Era(e.Entry().Revision()) &&
 		!old.Deleted() && !e.Deleted() && l.rules.Foreign(e.Entry().Key()) && bytes.Equal(old.Entry().Value(), e.Entry().Value())
 }
 
