claim: Write records again only after a restoration

Records are written again only if the slot is read at a revision of a later era than the one at which it was known, or at a lower one. The stand-in of the scripts raises the era when it goes back, as the store does.

--- a/internal/claim/sim_test.go
+++ b/internal/claim/sim_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/errs"
+	"clementinelink.example/clementinelink/internal/store"
 )
 
 // faults are the probabilities and delays of a simulated schedule.
@@ -368,8 +369,7 @@
 	return false
 }
 
-// restore returns the store to its state of some time ago. Revisions are positions, which
-// only increase.
+// restore returns the store to its state of some time ago, in a new era.
 func (m *sim) restore(back time.Duration) {
 	slots := make(map[int]storedSlot)
 	for _, s := range m.history {
@@ -378,6 +378,7 @@
 		}
 	}
 	m.storedSlots = make(map[int]storedSlot)
+	m.revision = store.Position(store.Era(m.revision)+1, store.Number(m.revision))
 	for n, s := range slots {
 		m.revision++
 		m.storedSlots[n] = storedSlot{
--- a/internal/claim/slot.go
+++ b/internal/claim/slot.go
@@ -41,9 +41,11 @@
 	// that the slot lacks, because the store was restored from a copy; they are written
 	// again before anything else is decided. repair is true if there are any, or packed
 	// ones, which table has already.
-	known  *table
-	lost   []*Record
-	repair bool
+	known *table
+	// knownAt is the revision of known.
+	knownAt uint64
+	lost    []*Record
+	repair  bool
 	// readAt is the time at which the store operation that gave the cached table
 	// started.
 	readAt time.Time
--- a/internal/claim/write.go
+++ b/internal/claim/write.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/alarm"
+	"clementinelink.example/clementinelink/internal/store"
 )
 
 // writeLimiter is a token bucket for the slot writes of a VM, which keeps all VMs
@@ -161,22 +162,26 @@
 		return
 	}
 	c.storeSucceeded(s)
-	c.takeTable(now, s, t)
+	c.takeTable(now, s, t, e.revision)
 	s.revision = e.revision
 	s.readAt = s.startedAt
 }
 
-// takeTable takes a table that was read. What the slot has lost is written again.
-func (c *Core) takeTable(now time.Time, s *slot, t *table) {
-	s.lost = t.missing(s.known, now)
-	packed := t.missingPacked(s.known, now)
+// takeTable takes a table that was read at a revision. If the store was restored since the
+// slot was last known, what the slot has lost is written again. Records may go otherwise.
+func (c *Core) takeTable(now time.Time, s *slot, t *table, revision uint64) {
+	var packed []byte
+	s.lost = nil
+	if restored := revision < s.knownAt || store.Era(revision) > store.Era(s.knownAt); restored {
+		s.lost, packed = t.missing(s.known, now), t.missingPacked(s.known, now)
+	}
 	s.repair = len(s.lost) > 0 || len(packed) > 0
 	if s.repair {
 		t.packed = append(bytes.Clone(t.packed), packed...)
 		t.size += len(packed)
 		c.rewritten += len(s.lost) + len(packed)/packedSize
 	} else {
-		s.known = t
+		s.known, s.knownAt = t, revision
 	}
 	s.table = t
 }
@@ -190,7 +195,7 @@
 	switch e.result {
 	case OK:
 		c.storeSucceeded(s)
-		s.table, s.known = s.nextTable, s.nextTable
+		s.table, s.known, s.knownAt = s.nextTable, s.nextTable, e.revision
 		s.lost, s.repair = nil, false
 		s.revision = e.revision
 		s.readAt = s.startedAt
