--- a/internal/stand/book.go
+++ b/internal/stand/book.go
@@ -76,7 +76,7 @@
 	// random returns a number in [0, 1).
 	random func() float64
 	// changed and ignored are called with each change of a state and each invalid
-	// field.
+	// field that is to be reported.
 	changed func(Change)
 	ignored func(id string, f InvalidField)
 }
@@ -153,8 +153,7 @@
 // Hear applies a statement. cause describes the message that it answered.
 func (b *Book) Hear(now time.Time, s *Standing, st Statement, cause string) {
 	for _, f := range st.invalid {
-		if s.lastInvalid != f {
-			s.lastInvalid = f
+		if s.isNew(f) {
 			b.ignored(s.id, f)
 		}
 	}
--- a/internal/stand/standing.go
+++ b/internal/stand/standing.go
@@ -1,6 +1,7 @@
 package stand
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -41,7 +42,9 @@
 	changed time.Time
 	// lastInvalid is the latest invalid field that was reported.
 	lastInvalid InvalidField
-	gate        Gate
+	// reportedOnce holds the names of the fields that are not reported again.
+	reportedOnce []string
+	gate         Gate
 }
 
 // Matches reports whether the standing is that of the incarnation with the given
@@ -54,6 +57,19 @@
 	return s.startedAt == startedAt
 }
 
+// isNew reports whether an invalid field is to be reported, and takes it as reported.
+func (s *Standing) isNew(f InvalidField) bool {
+	switch {
+	case f.once && slices.Contains(s.reportedOnce, f.name), f == s.lastInvalid:
+		return false
+	case f.once:
+		s.reportedOnce = append(s.reportedOnce, f.name)
+	default:
+		s.lastInvalid = f
+	}
+	return true
+}
+
 // Leaving reports whether the incarnation accepts no new work.
 func (s *Standing) Leaving() bool { return s.leaving }
 
--- a/internal/stand/statement.go
+++ b/internal/stand/statement.go
@@ -21,6 +21,8 @@
 type InvalidField struct {
 	name  string
 	value string
+	// once is true if only the first value of the field is reported.
+	once bool
 }
 
 // Name returns the name of the field.
@@ -72,6 +74,14 @@
 	return s
 }
 
+// WithInvalidOnce is WithInvalid for a field whose value changes with each answer, which
+// is reported once for an incarnation, whatever its later values are.
+func (s Statement) WithInvalidOnce(name, value string) Statement {
+	s = s.WithInvalid(name, value)
+	s.invalid[len(s.invalid)-1].once = true
+	return s
+}
+
 // Empty reports whether the upstream states nothing.
 func (s Statement) Empty() bool {
 	return !s.leaving && s.rest <= 0 && s.limit <= 0 && s.unlimitedSince.IsZero() && len(s.invalid) == 0
