--- a/internal/edge/dispatcher.go
+++ b/internal/edge/dispatcher.go
@@ -8,6 +8,7 @@
 
 	"clementinelink.example/clementinelink/internal/blame"
 	"clementinelink.example/clementinelink/internal/pause"
+	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/proxy"
 	"clementinelink.example/clementinelink/internal/reap"
 	"clementinelink.example/clementinelink/internal/ring"
@@ -213,6 +214,7 @@
 	waiting   int
 	upstreams map[string]int
 	limited   int
+	slow      int
 }
 
 // updateStats updates the statistics at most once per statsInterval, because it
@@ -225,7 +227,8 @@
 	d.stats.Store(&coreStats{
 		waiting:   d.core.Waiting(),
 		upstreams: d.core.Pool().CountByState(now),
-		limited:   d.core.Pool().CountLimited(),
+		limited:   d.core.Pool().Count(func(u *pool.Upstream) bool { return u.Limit() > 0 }),
+		slow:      d.core.Pool().Count(func(u *pool.Upstream) bool { return u.Load().Slow(now) }),
 	})
 }
 
--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -247,26 +247,20 @@
 	})
 	v.metrics.Watch("requests_live", "Requests in flight.", func() float64 { return float64(d.inFlight.Load()) })
 	v.metrics.Watch("prompt_charges", "Charges in force against prompt parts that crash engines.", func() float64 { return float64(v.charges.Load()) })
-	v.metrics.Watch("requests_waiting", "Requests in flight without an attempt that runs.", func() float64 {
-		if c := d.stats.Load(); c != nil {
-			return float64(c.waiting)
-		}
-		return 0
-	})
-	for state := range d.core.Pool().CountByState(d.now()) {
-		v.metrics.Watch("upstreams", "Listed upstreams by state.", func() float64 {
+	stat := func(read func(*coreStats) int) func() float64 {
+		return func() float64 {
 			if c := d.stats.Load(); c != nil {
-				return float64(c.upstreams[state])
+				return float64(read(c))
 			}
 			return 0
-		}, "state", state)
-	}
-	v.metrics.Watch("limited_upstreams", "Listed upstreams that name a limit on requests.", func() float64 {
-		if c := d.stats.Load(); c != nil {
-			return float64(c.limited)
 		}
-		return 0
-	})
+	}
+	v.metrics.Watch("requests_waiting", "Requests in flight without an attempt that runs.", stat(func(c *coreStats) int { return c.waiting }))
+	for state := range d.core.Pool().CountByState(d.now()) {
+		v.metrics.Watch("upstreams", "Listed upstreams by state.", stat(func(c *coreStats) int { return c.upstreams[state] }), "state", state)
+	}
+	v.metrics.Watch("limited_upstreams", "Listed upstreams that name a limit on requests.", stat(func(c *coreStats) int { return c.limited }))
+	v.metrics.Watch("slow_upstreams", "Listed upstreams whose latest reports say that work takes clearly longer than usual.", stat(func(c *coreStats) int { return c.slow }))
 	v.metrics.Watch("table_version", "Version of the routing table in force, 0 for none.", func() float64 {
 		if t := d.table.Load(); t != nil {
 			return float64(t.Version())
--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -24,6 +24,9 @@
 	// regionScore is added for another region, since links between regions are
 	// narrow and billed.
 	regionScore = 0.25
+	// workScore is added for each usual duration of work by which a plain upstream is
+	// slower. Work takes some 15 ms, a third of the round trips to another region.
+	workScore = 0.08
 	// domainScore is added for another failure domain, so that the VM's own one
 	// is preferred among equals.
 	domainScore = 0.02
@@ -215,7 +218,7 @@
 		growth := st.Prefilling*prefillGrowth + (st.Running-st.Prefilling)*decodeGrowth
 		return max(own, float64(st.Used+growth+u.unreportedAttempts()*otherRunTokens))
 	}
-	return own + u.OtherLoad(now)*otherRunTokens
+	return own + u.load.Others(now)*otherRunTokens
 }
 
 // expectedDelay returns the expected delay of a new run on an engine in
@@ -226,7 +229,7 @@
 		st := u.state.spec
 		s = prefillScore*float64(st.Prefilling+st.Waiting+u.unreportedAttempts()) + decodeScore*float64(st.Running-st.Prefilling)
 	} else {
-		s = unknownScore + prefillScore*float64(u.prefilling) + decodeScore*(float64(u.attempts-u.prefilling)+u.OtherLoad(now))
+		s = unknownScore + prefillScore*float64(u.prefilling) + decodeScore*(float64(u.attempts-u.prefilling)+u.load.Others(now))
 	}
 	if p.expectedMemory(now, u)+float64(n.tokens) > float64(n.memory) {
 		s += fullScore
@@ -240,7 +243,9 @@
 	if n.memory > 0 {
 		s += p.expectedDelay(now, n, u)
 	} else {
-		s += (float64(u.attempts+1) + u.OtherLoad(now)) / float64(max(u.entry.spec.Slots, 1))
+		slots := float64(max(u.Slots(), 1))
+		ahead := (float64(u.attempts) + u.load.Others(now)) / slots
+		s += ahead + 1/slots + (u.load.SlowDown(now)-1)*(workScore+ahead)
 		if u.entry.Region() != p.region {
 			s += regionScore
 		}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -215,11 +215,11 @@
 	return count
 }
 
-// CountLimited returns the number of listed upstreams that name a limit.
-func (p *Pool) CountLimited() int {
+// Count returns the number of listed upstreams for which match returns true.
+func (p *Pool) Count(match func(*Upstream) bool) int {
 	n := 0
 	for _, u := range p.byID {
-		if u.Limit() > 0 {
+		if match(u) {
 			n++
 		}
 	}
--- a/internal/pool/script_test.go
+++ b/internal/pool/script_test.go
@@ -8,13 +8,15 @@
 	"testing"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/load"
 	"clementinelink.example/clementinelink/internal/stand"
 	"github.com/cockroachdb/datadriven"
 )
 
 // TestScripts guards the choice of upstreams and the records of their health: a
 // failed failure domain must not get new work, a copy must not share the
-// failure domain of its run, and an upstream that left must not be used again.
+// failure domain of its run, an upstream that left must not be used again, and a plain
+// upstream that is slow for a moment must get less work, but not for longer.
 // Times are in milliseconds.
 func TestScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
@@ -69,7 +71,7 @@
 				Address: f[1],
 				Domain:  f[2],
 				Region:  region,
-				Slots:   6,
+				Slots:   slots(f),
 				Leaving: slices.Contains(f, "leaving"),
 
 				StartedAt: startedAt(now, f),
@@ -83,6 +85,17 @@
 		u.RemoveAttempt(number(t, d, "tokens"), d.HasArg("prefilling"))
 	case "unreachable":
 		p.RecordUnreachable(now, u)
+	case "load":
+		r := load.Report{}.WithSlots(number(t, d, "slots")).WithSlowDown(number(t, d, "speed"))
+		if d.HasArg("running") {
+			r = r.WithCounts(number(t, d, "running"), number(t, d, "waiting"))
+		}
+		u.ReportLoad(now, r)
+		return fmt.Sprintf("slots %d, crowded %t\n", u.Slots(), u.Crowded(now))
+	case "crowded":
+		return fmt.Sprintln(u.Crowded(now))
+	case "slow":
+		return fmt.Sprintln(p.Count(func(u *Upstream) bool { return u.Load().Slow(now) }))
 	case "success":
 		u.RecordSuccess(now)
 	case "fault":
@@ -157,6 +170,14 @@
 	return ""
 }
 
+// slots returns 6, or 0 for an upstream whose slots the registry does not state.
+func slots(f []string) int {
+	if slices.Contains(f, "no-slots") {
+		return 0
+	}
+	return 6
+}
+
 // startedAt returns now minus N milliseconds for the field "age=N", or 0 if there
 // is none.
 func startedAt(now time.Time, f []string) int64 {
@@ -196,6 +217,9 @@
 	if d.HasArg("invalid") {
 		s = s.WithInvalid("field", text("invalid"))
 	}
+	if d.HasArg("invalid-once") {
+		s = s.WithInvalidOnce("load", text("invalid-once"))
+	}
 	if d.HasArg("unsent") {
 		u = nil
 	}
--- a/internal/pool/upstream.go
+++ b/internal/pool/upstream.go
@@ -1,9 +1,11 @@
 package pool
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/load"
 	"clementinelink.example/clementinelink/internal/stand"
 )
 
@@ -20,9 +22,6 @@
 	// faultHalfLife is the half-life of the fault rate. It decays so that an
 	// upstream without traffic is tried again.
 	faultHalfLife = 4 * time.Second
-	// loadHalfLife is the half-life of a load report. A stream lasts for about
-	// 6 s.
-	loadHalfLife = 2 * time.Second
 	// crowdedTime is how long a load report tells that an upstream has no room. Work
 	// at plain upstreams takes some 15 ms.
 	crowdedTime = 250 * time.Millisecond
@@ -74,9 +73,8 @@
 	// second.
 	attemptTimes []time.Time
 
-	// otherRuns is the number of runs of other VMs as of loadAt.
-	otherRuns float64
-	loadAt    time.Time
+	// load is the load that the upstream reported.
+	load load.Record
 }
 
 // Entry returns the registry's entry of the upstream.
@@ -206,38 +204,21 @@
 	if u.faultRate == 0 {
 		return 0
 	}
-	return u.faultRate * decay(now.Sub(u.faultAt), faultHalfLife)
+	return u.faultRate * load.Decay(now.Sub(u.faultAt), faultHalfLife)
 }
 
-// ReportLoad records the number of running and waiting requests that the
-// upstream reported, which include this VM's.
-func (u *Upstream) ReportLoad(now time.Time, running, waiting int) {
-	u.otherRuns = float64(max(running+waiting-u.attempts, 0))
-	u.loadAt = now
-}
+// ReportLoad records the load that the upstream reported, which includes this VM's.
+func (u *Upstream) ReportLoad(now time.Time, r load.Report) { u.load.Update(now, r, u.attempts) }
+
+// Load returns what is known of the upstream's load. The caller must not update it.
+func (u *Upstream) Load() *load.Record { return &u.load }
+
+// Slots returns the number of slots that the registry states, or else the upstream, or 0
+// if it is unknown.
+func (u *Upstream) Slots() int { return cmp.Or(u.entry.spec.Slots, u.load.Slots()) }
 
 // Crowded reports whether a plain upstream has lately reported that more requests wait
 // there than it can work on at once. It is false if the number of its slots is unknown.
 func (u *Upstream) Crowded(now time.Time) bool {
-	slots := u.entry.spec.Slots
-	return slots > 0 && now.Sub(u.loadAt) < crowdedTime && float64(u.attempts)+u.otherRuns >= float64(2*slots)
-}
-
-// OtherLoad returns the expected number of runs of other VMs.
-func (u *Upstream) OtherLoad(now time.Time) float64 {
-	if u.otherRuns == 0 {
-		return 0
-	}
-	return u.otherRuns * decay(now.Sub(u.loadAt), loadHalfLife)
-}
-
-// decay returns 0.5 to the power of age/half, interpolated linearly between
-// whole half-lives.
-func decay(age, half time.Duration) float64 {
-	f := 1.0
-	for age >= half && f > 1.0/64 {
-		age -= half
-		f /= 2
-	}
-	return f * (1 - 0.5*min(float64(age)/float64(half), 1))
+	return u.Slots() > 0 && now.Sub(u.load.CountsAt()) < crowdedTime && float64(u.attempts)+u.load.OthersReported() >= float64(2*u.Slots())
 }
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -398,9 +398,7 @@
 		x.discount(a, e)
 		return
 	}
-	if e.load.known {
-		a.upstream.ReportLoad(now, e.load.running, e.load.waiting)
-	}
+	a.upstream.ReportLoad(now, e.load)
 	switch e.kind {
 	case Head:
 		a.upstream.RecordActivity(now)
--- a/internal/proxy/event.go
+++ b/internal/proxy/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/blame"
+	"clementinelink.example/clementinelink/internal/load"
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/reap"
@@ -166,22 +167,8 @@
 	held bool
 }
 
-// Load is the number of requests that an upstream reports. The zero value means
-// that it sent no report.
-type Load struct {
-	running int
-	waiting int
-	known   bool
-}
-
-// NewLoad returns a load of running and waiting requests.
-func NewLoad(running, waiting int) Load {
-	return Load{
-		running: running,
-		waiting: waiting,
-		known:   true,
-	}
-}
+// Load is the load that an upstream reports. The zero value means that it sent no report.
+type Load = load.Report
 
 // Kind returns the kind of the event.
 func (e Event) Kind() EventKind { return e.kind }
@@ -196,6 +183,9 @@
 // Answer returns the response of Reply and Head.
 func (e Event) Answer() *Answer { return e.answer }
 
+// Load returns the load that the upstream reported with the response of Reply and Head.
+func (e Event) Load() Load { return e.load }
+
 // Cause returns the cause of Lost.
 func (e Event) Cause() Cause { return e.cause }
 
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -76,7 +76,7 @@
 			Wait:     time.Duration(s.number(d, "wait", 0)) * time.Millisecond,
 		})))
 	case "head":
-		return s.step(NewHead(number, attempt, NewAnswer(http.StatusOK, http.Header{}, nil), Load{}))
+		return s.step(NewHead(number, attempt, NewAnswer(http.StatusOK, http.Header{}, nil), Load{}.WithSlowDown(s.number(d, "speed", 0))))
 	case "piece":
 		return s.step(NewPiece(number, attempt, s.number(d, "index", 1), []byte("x")))
 	case "held-back":
@@ -86,7 +86,7 @@
 	case "finish":
 		return s.step(NewFinish(number, attempt))
 	case "reply":
-		return s.step(NewReply(number, attempt, NewAnswer(s.number(d, "status", 200), http.Header{}, nil), Load{}))
+		return s.step(NewReply(number, attempt, NewAnswer(s.number(d, "status", 200), http.Header{}, nil), Load{}.WithSlowDown(s.number(d, "speed", 0))))
 	case "lost":
 		return s.step(NewLost(number, attempt, s.cause(d), ""))
 	case "misdirected":
