--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -29,6 +29,8 @@
 	stops map[string]reap.Order
 	// showsRetry is true if the time to come back of refusals is printed.
 	showsRetry bool
+	// showsRank is true if the ranks of attempts are printed.
+	showsRank bool
 }
 
 // TestScripts guards the decisions about forwarded requests. The head of each
@@ -150,6 +152,9 @@
 			s.now = arrived.Add(4 * time.Second)
 		}
 		return ""
+	case "show-rank":
+		s.showsRank = true
+		return ""
 	case "show-retry":
 		s.showsRetry = true
 		return ""
@@ -189,6 +194,9 @@
 				fmt.Fprintf(&b, " after=%d", a.Position())
 			}
 			fmt.Fprintf(&b, " left=%d", a.Deadline().Sub(s.now).Milliseconds())
+			if s.showsRank {
+				fmt.Fprintf(&b, " rank=%d", a.Rank())
+			}
 			if a.Workspace() != "" {
 				fmt.Fprintf(&b, " workspace=%s", a.Workspace())
 			}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -149,9 +149,10 @@
 	// hosts holds the routes of each host, the longest prefix first.
 	hosts    map[string][]*Route
 	services map[string]*Service
-	// top holds the most urgent priority of the routes to each service.
-	top  map[string]int
-	keys map[string]*Workspace
+	// priorities holds the priorities of the routes to each service, the most urgent
+	// one first, each once.
+	priorities map[string][]int
+	keys       map[string]*Workspace
 	// keyed is true if the configuration has a list of workspaces, which may be empty.
 	keyed bool
 }
@@ -160,12 +161,12 @@
 // and AddWorkspace must not be called once the table is in use.
 func New(version int64, limits Limits) *Table {
 	return &Table{
-		version:  version,
-		limits:   limits,
-		hosts:    make(map[string][]*Route),
-		services: make(map[string]*Service),
-		top:      make(map[string]int),
-		keys:     make(map[string]*Workspace),
+		version:    version,
+		limits:     limits,
+		hosts:      make(map[string][]*Route),
+		services:   make(map[string]*Service),
+		priorities: make(map[string][]int),
+		keys:       make(map[string]*Workspace),
 	}
 }
 
@@ -177,14 +178,17 @@
 	})
 	t.hosts[host] = slices.Insert(t.hosts[host], at, r)
 	for _, s := range r.spec.Shares {
-		if top, ok := t.top[s.service]; !ok || r.Priority() < top {
-			t.top[s.service] = r.Priority()
+		list := t.priorities[s.service]
+		if at, found := slices.BinarySearch(list, r.Priority()); !found {
+			t.priorities[s.service] = slices.Insert(list, at, r.Priority())
 		}
 	}
 }
 
 // ShareRoutes takes the routes of an earlier table, which have not changed since.
-func (t *Table) ShareRoutes(earlier *Table) { t.hosts, t.top = earlier.hosts, earlier.top }
+func (t *Table) ShareRoutes(earlier *Table) {
+	t.hosts, t.priorities = earlier.hosts, earlier.priorities
+}
 
 // ShareWorkspaces takes the workspaces of an earlier table, which have not changed since.
 func (t *Table) ShareWorkspaces(earlier *Table) { t.keys, t.keyed = earlier.keys, earlier.keyed }
@@ -256,7 +260,19 @@
 
 // TopPriority returns the most urgent priority of the routes to a service, or 0 if
 // there are none.
-func (t *Table) TopPriority(service string) int { return t.top[service] }
+func (t *Table) TopPriority(service string) int {
+	if list := t.priorities[service]; len(list) > 0 {
+		return list[0]
+	}
+	return 0
+}
+
+// Urgency returns the number of priorities of routes to the service that are more urgent
+// than the route's. It is 0 if all routes have the same one.
+func (t *Table) Urgency(service string, r *Route) int {
+	at, _ := slices.BinarySearch(t.priorities[service], r.Priority())
+	return at
+}
 
 // RequiresKeys reports whether routes that are not public require a workspace
 // key. It is false if the configuration has no list of workspaces.
