--- a/internal/blame/charge.go
+++ b/internal/blame/charge.go
@@ -66,3 +66,21 @@
 func (c Charge) Matches(service string, parts []string) bool {
 	return service == c.service && !slices.ContainsFunc(c.parts, func(p string) bool { return !slices.Contains(parts, p) })
 }
+
+// Excluded returns the versions whose engines may not be sent a prompt with the given parts,
+// and whether no engine of the service may.
+func Excluded(charges []Charge, service string, parts []string) (versions []string, all bool) {
+	if len(parts) == 0 {
+		return nil, false
+	}
+	for _, c := range charges {
+		switch {
+		case !c.Matches(service, parts):
+		case c.Restricted():
+			versions = append(versions, c.Struck())
+		default:
+			all = true
+		}
+	}
+	return versions, all
+}
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -11,11 +11,12 @@
 	"clementinelink.example/clementinelink/internal/blame"
 	"clementinelink.example/clementinelink/internal/budget"
 	"clementinelink.example/clementinelink/internal/errs"
-	"clementinelink.example/clementinelink/internal/expect"
 	"clementinelink.example/clementinelink/internal/heard"
+	"clementinelink.example/clementinelink/internal/hedge"
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/pause"
 	"clementinelink.example/clementinelink/internal/pool"
+	"clementinelink.example/clementinelink/internal/quota"
 	"clementinelink.example/clementinelink/internal/reap"
 	"clementinelink.example/clementinelink/internal/table"
 )
@@ -54,7 +55,7 @@
 	budgets *budget.Shares
 	// returns holds the time by service at which the latest request that was refused
 	// because of limits was told to come back.
-	returns map[string]time.Time
+	returns *quota.Returns
 	// moves holds the services whose traffic is moving to another version.
 	moves    map[string]*serviceMove
 	exposure move.Exposure
@@ -63,8 +64,8 @@
 	// stateQueries holds the start time of each state query in flight, keyed by
 	// the engine's id and the incarnation that the query is about.
 	stateQueries map[string]time.Time
-	// beginnings holds how long runs take to their first piece, by service.
-	beginnings map[string]*expect.Times
+	// hedges decides about second attempts beside slow ones.
+	hedges *hedge.Control
 	// paths tells the silence of an engine from that of the link to it.
 	paths *heard.Paths
 	// witnessAskedAt is when a witness was last queried.
@@ -99,12 +100,12 @@
 		inFlight:     make(map[uint64]*exchange),
 		alarms:       alarm.New[uint64](),
 		budgets:      budget.NewShares(l, move.MinVMs),
-		returns:      make(map[string]time.Time),
+		returns:      quota.NewReturns(),
 		moves:        make(map[string]*serviceMove),
 		peers:        move.MinVMs,
 		cancelled:    reap.New(),
 		stateQueries: make(map[string]time.Time),
-		beginnings:   make(map[string]*expect.Times),
+		hedges:       hedge.New(hedge.Limit{}, move.MinVMs, nil),
 		paths:        heard.NewPaths(queryTimeout, maxPatience),
 		awaitingID:   make(map[string]bool),
 		random:       rand.New(rand.NewPCG(seed, 1)).Float64,
@@ -118,6 +119,13 @@
 	return c
 }
 
+// WithHedges limits hedges. observe is called with what became of each. It must be called
+// before the first Step.
+func (c *Core) WithHedges(l hedge.Limit, observe func(hedge.Result)) *Core {
+	c.hedges = hedge.New(l, move.MinVMs, observe)
+	return c
+}
+
 // Table returns the current routing table, or nil before the first one.
 func (c *Core) Table() *table.Table { return c.table }
 
@@ -208,7 +216,7 @@
 		c.applyMove(e)
 		c.reviewWaiting(now, e.limits.Done())
 	case Peers:
-		c.setPeers(e.index)
+		c.setPeers(now, e.index)
 		c.pool.SetVMs(e.self, e.names)
 	case Charges:
 		c.applyCharges(now, e.charges)
@@ -303,6 +311,7 @@
 	c.assignVersion(now, x)
 	c.inFlight[q.Number()] = x
 	c.budgets.Of(x.need.Service()).CountFirst(now)
+	c.hedges.CountFirst(now, x.need.Service())
 	c.startAttempt(now, x, "first")
 	c.resetAlarm(x)
 }
@@ -359,10 +368,11 @@
 // caller states one.
 const defaultWait = 30 * time.Second
 
-// setPeers applies a new number of VMs to the retry budgets.
-func (c *Core) setPeers(peers int) {
+// setPeers applies a new number of VMs to the retry budgets and the limit of hedges.
+func (c *Core) setPeers(now time.Time, peers int) {
 	c.peers = max(peers, move.MinVMs)
 	c.budgets.SetVMs(c.peers)
+	c.hedges.SetVMs(now, peers)
 }
 
 // callerLeft ends the request of a caller that disconnected.
--- a/internal/proxy/fence.go
+++ b/internal/proxy/fence.go
@@ -35,20 +35,11 @@
 
 // fenceFor returns the fence of a prompt with the given parts at a service.
 func (c *Core) fenceFor(service string, parts []string) fence {
-	var f fence
-	if len(parts) == 0 {
-		return f
+	versions, closed := blame.Excluded(c.charges, service, parts)
+	return fence{
+		closed:   closed,
+		versions: versions,
 	}
-	for _, charge := range c.charges {
-		switch {
-		case !charge.Matches(service, parts):
-		case charge.Restricted():
-			f.versions = append(f.versions, charge.Struck())
-		default:
-			f.closed = true
-		}
-	}
-	return f
 }
 
 // applyCharges replaces the charges in force. Attempts without a piece are
--- a/internal/proxy/limit.go
+++ b/internal/proxy/limit.go
@@ -137,13 +137,6 @@
 		return retrySoon + c.spread(minRetrySpread), true
 	}
 	service := x.need.Service()
-	if last := c.returns[service]; last.After(at) {
-		at = last
-	}
-	at = at.Add(c.pool.Interval(now, service))
-	if latest := now.Add(maxReturnTime); at.After(latest) {
-		at = latest
-	}
-	c.returns[service] = at
+	at = c.returns.Next(service, at, now.Add(maxReturnTime), c.pool.Interval(now, service))
 	return max(at.Sub(now), retrySoon) + c.spread(minRetrySpread), true
 }
--- a/internal/proxy/move.go
+++ b/internal/proxy/move.go
@@ -250,7 +250,13 @@
 // answers to judge.
 func (c *Core) reportOvertaken(now time.Time, x *exchange, a *attempt) {
 	for _, other := range x.running() {
-		if other != a && x.position == 0 && other.sent.Before(a.sent) {
+		if other == a || !other.sent.Before(a.sent) {
+			continue
+		}
+		if c.hedges.Overtaken(now, x.beside(other)); a.sent.Before(c.hedges.LateAt(x.beside(other))) {
+			other.upstream.RecordFault(now)
+		}
+		if x.position == 0 {
 			c.reportOutcome(now, x, other, move.SlowFirst)
 		}
 	}
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -271,7 +271,7 @@
 		return -float64(s.cachedTokens[u.ID()]) / prefillRate
 	})
 	switch {
-	case s.isHedge && (upstream == nil || upstream.BackingOff(now) || upstream.Limit() > 0 || !c.canHedge(x) || !c.allowed(now, x)):
+	case s.isHedge && !c.takeHedge(now, x, upstream):
 		// The running attempt continues.
 	case upstream == nil || upstream.BackingOff(now):
 		c.sendToBest(now, x, s.reason)
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -4,56 +4,90 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/errs"
+	"clementinelink.example/clementinelink/internal/hedge"
 	"clementinelink.example/clementinelink/internal/move"
+	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/table"
 )
 
-const (
-	// lookupHedgeShare is the fraction of a lookup's goal after which a second
-	// upstream is asked. The remaining time must suffice for a whole answer.
-	lookupHedgeShare = 0.4
-	// minHedgeDelay keeps the delay of a hedge above the round trip between
-	// regions plus the usual processing time.
-	minHedgeDelay = 55 * time.Millisecond
-)
-
 // scheduleHedge sets the time of the next hedge, if one is allowed.
 func (c *Core) scheduleHedge(now time.Time, x *exchange) {
 	x.hedgeAt = time.Time{}
-	goal := x.route.Goal()
-	if goal == 0 || len(x.running()) > 1 || x.possibleRuns+1 >= x.route.Attempts() {
+	if x.route.Goal() == 0 || len(x.running()) > 1 || x.possibleRuns+1 >= x.route.Attempts() {
 		return
 	}
-	switch {
-	case x.route.Kind() == table.Lookup:
-		x.hedgeAt = now.Add(max(time.Duration(lookupHedgeShare*float64(goal)), minHedgeDelay))
-	case x.stream() && !x.headSent && x.route.Repeatable():
-		x.hedgeAt = now.Add(time.Duration(streamHedgeShare * float64(goal)))
+	if x.route.Kind() == table.Lookup || x.stream() && !x.headSent && x.route.Repeatable() {
+		x.hedgeAt = c.hedges.At(now, x.beside(x.attempts[len(x.attempts)-1]))
+	}
+}
+
+// beside describes an attempt to the decision about a hedge.
+func (x *exchange) beside(a *attempt) hedge.Attempt {
+	return hedge.Attempt{
+		Service: x.need.Service(),
+		Route:   x.route.Name(),
+		Stream:  x.stream(),
+		Goal:    x.route.Goal(),
+		Arrived: x.arrived,
+		Sent:    a.sent,
 	}
 }
 
 // hedge starts a second attempt beside a slow one.
 func (c *Core) hedge(now time.Time, x *exchange) {
 	x.hedgeAt = time.Time{}
-	if !c.canHedge(x) {
+	if !c.canHedge(x) || x.placement != nil {
+		return
+	}
+	first := x.running()[0]
+	pays, again := c.hedges.Pays(now, x.beside(first))
+	if x.hedgeAt = again; !again.IsZero() {
 		return
 	}
-	// A second read of a prompt that is not in time only delays the other runs there.
-	first, due := x.running()[0], x.arrived.Add(x.route.Goal())
-	if times := c.beginnings[x.need.Service()]; times != nil && x.stream() && !times.Pays(now, first.sent, due) {
-		x.hedgeAt = times.StuckAt(first.sent, due)
+	if at := c.hedges.LateAt(x.beside(first)); now.Before(at) {
+		// The upstream is not known to be slow yet. If there is no hedge until then, this is
+		// reviewed again.
+		x.hedgeAt = at
+	} else {
+		first.upstream.RecordFault(now)
+	}
+	if !pays {
 		return
 	}
-	first.upstream.RecordFault(now)
 	if x.need.Memory() > 0 {
 		c.placeOnEngine(now, x, "hedge")
 		return
 	}
-	upstream := c.pool.Pick(now, x.need, x.excludes)
-	if upstream == nil || upstream.BackingOff(now) || upstream.Limit() > 0 || !c.allowed(now, x) {
-		return
+	if upstream := c.pool.Pick(now, x.need, c.mayNotHedge(now, x)); c.takeHedge(now, x, upstream) {
+		c.send(now, x, upstream, "hedge")
+	}
+}
+
+// mayNotHedge returns a function that reports whether an upstream may not be sent a hedge.
+// Under a limit, that includes those that have no free slot or no memory, so that hedges
+// stop where all upstreams have queues.
+func (c *Core) mayNotHedge(now time.Time, x *exchange) func(*pool.Upstream) bool {
+	return func(u *pool.Upstream) bool {
+		return x.excludes(u) || c.hedges.Limited() && !c.pool.HasSpace(now, x.need, u)
+	}
+}
+
+// takeHedge reports whether a hedge may be sent to the upstream, and takes it from the
+// limit of hedges and from the budget of repeats.
+func (c *Core) takeHedge(now time.Time, x *exchange, u *pool.Upstream) bool {
+	if u == nil || c.mayNotHedge(now, x)(u) || u.BackingOff(now) || u.Limit() > 0 || !c.canHedge(x) {
+		return false
+	}
+	sent, denial := c.hedges.Take(now, x.beside(x.running()[0]), c.budgets.Of(x.need.Service()), x.budgetShare())
+	if denial != nil {
+		c.emit(x, Action{
+			kind:     Denied,
+			position: denial.Left(),
+			timeout:  denial.More(),
+			reason:   denial.Reason(),
+		})
 	}
-	c.send(now, x, upstream, "hedge")
+	return sent
 }
 
 // canHedge reports whether exactly one attempt runs and its answer has not
@@ -83,6 +117,9 @@
 	c.endAttempt(now, x, a)
 	x.possibleRuns++
 	if !answer.Failed() && !x.headSent {
+		if x.route.Kind() == table.Lookup {
+			c.hedges.Answered(now, x.beside(a), now.Sub(a.sent))
+		}
 		c.reportOutcome(now, x, a)
 		c.reportOvertaken(now, x, a)
 		a.upstream.RecordSuccess(now)
--- a/internal/proxy/script_test.go
+++ b/internal/proxy/script_test.go
@@ -11,6 +11,7 @@
 
 	"clementinelink.example/clementinelink/internal/blame"
 	"clementinelink.example/clementinelink/internal/budget"
+	"clementinelink.example/clementinelink/internal/hedge"
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/reap"
@@ -29,6 +30,8 @@
 	stops map[string]reap.Order
 	// showsRetry is true if the time to come back of refusals is printed.
 	showsRetry bool
+	// hedges counts the results of hedges.
+	hedges map[hedge.Result]int
 }
 
 // TestScripts guards the decisions about forwarded requests. The head of each
@@ -38,11 +41,12 @@
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		base := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 		s := &script{
-			t:     t,
-			core:  New(pool.New("r1", "a", 1), budget.NewLimits(0.8, 180, 10*time.Second), 1).WithExposure(move.NewExposure(0.1, 50)),
-			now:   base,
-			base:  base,
-			stops: make(map[string]reap.Order),
+			t:      t,
+			core:   New(pool.New("r1", "a", 1), budget.NewLimits(0.8, 180, 10*time.Second), 1).WithExposure(move.NewExposure(0.1, 50)),
+			now:    base,
+			base:   base,
+			stops:  make(map[string]reap.Order),
+			hedges: make(map[hedge.Result]int),
 		}
 		datadriven.RunTest(t, path, s.run)
 	})
@@ -86,7 +90,7 @@
 	case "finish":
 		return s.step(NewFinish(number, attempt))
 	case "reply":
-		return s.step(NewReply(number, attempt, NewAnswer(s.number(d, "status", 200), http.Header{}, nil), Load{}))
+		return s.step(NewReply(number, attempt, NewAnswer(s.number(d, "status", 200), http.Header{}, nil), s.load(d)))
 	case "lost":
 		return s.step(NewLost(number, attempt, s.cause(d), ""))
 	case "misdirected":
@@ -150,6 +154,27 @@
 			s.now = arrived.Add(4 * time.Second)
 		}
 		return ""
+	case "hedges":
+		s.core.WithHedges(hedge.NewLimit(float64(s.number(d, "percent", 0))/100, s.number(d, "burst", 0)), func(r hedge.Result) { s.hedges[r]++ })
+		return ""
+	case "hedge-counts":
+		return fmt.Sprintf("sent %d, denied by limit %d, by budget %d, won %d\n", s.hedges[hedge.Sent], s.hedges[hedge.OverLimit], s.hedges[hedge.OverBudget], s.hedges[hedge.Won])
+	case "lookups":
+		// Lookups arrive one after the other and are answered. Their actions are not
+		// printed.
+		for i := range s.number(d, "times", 1) {
+			n := uint64(s.number(d, "first", 1) + i)
+			s.step(NewArrive(NewRequest(RequestSpec{
+				Number: n,
+				ID:     "q" + strconv.FormatUint(n, 10),
+				Host:   "h",
+				Path:   "/",
+				Wait:   1500 * time.Millisecond,
+			})))
+			s.now = s.now.Add(time.Duration(s.number(d, "took", 0)) * time.Millisecond)
+			s.step(NewReply(n, 1, NewAnswer(http.StatusOK, http.Header{}, nil), s.load(d)))
+		}
+		return ""
 	case "show-retry":
 		s.showsRetry = true
 		return ""
@@ -243,6 +268,14 @@
 	return NewHeard(s.core.Pool().Get(id), id, st, "answer")
 }
 
+// load returns the load that an upstream reports with its response, if any.
+func (s *script) load(d *datadriven.TestData) Load {
+	if !d.HasArg("running") {
+		return Load{}
+	}
+	return NewLoad(s.number(d, "running", 0), s.number(d, "waiting", 0))
+}
+
 // table builds a routing table from lines "route NAME KIND SERVICE [OPTION]",
 // "engine SERVICE MEMORY" and "workspace NAME KEY".
 func (s *script) table(d *datadriven.TestData) *table.Table {
--- a/internal/proxy/stream.go
+++ b/internal/proxy/stream.go
@@ -5,16 +5,11 @@
 
 	"clementinelink.example/clementinelink/internal/alarm"
 	"clementinelink.example/clementinelink/internal/errs"
-	"clementinelink.example/clementinelink/internal/expect"
 	"clementinelink.example/clementinelink/internal/gaps"
 	"clementinelink.example/clementinelink/internal/pool"
 )
 
 const (
-	// streamHedgeShare is the fraction of a stream's goal after which a second
-	// engine reads the prompt too. A read takes about a second of the goal's
-	// 4.5 s.
-	streamHedgeShare = 0.55
 	// retryPause is the wait before a started stream is retried for which there
 	// was no upstream or no retry budget.
 	retryPause = 150 * time.Millisecond
@@ -198,7 +193,9 @@
 	if !a.begun {
 		a.begun = true
 		a.timeToFirst = now.Sub(a.sent)
-		c.observeBeginning(x, a)
+		if !x.headSent {
+			c.hedges.Answered(now, x.beside(a), a.timeToFirst)
+		}
 		a.upstream.FinishPrefill()
 		a.upstream.RecordSuccess(now)
 		// A stream lasts for seconds, and the evidence about a version must not
@@ -237,19 +234,6 @@
 	})
 }
 
-// observeBeginning notes how long a new run took to its first piece.
-func (c *Core) observeBeginning(x *exchange, a *attempt) {
-	if x.headSent {
-		return
-	}
-	times := c.beginnings[x.need.Service()]
-	if times == nil {
-		times = &expect.Times{}
-		c.beginnings[x.need.Service()] = times
-	}
-	times.Observe(a.timeToFirst)
-}
-
 // sendHead sends the caller the head of the stream unless it already has one.
 func (c *Core) sendHead(x *exchange, a *attempt) {
 	if x.headSent {
