--- a/cmd/clementinedge/main.go
+++ b/cmd/clementinedge/main.go
@@ -14,6 +14,7 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
 
+	"clementinelink.example/clementinelink/internal/hedge"
 	"clementinelink.example/clementinelink/internal/logger"
 	"clementinelink.example/clementinelink/platform"
 )
@@ -45,6 +46,8 @@
 	MaxHeld   int64         `long:"max-held" env:"CLEMENTINE_MAX_HELD" default:"33554432" description:"bytes that all incomplete answers of workers may take together"`
 	MaxRest   time.Duration `long:"max-rest" env:"CLEMENTINE_MAX_REST" default:"10m" description:"longest rest that a worker may ask for with Retry-After"`
 	Control   float64       `long:"control-share" env:"CLEMENTINE_CONTROL_SHARE" default:"0.9" description:"part of the VM's link that changes of the store may take on their way to other VMs"`
+	Share     *float64      `long:"hedge-share" env:"CLEMENTINE_HEDGE_SHARE" description:"hedges (second attempts beside slow ones) allowed per first attempt of a service in any 10 s, from 0 to 1; without it and --hedge-burst, only the retry budget limits them"`
+	Burst     *int          `long:"hedge-burst" env:"CLEMENTINE_HEDGE_BURST" description:"hedges that all VMs together may add to that in any 10 s; 0 for both turns hedging off"`
 	Version   bool          `long:"version" description:"print the version and exit"`
 }
 
@@ -90,6 +93,10 @@
 	if o.MaxRest < minMaxRest {
 		return usageError(fmt.Errorf("--max-rest: %s is less than %s", o.MaxRest, minMaxRest))
 	}
+	hedges, err := hedgeLimit(&o)
+	if err != nil {
+		return usageError(err)
+	}
 	// The platform charges twenty times as much for the peak of memory as for
 	// the processor time that the collection takes.
 	debug.SetGCPercent(o.Collect)
@@ -99,7 +106,29 @@
 	}
 	log := logger.New(os.Stdout, level, s.Node())
 	defer func() { _ = log.Close() }()
-	return serve(s, &o, log)
+	return serve(s, &o, hedges, log)
+}
+
+// hedgeLimit returns the limit of hedges. A setting that is not given is 0 if the other one
+// is.
+func hedgeLimit(o *options) (hedge.Limit, error) {
+	if o.Share == nil && o.Burst == nil {
+		return hedge.Limit{}, nil
+	}
+	share, burst := 0.0, 0
+	if o.Share != nil {
+		share = *o.Share
+	}
+	if o.Burst != nil {
+		burst = *o.Burst
+	}
+	if !(share >= 0 && share <= 1) {
+		return hedge.Limit{}, fmt.Errorf("--hedge-share: %g is not from 0 to 1", share)
+	}
+	if burst < 0 {
+		return hedge.Limit{}, fmt.Errorf("--hedge-burst: %d is not a number of 0 or more", burst)
+	}
+	return hedge.NewLimit(share, burst), nil
 }
 
 func usageError(err error) int {
@@ -107,7 +136,7 @@
 	return exitUsage
 }
 
-func serve(s *platform.Settings, o *options, log *logger.Log) int {
+func serve(s *platform.Settings, o *options, hedges hedge.Limit, log *logger.Log) int {
 	metrics := ""
 	if host, _, err := net.SplitHostPort(s.Ready()); err == nil && o.Metrics > 0 {
 		metrics = net.JoinHostPort(host, strconv.Itoa(o.Metrics))
@@ -119,7 +148,7 @@
 		Held:   o.MaxHeld,
 		Rest:   o.MaxRest,
 	}
-	vm := platform.NewVM(s, metrics, bounds, log.Logger).WithControlShare(o.Control)
+	vm := platform.NewVM(s, metrics, bounds, hedges, log.Logger).WithControlShare(o.Control)
 	log.RegisterMetrics(vm.Metrics())
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -12,6 +12,7 @@
 	"clementinelink.example/clementinelink/internal/budget"
 	"clementinelink.example/clementinelink/internal/enrol"
 	"clementinelink.example/clementinelink/internal/feed"
+	"clementinelink.example/clementinelink/internal/hedge"
 	"clementinelink.example/clementinelink/internal/ledger"
 	"clementinelink.example/clementinelink/internal/meter"
 	"clementinelink.example/clementinelink/internal/mirror"
@@ -76,6 +77,8 @@
 	SettleTime time.Duration
 	// Budget bounds the repeated attempts.
 	Budget budget.Limits
+	// Hedges bounds the second attempts beside slow ones.
+	Hedges hedge.Limit
 	// Exposure bounds the requests that an unproven version gets.
 	Exposure move.Exposure
 	// FirstStart is true if the whole system starts for the first time, so that
@@ -149,7 +152,9 @@
 	m.WatchProcess()
 	j := newEventLog(log, m)
 	upstreams := pool.New(s.Region, s.Domain, s.Seed).WithObserver(j.logChange, j.logInvalid)
-	core := proxy.New(upstreams, s.Budget, s.Seed).WithExposure(s.Exposure)
+	core := proxy.New(upstreams, s.Budget, s.Seed).WithExposure(s.Exposure).WithHedges(s.Hedges, func(r hedge.Result) {
+		m.Counter("hedges_total", "Second attempts beside slow ones by result.", "result", string(r)).Inc()
+	})
 	v := &VM{
 		settings:   s,
 		store:      c,
@@ -247,26 +252,19 @@
 	})
 	v.metrics.Watch("requests_live", "Requests in flight.", func() float64 { return float64(d.inFlight.Load()) })
 	v.metrics.Watch("prompt_charges", "Charges in force against prompt parts that crash engines.", func() float64 { return float64(v.charges.Load()) })
-	v.metrics.Watch("requests_waiting", "Requests in flight without an attempt that runs.", func() float64 {
-		if c := d.stats.Load(); c != nil {
-			return float64(c.waiting)
-		}
-		return 0
-	})
-	for state := range d.core.Pool().CountByState(d.now()) {
-		v.metrics.Watch("upstreams", "Listed upstreams by state.", func() float64 {
+	statistic := func(of func(*coreStats) int) func() float64 {
+		return func() float64 {
 			if c := d.stats.Load(); c != nil {
-				return float64(c.upstreams[state])
+				return float64(of(c))
 			}
 			return 0
-		}, "state", state)
-	}
-	v.metrics.Watch("limited_upstreams", "Listed upstreams that name a limit on requests.", func() float64 {
-		if c := d.stats.Load(); c != nil {
-			return float64(c.limited)
 		}
-		return 0
-	})
+	}
+	v.metrics.Watch("requests_waiting", "Requests in flight without an attempt that runs.", statistic(func(c *coreStats) int { return c.waiting }))
+	for state := range d.core.Pool().CountByState(d.now()) {
+		v.metrics.Watch("upstreams", "Listed upstreams by state.", statistic(func(c *coreStats) int { return c.upstreams[state] }), "state", state)
+	}
+	v.metrics.Watch("limited_upstreams", "Listed upstreams that name a limit on requests.", statistic(func(c *coreStats) int { return c.limited }))
 	v.metrics.Watch("table_version", "Version of the routing table in force, 0 for none.", func() float64 {
 		if t := d.table.Load(); t != nil {
 			return float64(t.Version())
