--- a/cmd/clementinedge/main.go
+++ b/cmd/clementinedge/main.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -46,8 +47,8 @@
 	MaxHeld   int64         `long:"max-held" env:"CLEMENTINE_MAX_HELD" default:"33554432" description:"bytes that all incomplete answers of workers may take together"`
 	MaxRest   time.Duration `long:"max-rest" env:"CLEMENTINE_MAX_REST" default:"10m" description:"longest rest that a worker may ask for with Retry-After"`
 	Control   float64       `long:"control-share" env:"CLEMENTINE_CONTROL_SHARE" default:"0.9" description:"part of the VM's link that changes of the store may take on their way to other VMs"`
-	Share     *float64      `long:"hedge-share" env:"CLEMENTINE_HEDGE_SHARE" description:"hedges (second attempts beside slow ones) allowed per first attempt of a service in any 10 s, from 0 to 1; without it and --hedge-burst, only the retry budget limits them"`
-	Burst     *int          `long:"hedge-burst" env:"CLEMENTINE_HEDGE_BURST" description:"hedges that all VMs together may add to that in any 10 s; 0 for both turns hedging off"`
+	Share     string        `long:"hedge-share" env:"CLEMENTINE_HEDGE_SHARE" description:"hedges (second attempts beside slow ones) allowed per first attempt of a service in any 10 s, from 0 to 1; without it and --hedge-burst, only the retry budget limits them"`
+	Burst     string        `long:"hedge-burst" env:"CLEMENTINE_HEDGE_BURST" description:"hedges that all VMs together may add to that in any 10 s; 0 for both turns hedging off"`
 	Version   bool          `long:"version" description:"print the version and exit"`
 }
 
@@ -112,21 +113,16 @@
 // hedgeLimit returns the limit of hedges. A setting that is not given is 0 if the other one
 // is.
 func hedgeLimit(o *options) (hedge.Limit, error) {
-	if o.Share == nil && o.Burst == nil {
+	if o.Share == "" && o.Burst == "" {
 		return hedge.Limit{}, nil
 	}
-	share, burst := 0.0, 0
-	if o.Share != nil {
-		share = *o.Share
+	share, err := strconv.ParseFloat(cmp.Or(o.Share, "0"), 64)
+	if err != nil || !(share >= 0 && share <= 1) {
+		return hedge.Limit{}, fmt.Errorf("--hedge-share: %q is not a number from 0 to 1", o.Share)
 	}
-	if o.Burst != nil {
-		burst = *o.Burst
-	}
-	if !(share >= 0 && share <= 1) {
-		return hedge.Limit{}, fmt.Errorf("--hedge-share: %g is not from 0 to 1", share)
-	}
-	if burst < 0 {
-		return hedge.Limit{}, fmt.Errorf("--hedge-burst: %d is not a number of 0 or more", burst)
+	burst, err := strconv.Atoi(cmp.Or(o.Burst, "0"))
+	if err != nil || burst < 0 {
+		return hedge.Limit{}, fmt.Errorf("--hedge-burst: %q is not a whole number of 0 or more", o.Burst)
 	}
 	return hedge.NewLimit(share, burst), nil
 }
