--- a/internal/guide/guide_test.go
+++ b/internal/guide/guide_test.go
@@ -44,7 +44,7 @@
 // and output that the programs do not give.
 func TestOperators(t *testing.T) {
 	programs := t.TempDir()
-	if out, err := exec.Command("go", "build", "-o", programs, module+"/cmd/clementinectl", module+"/cmd/clementined").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-o", programs, module+"/cmd/clementinectl", module+"/cmd/clementined", module+"/cmd/clementinedge").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
 	pages, err := filepath.Glob(module + "/docs/operators/*.md")
--- a/internal/guide/runner.go
+++ b/internal/guide/runner.go
@@ -38,7 +38,7 @@
 type Runner struct {
 	// dir is where files are written and commands run.
 	dir string
-	// programs is the directory with the compiled clementinectl and clementined.
+	// programs is the directory with the compiled programs.
 	programs string
 	// module is the root of the Go module, the working directory of "go run".
 	module string
@@ -215,7 +215,7 @@
 			return errors.New("go: only \"go run FILE\" is supported")
 		}
 		return r.runSource(ctx, l, out)
-	case "clementinectl", "clementined":
+	case "clementinectl", "clementined", "clementinedge":
 		cmd := exec.Command(filepath.Join(r.programs, l.words[0]), l.words[1:]...)
 		cmd.Dir = r.dir
 		if l.background {
