--- a/internal/edge/dispatcher.go
+++ b/internal/edge/dispatcher.go
@@ -113,7 +113,7 @@
 		log:         j,
 	}
 	core.WithStopObserver(func(e reap.Ended) { j.logStopEnd(d.now(), e) })
-	j.table = func() (int64, time.Time) { return tableVersion(core), time.Unix(0, d.tableSince.Load()) }
+	j.table = func() (int64, time.Time) { return tableVersion(core.Table()), time.Unix(0, d.tableSince.Load()) }
 	return d
 }
 
@@ -249,14 +249,13 @@
 func (d *Dispatcher) execute(ctx context.Context, now time.Time, a proxy.Action) bool {
 	r := d.requests[a.Number()]
 	d.log.logAction(now, a, r)
-	if a.Kind() == proxy.ReportOutcome {
+	switch a.Kind() {
+	case proxy.ReportOutcome:
 		v := a.Judged()
 		d.reports.Put(ctx, dispatcherReport{
 			judged: &v,
 		})
 		return true
-	}
-	switch a.Kind() {
 	case proxy.ReportCrash:
 		d.runLost(ctx, a.Run())
 		return true
--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -12,6 +12,7 @@
 	"clementinelink.example/clementinelink/internal/budget"
 	"clementinelink.example/clementinelink/internal/enrol"
 	"clementinelink.example/clementinelink/internal/feed"
+	"clementinelink.example/clementinelink/internal/hedge"
 	"clementinelink.example/clementinelink/internal/ledger"
 	"clementinelink.example/clementinelink/internal/meter"
 	"clementinelink.example/clementinelink/internal/mirror"
@@ -76,6 +77,8 @@
 	SettleTime time.Duration
 	// Budget bounds the repeated attempts.
 	Budget budget.Limits
+	// Hedges bounds the second attempts beside slow ones.
+	Hedges hedge.Limit
 	// Exposure bounds the requests that an unproven version gets.
 	Exposure move.Exposure
 	// FirstStart is true if the whole system starts for the first time, so that
@@ -149,7 +152,9 @@
 	m.WatchProcess()
 	j := newEventLog(log, m)
 	upstreams := pool.New(s.Region, s.Domain, s.Seed).WithObserver(j.logChange, j.logInvalid)
-	core := proxy.New(upstreams, s.Budget, s.Seed).WithExposure(s.Exposure)
+	core := proxy.New(upstreams, s.Budget, s.Seed).WithExposure(s.Exposure).WithHedges(s.Hedges, func(r hedge.Result) {
+		m.Counter("hedges_total", "Second attempts beside slow ones by result.", "result", string(r)).Inc()
+	})
 	v := &VM{
 		settings:   s,
 		store:      c,
@@ -261,12 +266,7 @@
 	}
 	v.metrics.Watch("limited_upstreams", "Listed upstreams that name a limit on requests.", stat(func(c *coreStats) int { return c.limited }))
 	v.metrics.Watch("slow_upstreams", "Listed upstreams whose latest reports say that work takes clearly longer than usual.", stat(func(c *coreStats) int { return c.slow }))
-	v.metrics.Watch("table_version", "Version of the routing table in force, 0 for none.", func() float64 {
-		if t := d.table.Load(); t != nil {
-			return float64(t.Version())
-		}
-		return 0
-	})
+	v.metrics.Watch("table_version", "Version of the routing table in force, 0 for none.", func() float64 { return float64(tableVersion(d.table.Load())) })
 	v.metrics.Watch("table_age_seconds", "Time since the routing table in force arrived.", func() float64 {
 		return d.now().Sub(time.Unix(0, d.tableSince.Load())).Seconds()
 	})
