--- a/internal/edge/eventlog.go
+++ b/internal/edge/eventlog.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/meter"
+	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/proxy"
 	"clementinelink.example/clementinelink/internal/reap"
 	"clementinelink.example/clementinelink/internal/stand"
@@ -167,14 +168,13 @@
 
 // sendRecord holds the log fields of one attempt.
 type sendRecord struct {
-	attempt  int
-	reason   string
-	service  string
+	attempt int
+	reason  string
+	// entry is that of the upstream, and instance the incarnation that must run it.
+	entry    pool.Entry
 	instance string
-	address  string
-	version  string
-	domain   string
 	holder   string
+	rank     int
 	work     int
 	tokens   int
 	position int
@@ -195,11 +195,9 @@
 	l := sendRecord{
 		attempt:  a.Attempt(),
 		reason:   a.Reason(),
-		service:  u.Entry().Service(),
+		entry:    u.Entry(),
 		instance: a.Instance(),
-		address:  u.Address(),
-		version:  u.Entry().Version(),
-		domain:   u.Entry().Domain(),
+		rank:     a.Rank(),
 		work:     u.Attempts(),
 		tokens:   u.Tokens(),
 		position: a.Position(),
@@ -250,8 +248,8 @@
 // writeSend writes the log line of an attempt.
 func (j *eventLog) writeSend(r *request, l *sendRecord) {
 	e := j.log.Info().Str("request", r.id).Int("attempt", l.attempt).Str("reason", l.reason).
-		Str("service", l.service).Str("upstream", l.instance).Str("address", l.address).Str("version", l.version).Str("domain", l.domain).
-		Int64("after", l.at.Milliseconds()).Int("work", l.work).Int("tokens", l.tokens).Int("position", l.position)
+		Str("service", l.entry.Service()).Str("upstream", l.instance).Str("address", l.entry.Address()).Str("version", l.entry.Version()).Str("domain", l.entry.Domain()).
+		Int64("after", l.at.Milliseconds()).Int("rank", l.rank).Int("work", l.work).Int("tokens", l.tokens).Int("position", l.position)
 	if l.copied {
 		e = e.Bool("copied", true)
 	}
@@ -273,7 +271,7 @@
 	l := j.log.Info().Str("request", r.id).Str("route", a.Route()).Str("outcome", a.Kind().String()).Str("reason", a.Reason()).
 		Int64("ms", took.Milliseconds()).Int("sends", r.sends)
 	if r.deferredSend != nil {
-		l = l.Str("upstream", r.deferredSend.instance).Str("version", r.deferredSend.version).Str("domain", r.deferredSend.domain)
+		l = l.Str("upstream", r.deferredSend.instance).Str("version", r.deferredSend.entry.Version()).Str("domain", r.deferredSend.entry.Domain())
 	}
 	if r.pieces > 0 {
 		j.firstPiece.Observe(r.firstPiece)
--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +12,7 @@
 	"clementinelink.example/clementinelink/internal/blame"
 	"clementinelink.example/clementinelink/internal/budget"
 	"clementinelink.example/clementinelink/internal/enrol"
+	"clementinelink.example/clementinelink/internal/fair"
 	"clementinelink.example/clementinelink/internal/feed"
 	"clementinelink.example/clementinelink/internal/hedge"
 	"clementinelink.example/clementinelink/internal/ledger"
@@ -77,6 +79,8 @@
 	SettleTime time.Duration
 	// Budget bounds the repeated attempts.
 	Budget budget.Limits
+	// Shared is true if workspaces share engines equally.
+	Shared bool
 	// Hedges bounds the second attempts beside slow ones.
 	Hedges hedge.Limit
 	// Exposure bounds the requests that an unproven version gets.
@@ -152,7 +156,8 @@
 	m.WatchProcess()
 	j := newEventLog(log, m)
 	upstreams := pool.New(s.Region, s.Domain, s.Seed).WithObserver(j.logChange, j.logInvalid)
-	core := proxy.New(upstreams, s.Budget, s.Seed).WithExposure(s.Exposure).WithHedges(s.Hedges, func(r hedge.Result) {
+	order := fair.NewOrder(s.Shared).WithObserver(func(rank int) { m.Counter("ranks_total", "Attempts by their rank.", "rank", strconv.Itoa(rank)).Inc() })
+	core := proxy.New(upstreams, s.Budget, s.Seed).WithExposure(s.Exposure).WithOrder(order).WithHedges(s.Hedges, func(r hedge.Result) {
 		m.Counter("hedges_total", "Second attempts beside slow ones by result.", "result", string(r)).Inc()
 	})
 	v := &VM{
--- a/internal/loads/caller_test.go
+++ b/internal/loads/caller_test.go
@@ -12,11 +12,16 @@
 const (
 	longestPause = 700 * time.Millisecond
 	callTimeout  = 25 * time.Second
-	firstTimeout = 8 * time.Second
 	// retryPause is the time that a caller takes to come back at once.
 	retryPause = 100 * time.Millisecond
 )
 
+// patience returns the pause after which a caller gives up a stream whose first piece is due
+// within the goal: the longest of 2 s, four times the goal and eight times the longest pause.
+func patience(goal time.Duration) time.Duration {
+	return max(2*time.Second, 4*goal, 8*longestPause)
+}
+
 // group is a number of callers that behave in the same way, and what became of them. The
 // callers of a group are a workspace.
 type group struct {
@@ -94,7 +99,7 @@
 	c.vm, c.number, c.sent, c.runs = w.vms[w.random.IntN(len(w.vms))], w.requests, w.now, nil
 	c.vm.calls[c.number] = c
 	number := c.number
-	w.after(firstTimeout, func() {
+	w.after(patience(c.group.goal), func() {
 		if c.pieces == 0 && c.number == number {
 			c.giveUp()
 		}
--- a/internal/loads/engine_test.go
+++ b/internal/loads/engine_test.go
@@ -222,7 +222,7 @@
 		if r.holder != nil && !r.holder.down {
 			r.holder.copies[r.id] = true
 		}
-		e.answer(r.vm, proxy.NewHead(r.number, r.attempt, proxy.NewAnswer(200, nil, nil), proxy.NewLoad(len(e.runs), len(e.queue))))
+		e.answer(r.vm, proxy.NewHead(r.number, r.attempt, proxy.NewAnswer(200, nil, nil), proxy.Load{}.WithCounts(len(e.runs), len(e.queue))))
 	}
 	index := r.tokens / pieceTokens
 	e.answer(r.vm, proxy.NewPiece(r.number, r.attempt, index, nil))
--- a/internal/loads/pattern_test.go
+++ b/internal/loads/pattern_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/fair"
 	"clementinelink.example/clementinelink/internal/table"
 	"github.com/cockroachdb/datadriven"
 )
@@ -97,6 +98,10 @@
 		}
 		g.goal = goals[g.kind]
 		w.groups = append(w.groups, g)
+	case "shared":
+		for _, v := range w.vms {
+			v.core.WithOrder(fair.NewOrder(true))
+		}
 	case "memory":
 		w.memory = int(o.parse(fields[0]))
 	case "engines", "silent", "crash", "leave":
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -11,6 +11,7 @@
 	"clementinelink.example/clementinelink/internal/blame"
 	"clementinelink.example/clementinelink/internal/budget"
 	"clementinelink.example/clementinelink/internal/errs"
+	"clementinelink.example/clementinelink/internal/fair"
 	"clementinelink.example/clementinelink/internal/heard"
 	"clementinelink.example/clementinelink/internal/hedge"
 	"clementinelink.example/clementinelink/internal/move"
@@ -64,6 +65,8 @@
 	// stateQueries holds the start time of each state query in flight, keyed by
 	// the engine's id and the incarnation that the query is about.
 	stateQueries map[string]time.Time
+	// order ranks work at engines.
+	order *fair.Order
 	// hedges decides about second attempts beside slow ones.
 	hedges *hedge.Control
 	// paths tells the silence of an engine from that of the link to it.
@@ -105,6 +108,7 @@
 		peers:        move.MinVMs,
 		cancelled:    reap.New(),
 		stateQueries: make(map[string]time.Time),
+		order:        fair.NewOrder(false),
 		hedges:       hedge.New(hedge.Limit{}, move.MinVMs, nil),
 		paths:        heard.NewPaths(queryTimeout, maxPatience),
 		awaitingID:   make(map[string]bool),
@@ -119,6 +123,12 @@
 	return c
 }
 
+// WithOrder sets how work at engines is ranked. It must be called before the first Step.
+func (c *Core) WithOrder(o *fair.Order) *Core {
+	c.order = o
+	return c
+}
+
 // WithHedges limits hedges. observe is called with what became of each. It must be called
 // before the first Step.
 func (c *Core) WithHedges(l hedge.Limit, observe func(hedge.Result)) *Core {
@@ -312,6 +322,7 @@
 	c.inFlight[q.Number()] = x
 	c.budgets.Of(x.need.Service()).CountFirst(now)
 	c.hedges.CountFirst(now, x.need.Service())
+	c.order.Count(now, x.need.Service(), x.workspaceName(), x.tokens)
 	c.startAttempt(now, x, "first")
 	c.resetAlarm(x)
 }
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -14,15 +14,6 @@
 	// maxConsecutiveNotRun is the number of consecutive attempts that were
 	// refused or not sent after which the request fails.
 	maxConsecutiveNotRun = 5
-	// newRank is the rank of new work of the most urgent routes at an engine; ranks
-	// run from 0 (first) to 9. Up to maxNewLater ranks follow for less urgent ones.
-	newRank     = 5
-	maxNewLater = 2
-	// resumedRank is the rank of a resumed stream of the most urgent routes; those of
-	// others follow within maxResumedLater ranks. All precede new work, because their
-	// callers wait for the next piece.
-	resumedRank     = 3
-	maxResumedLater = 1
 	// minTimeLeft is the shortest remaining time in which an attempt is
 	// started; no upstream answers faster.
 	minTimeLeft = 10 * time.Millisecond
@@ -107,28 +98,15 @@
 			a.holder.AddCopyTokens(x.tokens)
 		}
 	}
-	workspace := ""
-	if x.workspace != nil {
-		workspace = x.workspace.Name()
-	}
 	options.kind, options.attempt, options.upstream, options.holder = Send, a.number, upstream, a.holder
 	options.instance = upstream.ID()
 	options.stream, options.position, options.deadline = x.stream(), x.position, x.deadline
-	options.rank, options.workspace = c.engineRank(x), workspace
+	options.workspace = x.workspaceName()
+	options.rank = c.order.Rank(now, x.need.Service(), options.workspace, c.table.Urgency(x.need.Service(), x.route), x.headSent)
 	c.emit(x, options)
 	c.scheduleHedge(now, x)
 }
 
-// engineRank returns the rank of an attempt at an engine. Engines take prompts in the
-// order of their ranks, and work of a less urgent route must not delay that of others.
-func (c *Core) engineRank(x *exchange) int {
-	later := c.table.Urgency(x.need.Service(), x.route)
-	if x.headSent {
-		return resumedRank + min(later, maxResumedLater)
-	}
-	return newRank + min(later, maxNewLater)
-}
-
 // keepsCopies reports whether the runs of the exchange are copied to a second
 // engine.
 func (c *Core) keepsCopies(x *exchange) bool {
