--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/bound"
+	"clementinelink.example/clementinelink/internal/intact"
 	"clementinelink.example/clementinelink/internal/pause"
 	"github.com/cockroachdb/errors"
 )
@@ -97,17 +98,20 @@
 // response once its header has arrived. It replaces req.Body and
 // req.ContentLength. When ctx ends, the connection is closed, even while the
 // response body is read. If the error is ErrNotSent, no byte of the request was
-// written. If it is bound.ErrTooLarge, the response has too long a head.
+// written. If it is bound.ErrTooLarge, the response has too long a head. Reading the body
+// fails with intact.ErrIncomplete if the response ends with the connection before the
+// request was written.
 func (d *Dialer) Do(ctx context.Context, address string, req *http.Request, body []byte) (*Answer, error) {
 	return d.DoHooked(ctx, address, req, body, Hooks{})
 }
 
 // DoHooked is like Do and calls the functions in h.
 func (d *Dialer) DoHooked(ctx context.Context, address string, req *http.Request, body []byte, h Hooks) (*Answer, error) {
-	conn, err := d.dial(ctx, "tcp", address)
+	dialed, err := d.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "once: connect"), ErrNotSent)
 	}
+	conn := intact.NewConn(dialed)
 	if err := ctx.Err(); err != nil {
 		_ = conn.Close()
 		return nil, errors.Mark(errors.Wrap(err, "once"), ErrNotSent)
@@ -131,11 +135,13 @@
 }
 
 // exchange writes the request to conn and reads the header of the response.
-func exchange(conn net.Conn, req *http.Request, body []byte, maxHead int64, h Hooks) (*http.Response, error) {
+func exchange(conn *intact.Conn, req *http.Request, body []byte, maxHead int64, h Hooks) (*http.Response, error) {
 	setBody(req, body)
+	conn.Begin(int64(len(body)))
 	if len(body) > maxBlockingWrite {
 		go func() {
-			// A failed write shows up as an error when the response is read.
+			// A failed write shows up as an error when the response is read, unless
+			// that is complete.
 			_ = req.Write(conn)
 		}()
 	} else if err := req.Write(conn); err != nil {
@@ -151,6 +157,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "once: read")
 		}
+		if err := intact.CheckStatus(resp.StatusCode); err != nil {
+			return nil, errors.Wrap(err, "once")
+		}
 		if h.Head != nil {
 			h.Head(resp.StatusCode, resp.Header)
 		}
