--- a/internal/call/server_test.go
+++ b/internal/call/server_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/abort"
 	"clementinelink.example/clementinelink/internal/budget"
 	"clementinelink.example/clementinelink/internal/claim"
 	"clementinelink.example/clementinelink/internal/plain"
@@ -273,3 +274,39 @@
 	}
 	return fmt.Sprintf("%s %v %v %v", out, p["type"], p["status"], p["outcome"])
 }
+
+// TestIncompleteResponse guards against a caller that gets a part of a response as the
+// whole, and against one that gets none at all, since no response can have the status
+// that the upstream sent.
+func TestIncompleteResponse(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		response string
+		outcome  string
+	}{
+		{
+			name:     "reset while the upload is written, without length",
+			response: "HTTP/1.1 200 OK\r\n\r\npart",
+			outcome:  "ran",
+		},
+		{
+			name:     "status 000",
+			response: "HTTP/1.1 000 Odd\r\nContent-Length: 4\r\n\r\nodd.",
+			outcome:  "unknown",
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newCluster()
+			defer s.close()
+			for _, client := range s.clients {
+				client.WithDial(abort.Dial(c.response))
+			}
+			for _, call := range []string{"POST /book/1 k", "GET /look/1"} {
+				got := s.do(t, "a", strings.Fields(call))
+				if !strings.HasPrefix(got, "502 ") || !strings.HasSuffix(got, "/upstream 502 "+c.outcome) {
+					t.Errorf("%s: %q, want 502 and the outcome %s", call, got, c.outcome)
+				}
+			}
+		})
+	}
+}
--- a/internal/plain/client.go
+++ b/internal/plain/client.go
@@ -16,6 +16,7 @@
 	"clementinelink.example/clementinelink/internal/bound"
 	"clementinelink.example/clementinelink/internal/claim"
 	"clementinelink.example/clementinelink/internal/errs"
+	"clementinelink.example/clementinelink/internal/intact"
 	"github.com/cockroachdb/errors"
 )
 
@@ -50,7 +51,7 @@
 
 // Client sends calls to upstreams. It is safe for concurrent use.
 type Client struct {
-	lookups *http.Transport
+	lookups *intact.Transport
 	// bodies limits the unfinished bodies of all answers together.
 	bodies *bound.Budget
 	dial   func(ctx context.Context, network, address string) (net.Conn, error)
@@ -63,19 +64,19 @@
 		Timeout: dialTimeout,
 	}
 	c := &Client{
-		lookups: &http.Transport{
-			DisableKeepAlives:      true,
-			DisableCompression:     true,
-			ExpectContinueTimeout:  time.Second,
-			MaxResponseHeaderBytes: bound.MaxHead,
-		},
 		bodies: bound.NewBudget(maxHeldBytes),
 		dial:   d.DialContext,
 		now:    time.Now,
 	}
-	c.lookups.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		return c.dial(ctx, network, address)
-	}
+	c.lookups = intact.NewTransport(&http.Transport{
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		ExpectContinueTimeout:  time.Second,
+		MaxResponseHeaderBytes: bound.MaxHead,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return c.dial(ctx, network, address)
+		},
+	})
 	return c
 }
 
@@ -98,7 +99,7 @@
 		now:      c.now,
 		deadline: call.deadline,
 	}
-	once := &http.Transport{
+	once := intact.NewTransport(&http.Transport{
 		DisableKeepAlives:      true,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: bound.MaxHead,
@@ -112,7 +113,7 @@
 				permit: permit,
 			}, nil
 		},
-	}
+	})
 	defer once.CloseIdleConnections()
 	req := call.request(ctx, address)
 	if len(call.body) > 0 {
@@ -177,7 +178,7 @@
 
 // send carries out one request. maybeSent is called after a failure and reports
 // whether a byte may have been written or may be written later.
-func (c *Client) send(t *http.Transport, req *http.Request, call *Call, maybeSent func() bool) Result {
+func (c *Client) send(t *intact.Transport, req *http.Request, call *Call, maybeSent func() bool) Result {
 	if passed(c.now(), call.deadline) {
 		return Failed(errs.New(errs.Expired, errs.NotRun, "the deadline passed before the call was sent").WithRetry(defaultRetryAfter))
 	}
