--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -16,6 +16,7 @@
 
 	"clementinelink.example/clementinelink/internal/bound"
 	"clementinelink.example/clementinelink/internal/fleet"
+	"clementinelink.example/clementinelink/internal/intact"
 	"clementinelink.example/clementinelink/internal/relay"
 	"clementinelink.example/clementinelink/internal/router"
 	"clementinelink.example/clementinelink/internal/world"
@@ -62,23 +63,23 @@
 		return c.dial(ctx, network, address)
 	}
 	c.polls = &http.Client{
-		Transport: &http.Transport{
+		Transport: intact.NewTransport(&http.Transport{
 			DialContext:         dial,
 			MaxIdleConnsPerHost: maxIdle,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
 
 			MaxResponseHeaderBytes: bound.MaxHead,
-		},
+		}),
 	}
 	c.single = &http.Client{
-		Transport: &http.Transport{
+		Transport: intact.NewTransport(&http.Transport{
 			DialContext:        dial,
 			DisableKeepAlives:  true,
 			DisableCompression: true,
 
 			MaxResponseHeaderBytes: bound.MaxHead,
-		},
+		}),
 	}
 	return c
 }
@@ -134,7 +135,9 @@
 	if err != nil {
 		return errors.Wrap(err, "engine: cancel")
 	}
-	defer drain(resp)
+	if _, err := readAll(resp); err != nil {
+		return errors.Wrap(err, "engine: cancel")
+	}
 	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusNotFound {
 		return errors.Newf("engine: cancel: status %d", resp.StatusCode)
 	}
@@ -151,12 +154,15 @@
 	if err != nil {
 		return fleet.Load{}, errors.Wrap(err, "engine: load")
 	}
-	defer drain(resp)
+	raw, err := readAll(resp)
+	if err != nil {
+		return fleet.Load{}, errors.Wrap(err, "engine: load")
+	}
 	if resp.StatusCode != http.StatusOK {
 		return fleet.Load{}, errors.Newf("engine: load: status %d", resp.StatusCode)
 	}
 	var b loadBody
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLine)).Decode(&b); err != nil {
+	if err := json.NewDecoder(bytes.NewReader(raw)).Decode(&b); err != nil {
 		return fleet.Load{}, errors.Wrap(err, "engine: load")
 	}
 	age := time.Duration(b.AgeMS) * time.Millisecond
@@ -296,9 +302,9 @@
 	return relay.InvalidResponse
 }
 
-// drain reads the rest of a short body and closes it, so that the connection can
-// be reused.
-func drain(resp *http.Response) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxLine))
-	_ = resp.Body.Close()
+// readAll reads up to maxLine bytes of a body and closes it, so that the connection can
+// be reused. It fails if a shorter body is not complete.
+func readAll(resp *http.Response) ([]byte, error) {
+	defer resp.Body.Close()
+	return io.ReadAll(io.LimitReader(resp.Body, maxLine))
 }
--- a/internal/engine/order.go
+++ b/internal/engine/order.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -36,7 +35,10 @@
 	if err != nil {
 		return order.Unanswered, errors.Wrap(err, "engine: order")
 	}
-	defer drain(resp)
+	raw, err := readAll(resp)
+	if err != nil {
+		return order.Unanswered, errors.Wrap(err, "engine: order")
+	}
 	if resp.StatusCode < http.StatusMultipleChoices {
 		return order.Accepted, nil
 	}
@@ -44,7 +46,7 @@
 		return order.Refused, nil
 	}
 	var b conflictBody
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLine)).Decode(&b); err == nil && b.Fence > a.Fence() {
+	if err := json.NewDecoder(bytes.NewReader(raw)).Decode(&b); err == nil && b.Fence > a.Fence() {
 		return order.Fenced, nil
 	}
 	return order.Refused, nil
