--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"clementinelink.example/clementinelink/internal/bound"
+	"clementinelink.example/clementinelink/internal/intact"
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 )
@@ -63,10 +64,8 @@
 	draws *atomic.Uint64
 
 	// send performs one HTTP exchange and must not repeat a request.
-	send func(*http.Request) (*http.Response, error)
-	// closeIdle closes the connections that no call uses.
-	closeIdle func()
-	transport *http.Transport
+	send      func(*http.Request) (*http.Response, error)
+	transport *intact.Transport
 	// observe is called with the verb and the result of each exchange.
 	observe func(verb, result string)
 	// sleep waits for a time and returns ctx's error if that ends first.
@@ -86,14 +85,14 @@
 			Count:    2,
 		},
 	}
-	transport := &http.Transport{
+	transport := intact.NewTransport(&http.Transport{
 		DialContext:         repeated(dialer.DialContext, redialDelay),
 		DisableCompression:  true,
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: 16,
 
 		MaxResponseHeaderBytes: bound.MaxHead,
-	}
+	})
 	c := &Client{
 		base:     base,
 		wire:     defaultWire(),
@@ -105,7 +104,6 @@
 		observe:  func(string, string) {},
 		sleep:    sleep,
 
-		closeIdle: transport.CloseIdleConnections,
 		transport: transport,
 	}
 	return c.WithBudget(200, 30)
@@ -168,7 +166,7 @@
 // WithDial replaces the function that connects to the store. Call it before any other
 // method.
 func (c *Client) WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
-	c.transport.DialContext = dial
+	c.transport.WithDial(dial)
 	return c
 }
 
@@ -358,7 +356,7 @@
 	err := c.doExchange(ctx, wait, call, decode)
 	if errors.Is(err, context.DeadlineExceeded) {
 		// The idle connections may have gone silent with that of this call.
-		c.closeIdle()
+		c.transport.CloseIdleConnections()
 	}
 	c.observe(verb, resultName(err))
 	return err
