--- a/internal/accord/peer.go
+++ b/internal/accord/peer.go
@@ -8,6 +8,7 @@
 
 	"clementinelink.example/clementinelink/internal/blame"
 	"clementinelink.example/clementinelink/internal/bound"
+	"clementinelink.example/clementinelink/internal/intact"
 	"clementinelink.example/clementinelink/internal/wire"
 	"github.com/cockroachdb/errors"
 	"github.com/twitchtv/twirp"
@@ -84,22 +85,28 @@
 // client calls other VMs. It is safe for concurrent use.
 type client struct {
 	http *http.Client
+	// dial connects to another VM. It is set before the first call.
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 func newClient() *client {
 	dialer := &net.Dialer{
 		Timeout: callTimeout,
 	}
-	return &client{
-		http: &http.Client{
-			Transport: bound.NewTransport(&http.Transport{
-				DialContext:            dialer.DialContext,
-				MaxIdleConnsPerHost:    1,
-				IdleConnTimeout:        idleTimeout,
-				MaxResponseHeaderBytes: bound.MaxHead,
-			}, maxMessageBytes),
-		},
+	c := &client{
+		dial: dialer.DialContext,
 	}
+	c.http = &http.Client{
+		Transport: bound.NewTransport(intact.NewTransport(&http.Transport{
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				return c.dial(ctx, network, address)
+			},
+			MaxIdleConnsPerHost:    1,
+			IdleConnTimeout:        idleTimeout,
+			MaxResponseHeaderBytes: bound.MaxHead,
+		}), maxMessageBytes),
+	}
+	return c
 }
 
 // collect reports a loss to the VM at address and returns the charges that cover
--- a/internal/feed/peer.go
+++ b/internal/feed/peer.go
@@ -10,6 +10,7 @@
 	"clementinelink.example/clementinelink/internal/bound"
 	"clementinelink.example/clementinelink/internal/bulk"
 	"clementinelink.example/clementinelink/internal/delta"
+	"clementinelink.example/clementinelink/internal/intact"
 	"clementinelink.example/clementinelink/internal/mirror"
 	"clementinelink.example/clementinelink/internal/pause"
 	"clementinelink.example/clementinelink/internal/store"
@@ -142,14 +143,14 @@
 		log:  l,
 	}
 	c.http = &http.Client{
-		Transport: bulk.NewTransport(bound.NewTransport(&http.Transport{
+		Transport: bulk.NewTransport(bound.NewTransport(intact.NewTransport(&http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				return c.dial(ctx, network, address)
 			},
 			MaxIdleConnsPerHost:    1,
 			IdleConnTimeout:        time.Minute,
 			MaxResponseHeaderBytes: bound.MaxHead,
-		}, maxAnswerBytes)),
+		}), maxAnswerBytes)),
 	}
 	return c
 }
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,6 +10,7 @@
 	"github.com/twitchtv/twirp"
 
 	"clementinelink.example/clementinelink/internal/bound"
+	"clementinelink.example/clementinelink/internal/intact"
 	"clementinelink.example/clementinelink/internal/wire"
 )
 
@@ -28,7 +29,7 @@
 // Client calls other entry VMs. It is safe for concurrent use.
 type Client struct {
 	http      *http.Client
-	transport *http.Transport
+	transport *intact.Transport
 	// countBytes is called with the size of each request body, to measure the
 	// control traffic.
 	countBytes func(bytes int)
@@ -37,11 +38,11 @@
 // NewClient returns a client that calls countBytes with the size of each request
 // body. countBytes must be safe for concurrent use.
 func NewClient(countBytes func(bytes int)) *Client {
-	transport := &http.Transport{
+	transport := intact.NewTransport(&http.Transport{
 		MaxIdleConnsPerHost:    2,
 		IdleConnTimeout:        time.Minute,
 		MaxResponseHeaderBytes: bound.MaxHead,
-	}
+	})
 	return &Client{
 		http: &http.Client{
 			Transport: bound.NewTransport(transport, maxAnswerBytes),
@@ -54,7 +55,7 @@
 // WithDial replaces the function that connects to other VMs. Call it before any other
 // method.
 func (c *Client) WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
-	c.transport.DialContext = dial
+	c.transport.WithDial(dial)
 	return c
 }
 
--- a/internal/vmlist/client.go
+++ b/internal/vmlist/client.go
@@ -1,6 +1,7 @@
 package vmlist
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -12,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"clementinelink.example/clementinelink/internal/bound"
+	"clementinelink.example/clementinelink/internal/intact"
 	"clementinelink.example/clementinelink/internal/world"
 )
 
@@ -32,7 +34,7 @@
 	base string
 	// send performs one HTTP exchange.
 	send      func(*http.Request) (*http.Response, error)
-	transport *http.Transport
+	transport *intact.Transport
 	// cached is the list that was read last, or nil.
 	cached atomic.Pointer[cachedList]
 }
@@ -46,10 +48,10 @@
 
 // New returns a client of the list at base, such as http://127.0.0.1:7001.
 func New(base string) *Client {
-	transport := &http.Transport{
+	transport := intact.NewTransport(&http.Transport{
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: bound.MaxHead,
-	}
+	})
 	return &Client{
 		base: base,
 		send: (&http.Client{
@@ -62,7 +64,7 @@
 // WithDial replaces the function that connects to the list. Call it before any other
 // method.
 func (c *Client) WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
-	c.transport.DialContext = dial
+	c.transport.WithDial(dial)
 	return c
 }
 
@@ -106,8 +108,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Wrapf(ErrUnavailable, "status %d", resp.StatusCode)
 	}
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	if err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "vmlist: read"), ErrUnavailable)
+	}
 	var b listBody
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&b); err != nil {
+	if err := json.NewDecoder(bytes.NewReader(raw)).Decode(&b); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "vmlist: decode"), ErrUnavailable)
 	}
 	vms := b.worldVMs()
