--- a/cmd/clementinedge/main.go
+++ b/cmd/clementinedge/main.go
@@ -37,19 +37,19 @@
 )
 
 type options struct {
-	Config    string        `long:"config" env:"CLEMENTINELINK_CONFIG" required:"true" description:"path of the platform's settings file"`
-	Metrics   int           `long:"metrics" env:"CLEMENTINE_METRICS" default:"9464" description:"port for metrics; 0 serves them only beside the readiness check"`
-	Level     string        `long:"level" env:"CLEMENTINE_LEVEL" default:"info" description:"least severe log level: debug, info, warn or error"`
-	Collect   int           `long:"collect" env:"CLEMENTINE_COLLECT" default:"25" description:"growth of the heap in percent after which garbage is collected"`
-	MaxHead   int64         `long:"max-head" env:"CLEMENTINE_MAX_HEAD" default:"65536" description:"largest head of a worker's answer in bytes"`
-	MaxAnswer int64         `long:"max-answer" env:"CLEMENTINE_MAX_ANSWER" default:"8388608" description:"largest worker's answer in bytes that is not a stream"`
-	MaxEvent  int64         `long:"max-event" env:"CLEMENTINE_MAX_EVENT" default:"262144" description:"largest event of a worker's stream in bytes"`
-	MaxHeld   int64         `long:"max-held" env:"CLEMENTINE_MAX_HELD" default:"33554432" description:"bytes that all incomplete answers of workers may take together"`
-	MaxRest   time.Duration `long:"max-rest" env:"CLEMENTINE_MAX_REST" default:"10m" description:"longest rest that a worker may ask for with Retry-After"`
-	Control   float64       `long:"control-share" env:"CLEMENTINE_CONTROL_SHARE" default:"0.9" description:"part of the VM's link that changes of the store may take on their way to other VMs"`
-	Share     string        `long:"hedge-share" env:"CLEMENTINE_HEDGE_SHARE" description:"hedges (second attempts beside slow ones) allowed per first attempt of a service in any 10 s, from 0 to 1; without it and --hedge-burst, only the retry budget limits them"`
-	Burst     string        `long:"hedge-burst" env:"CLEMENTINE_HEDGE_BURST" description:"hedges that all VMs together may add to that in any 10 s; 0 for both turns hedging off"`
-	Version   bool          `long:"version" description:"print the version and exit"`
+	Config     string        `long:"config" env:"CLEMENTINELINK_CONFIG" required:"true" description:"path of the platform's settings file"`
+	Metrics    int           `long:"metrics" env:"CLEMENTINE_METRICS" default:"9464" description:"port for metrics; 0 serves them only beside the readiness check"`
+	Level      string        `long:"level" env:"CLEMENTINE_LEVEL" default:"info" description:"least severe log level: debug, info, warn or error"`
+	Collect    int           `long:"collect" env:"CLEMENTINE_COLLECT" default:"25" description:"growth of the heap in percent after which garbage is collected"`
+	MaxHead    int64         `long:"max-head" env:"CLEMENTINE_MAX_HEAD" default:"65536" description:"largest head of a worker's answer in bytes"`
+	MaxAnswer  int64         `long:"max-answer" env:"CLEMENTINE_MAX_ANSWER" default:"8388608" description:"largest worker's answer in bytes that is not a stream"`
+	MaxEvent   int64         `long:"max-event" env:"CLEMENTINE_MAX_EVENT" default:"262144" description:"largest event of a worker's stream in bytes"`
+	MaxHeld    int64         `long:"max-held" env:"CLEMENTINE_MAX_HELD" default:"33554432" description:"bytes that all incomplete answers of workers may take together"`
+	MaxRest    time.Duration `long:"max-rest" env:"CLEMENTINE_MAX_REST" default:"10m" description:"longest rest that a worker may ask for with Retry-After"`
+	Control    float64       `long:"control-share" env:"CLEMENTINE_CONTROL_SHARE" default:"0.9" description:"part of the VM's link that changes of the store may take on their way to other VMs"`
+	HedgeShare string        `long:"hedge-share" env:"CLEMENTINE_HEDGE_SHARE" description:"hedges (second attempts beside slow ones) allowed per first attempt of a service in any 10 s, from 0 to 1; without it and --hedge-burst, only the retry budget limits them"`
+	HedgeBurst string        `long:"hedge-burst" env:"CLEMENTINE_HEDGE_BURST" description:"hedges that all VMs together may add to that in any 10 s; 0 for both turns hedging off"`
+	Version    bool          `long:"version" description:"print the version and exit"`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
@@ -113,16 +113,16 @@
 // hedgeLimit returns the limit of hedges. A setting that is not given is 0 if the other one
 // is.
 func hedgeLimit(o *options) (hedge.Limit, error) {
-	if o.Share == "" && o.Burst == "" {
+	if o.HedgeShare == "" && o.HedgeBurst == "" {
 		return hedge.Limit{}, nil
 	}
-	share, err := strconv.ParseFloat(cmp.Or(o.Share, "0"), 64)
+	share, err := strconv.ParseFloat(cmp.Or(o.HedgeShare, "0"), 64)
 	if err != nil || !(share >= 0 && share <= 1) {
-		return hedge.Limit{}, fmt.Errorf("--hedge-share: %q is not a number from 0 to 1", o.Share)
+		return hedge.Limit{}, fmt.Errorf("--hedge-share: %q is not a number from 0 to 1", o.HedgeShare)
 	}
-	burst, err := strconv.Atoi(cmp.Or(o.Burst, "0"))
+	burst, err := strconv.Atoi(cmp.Or(o.HedgeBurst, "0"))
 	if err != nil || burst < 0 {
-		return hedge.Limit{}, fmt.Errorf("--hedge-burst: %q is not a whole number of 0 or more", o.Burst)
+		return hedge.Limit{}, fmt.Errorf("--hedge-burst: %q is not a whole number of 0 or more", o.HedgeBurst)
 	}
 	return hedge.NewLimit(share, burst), nil
 }
--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -15,6 +15,10 @@
 	margin = 1.5
 	// minRequests is the number of requests that a VM must have seen lately.
 	minRequests = 4.0
+	// maxWorkspaces bounds the workspaces of a service that are compared, and reviewPause is
+	// how long their number counts, so that a decision on a small VM stays under 50 µs.
+	maxWorkspaces = 512
+	reviewPause   = 100 * time.Millisecond
 	// activeShare is the part of a mean request from which a workspace counts as active:
 	// one request of the last two half-lives.
 	activeShare = 0.25
@@ -27,6 +31,9 @@
 	total      use
 	requests   use
 	prunedAt   time.Time
+	// active is the number of active workspaces as of reviewedAt.
+	active     int
+	reviewedAt time.Time
 }
 
 // use is an amount that decays.
@@ -46,11 +53,13 @@
 func (s *Shares) Add(now time.Time, workspace string, tokens int) {
 	s.prune(now)
 	w := s.workspaces[workspace]
-	if w == nil {
+	if w == nil && len(s.workspaces) < maxWorkspaces {
 		w = &use{}
 		s.workspaces[workspace] = w
 	}
-	w.add(now, float64(tokens))
+	if w != nil {
+		w.add(now, float64(tokens))
+	}
 	s.total.add(now, float64(tokens))
 	s.requests.add(now, 1)
 }
@@ -62,14 +71,22 @@
 	if w == nil || s.requests.value(now) < minRequests {
 		return false
 	}
-	total, active := s.total.value(now), 0
-	least := activeShare * total / s.requests.value(now)
+	return w.value(now) > margin*s.total.value(now)/float64(max(s.countActive(now), 1))
+}
+
+// countActive returns the number of workspaces that have asked lately.
+func (s *Shares) countActive(now time.Time) int {
+	if !s.reviewedAt.IsZero() && now.Sub(s.reviewedAt) < reviewPause {
+		return s.active
+	}
+	s.active, s.reviewedAt = 0, now
+	least := activeShare * s.total.value(now) / s.requests.value(now)
 	for _, other := range s.workspaces {
 		if other.value(now) >= least {
-			active++
+			s.active++
 		}
 	}
-	return w.value(now) > margin*total/float64(max(active, 1))
+	return s.active
 }
 
 // prune forgets workspaces of whose use nothing is left, once in a half-life.
--- a/internal/fair/fair_test.go
+++ b/internal/fair/fair_test.go
@@ -14,6 +14,7 @@
 func TestShares(t *testing.T) {
 	base := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	var s *Shares
+	o := NewOrder(true)
 	datadriven.RunTest(t, "testdata/shares", func(t *testing.T, d *datadriven.TestData) string {
 		at, times, tokens, workspace := 0, 1, 6000, ""
 		d.MaybeScanArgs(t, "at", &at)
@@ -30,6 +31,15 @@
 				s.Add(now, workspace, tokens)
 			}
 			return fmt.Sprintf("%d workspaces\n", len(s.workspaces))
+		case "count":
+			for range times {
+				o.Count(now, "llm", workspace, tokens)
+			}
+			return ""
+		case "rank":
+			later := 0
+			d.MaybeScanArgs(t, "later", &later)
+			return fmt.Sprintf("%d\n", o.Rank(now, "llm", workspace, later, d.HasArg("begun")))
 		case "over":
 			return fmt.Sprintf("%t\n", s.Over(now, workspace))
 		default:
--- a/internal/heard/heard.go
+++ b/internal/heard/heard.go
@@ -10,8 +10,7 @@
 // 1.6 s, and after a loss output has to go on within 4 s.
 const RegionLoss = 2500 * time.Millisecond
 
-// Paths records which regions answer, and which upstreams are silent without being
-// taken for dead. It is not safe for concurrent use.
+// Paths records which regions answer and which are silent. It is not safe for concurrent use.
 type Paths struct {
 	// timeout is the timeout of a query while something is heard, and maxTimeout the
 	// longest one.
@@ -20,23 +19,29 @@
 	// answered holds the latest start of a query that an upstream of the region
 	// answered.
 	answered map[string]time.Time
-	// silentSince holds when an upstream first did not answer of the queries in a row
-	// that it has not answered, by its id.
-	silentSince map[string]time.Time
+	// silent holds the silence of each region since the latest answer of one of its
+	// upstreams.
+	silent map[string]silence
 	// unheard counts the rounds of queries without an answer of any upstream, of which
 	// the latest ended at unheardAt.
 	unheard   int
 	unheardAt time.Time
 }
 
+// silence is a time in which queries were asked and not answered.
+type silence struct {
+	since  time.Time
+	latest time.Time
+}
+
 // NewPaths returns an empty record. The timeout of queries grows up to maxTimeout while
 // nothing is heard.
 func NewPaths(timeout, maxTimeout time.Duration) *Paths {
 	return &Paths{
-		timeout:     timeout,
-		maxTimeout:  maxTimeout,
-		answered:    make(map[string]time.Time),
-		silentSince: make(map[string]time.Time),
+		timeout:    timeout,
+		maxTimeout: maxTimeout,
+		answered:   make(map[string]time.Time),
+		silent:     make(map[string]silence),
 	}
 }
 
@@ -47,27 +52,29 @@
 	if id == "" {
 		return
 	}
-	delete(p.silentSince, id)
+	delete(p.silent, region)
 	if began.After(p.answered[region]) {
 		p.answered[region] = began
 	}
 }
 
-// Silent records that an upstream did not answer a query. Queries that began together
-// belong to one round.
-func (p *Paths) Silent(now time.Time, id string) {
-	if _, ok := p.silentSince[id]; !ok {
-		p.silentSince[id] = now
+// Silent records that an upstream of a region did not answer a query. Queries that began
+// together belong to one round.
+func (p *Paths) Silent(now time.Time, region string) {
+	// Without queries for longer than the longest timeout, nothing is known of the time
+	// between two silences.
+	s, ok := p.silent[region]
+	if !ok || now.Sub(s.latest) > 2*p.maxTimeout {
+		s.since = now
 	}
+	s.latest = now
+	p.silent[region] = s
 	if now.Sub(p.unheardAt) >= p.timeout/2 {
 		p.unheard++
 		p.unheardAt = now
 	}
 }
 
-// Forget drops the silences of an upstream.
-func (p *Paths) Forget(id string) { delete(p.silentSince, id) }
-
 // Witnesses tells which other upstreams could show whether an upstream or the path to it
 // is silent.
 type Witnesses struct {
@@ -77,18 +84,21 @@
 	Anywhere bool
 }
 
-// AtFault reports whether the silence of an upstream to a query that began at a time is
-// its own, and not that of the path to it. It is if another one of its region answered a
-// query that began no earlier. If its region has no other failure domain, an answer from
-// any region suffices. So it does once the region has been silent for RegionLoss: until
-// then a busy link is as likely, over which the close of a connection comes too late to
-// end the run before another one begins. Nothing is needed if there is no other upstream.
-func (p *Paths) AtFault(now time.Time, id, region string, began time.Time, w Witnesses) bool {
+// AtFault reports whether the silence of an upstream of a region to a query that began at a
+// time is its own, and not that of the path to it. It is its own if
+//   - another one of its region answered a query that began no earlier, or
+//   - one of any region did, and its region has no other failure domain or has been silent
+//     for RegionLoss, or
+//   - there is no other upstream.
+//
+// Until RegionLoss a busy link is as likely, over which the close of a connection comes too
+// late to end a run before another one begins.
+func (p *Paths) AtFault(now time.Time, region string, began time.Time, w Witnesses) bool {
 	if !p.answered[region].Before(began) {
 		return true
 	}
-	since, silent := p.silentSince[id]
-	if w.Beside && (!silent || now.Sub(since) < RegionLoss) {
+	s, silent := p.silent[region]
+	if w.Beside && (!silent || now.Sub(s.since) < RegionLoss) {
 		return false
 	}
 	return !p.Latest().Before(began) || !w.Anywhere
--- a/internal/heard/heard_test.go
+++ b/internal/heard/heard_test.go
@@ -30,11 +30,9 @@
 		case "answered":
 			p.Answered(id, region, now)
 		case "silent":
-			p.Silent(now, id)
-		case "forget":
-			p.Forget(id)
+			p.Silent(now, region)
 		case "at-fault":
-			return fmt.Sprintf("%t\n", p.AtFault(now, id, region, base.Add(time.Duration(began)*time.Millisecond), Witnesses{
+			return fmt.Sprintf("%t\n", p.AtFault(now, region, base.Add(time.Duration(began)*time.Millisecond), Witnesses{
 				Beside:   d.HasArg("beside"),
 				Anywhere: !d.HasArg("alone"),
 			}))
@@ -42,6 +40,6 @@
 			d.Fatalf(t, "unknown command %q", d.Cmd)
 		}
 		since := func(t time.Time) int64 { return max(t.Sub(base).Milliseconds(), -1) }
-		return fmt.Sprintf("timeout %s, %s silent %t, region %d, latest %d\n", p.Timeout(), id, !p.silentSince[id].IsZero(), since(p.Region(region)), since(p.Latest()))
+		return fmt.Sprintf("timeout %s, silent since %d, region %d, latest %d\n", p.Timeout(), since(p.silent[region].since), since(p.Region(region)), since(p.Latest()))
 	})
 }
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -215,7 +215,6 @@
 	case Members:
 		for _, id := range e.unlisted {
 			c.pool.Remove(id)
-			c.paths.Forget(id)
 		}
 		for _, l := range e.listed {
 			c.pool.Upsert(now, l)
@@ -322,7 +321,6 @@
 	c.inFlight[q.Number()] = x
 	c.budgets.Of(x.need.Service()).CountFirst(now)
 	c.hedges.CountFirst(now, x.need.Service())
-	c.order.Count(now, x.need.Service(), x.workspaceName(), x.tokens)
 	c.startAttempt(now, x, "first")
 	c.resetAlarm(x)
 }
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -17,6 +17,8 @@
 	holder *pool.Upstream
 	// onDemandCopy is the on-demand copy that replaces a lost standby copy.
 	onDemandCopy onDemandCopy
+	// hedge is true if the attempt was sent beside another one without an answer.
+	hedge bool
 	// copied is true if the attempt resumes a run from a copy.
 	copied bool
 	// source and handle identify the on-demand copy that the attempt resumes
--- a/internal/proxy/move.go
+++ b/internal/proxy/move.go
@@ -245,7 +245,8 @@
 	})
 }
 
-// reportOvertaken reports the attempts that a, which was sent later, answers before.
+// reportOvertaken reports the attempts that a, which was sent later, answers before, and
+// that a hedge has won.
 // They are cancelled, and a version whose hedges at the other one win would give no
 // answers to judge.
 func (c *Core) reportOvertaken(now time.Time, x *exchange, a *attempt) {
@@ -253,7 +254,10 @@
 		if other == a || !other.sent.Before(a.sent) {
 			continue
 		}
-		if c.hedges.Overtaken(now, x.beside(other)); a.sent.Before(c.hedges.LateAt(x.beside(other))) {
+		if a.hedge {
+			c.hedges.Overtaken(now, x.beside(other))
+		}
+		if a.hedge && a.sent.Before(c.hedges.LateAt(x.beside(other))) {
 			other.upstream.RecordFault(now)
 		}
 		if x.position == 0 {
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -94,9 +94,8 @@
 	case u != nil && !e.refused && (e.late > 0 || began.Before(c.pausedAt)):
 		c.askAgain(now, u)
 	case u != nil && !c.atFault(now, u, began):
-		c.checkAgain(now, u)
+		c.checkAgain(now, u, began)
 	default:
-		c.paths.Forget(e.upstream)
 		if listed != nil {
 			c.upstreamUnreachable(now, listed)
 		}
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -36,7 +36,11 @@
 // hedge starts a second attempt beside a slow one.
 func (c *Core) hedge(now time.Time, x *exchange) {
 	x.hedgeAt = time.Time{}
-	if !c.canHedge(x) || x.placement != nil {
+	if !c.canHedge(x) {
+		return
+	}
+	if x.placement != nil && c.hedges.Limited() {
+		x.hedgeAt = x.placement.deadline
 		return
 	}
 	first := x.running()[0]
@@ -75,7 +79,7 @@
 // takeHedge reports whether a hedge may be sent to the upstream, and takes it from the
 // limit of hedges and from the budget of repeats.
 func (c *Core) takeHedge(now time.Time, x *exchange, u *pool.Upstream) bool {
-	if u == nil || c.mayNotHedge(now, x)(u) || u.BackingOff(now) || u.Limit() > 0 || !c.canHedge(x) {
+	if u == nil || x.deadline.Sub(now) < minTimeLeft || c.mayNotHedge(now, x)(u) || u.BackingOff(now) || u.Limit() > 0 || !c.canHedge(x) {
 		return false
 	}
 	sent, denial := c.hedges.Take(now, x.beside(x.running()[0]), c.budgets.Of(x.need.Service()), x.budgetShare())
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -75,6 +75,7 @@
 func (c *Core) sendFrom(now time.Time, x *exchange, upstream *pool.Upstream, options Action) {
 	a := &attempt{
 		number:       len(x.attempts) + 1,
+		hedge:        !x.headSent && len(x.running()) > 0,
 		upstream:     upstream,
 		copied:       options.copied,
 		source:       options.source,
@@ -102,6 +103,9 @@
 	options.instance = upstream.ID()
 	options.stream, options.position, options.deadline = x.stream(), x.position, x.deadline
 	options.workspace = x.workspaceName()
+	if a.number == 1 {
+		c.order.Count(now, x.need.Service(), options.workspace, x.tokens)
+	}
 	options.rank = c.order.Rank(now, x.need.Service(), options.workspace, c.table.Urgency(x.need.Service(), x.route), x.headSent)
 	c.emit(x, options)
 	c.scheduleHedge(now, x)
--- a/internal/proxy/witness.go
+++ b/internal/proxy/witness.go
@@ -28,10 +28,11 @@
 // checkAgain queries the state of an engine once more after a silence that is not known
 // to be the engine's, if attempts run there. A second witness in another region tells
 // the silence of a region from that of all upstreams.
-func (c *Core) checkAgain(now time.Time, u *pool.Upstream) {
-	c.paths.Silent(now, u.ID())
-	if !c.hasAttempts(u) {
-		c.paths.Forget(u.ID())
+func (c *Core) checkAgain(now time.Time, u *pool.Upstream, began time.Time) {
+	c.paths.Silent(now, u.Entry().Region())
+	if !c.hasAttempts(u) || now.Sub(began) < queryTimeout/2 {
+		// A query that fails at once says nothing about silence, and would be repeated
+		// without a pause. The stream's next check asks again.
 		return
 	}
 	if c.queryState(now, u, "", "unheard") {
@@ -78,7 +79,7 @@
 // atFault reports whether the silence of an engine to a query that began at a time is the
 // engine's.
 func (c *Core) atFault(now time.Time, u *pool.Upstream, began time.Time) bool {
-	return c.paths.AtFault(now, u.ID(), u.Entry().Region(), began, heard.Witnesses{
+	return c.paths.AtFault(now, u.Entry().Region(), began, heard.Witnesses{
 		Beside:   c.pool.Witness(now, u, pool.Beside(now, u)) != nil,
 		Anywhere: c.pool.Witness(now, u, pool.Anywhere) != nil,
 	})
