--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -221,40 +221,9 @@
 	return own + u.load.Others(now)*otherRunTokens
 }
 
-// expectedDelay returns the expected delay of a new run on an engine in
-// seconds.
-func (p *Pool) expectedDelay(now time.Time, n Need, u *Upstream) float64 {
-	var s float64
-	if u.HasFreshState(now) {
-		st := u.state.spec
-		s = prefillScore*float64(st.Prefilling+st.Waiting+u.unreportedAttempts()) + decodeScore*float64(st.Running-st.Prefilling)
-	} else {
-		s = unknownScore + prefillScore*float64(u.prefilling) + decodeScore*(float64(u.attempts-u.prefilling)+u.load.Others(now))
-	}
-	if p.expectedMemory(now, u)+float64(n.tokens) > float64(n.memory) {
-		s += fullScore
-	}
-	return s
-}
-
 // score returns the score of an upstream for an attempt; lower is better.
 func (p *Pool) score(now time.Time, n Need, u *Upstream) float64 {
-	s := faultScore*u.FaultRate(now) + tieBreakNoise*p.random()
-	if n.memory > 0 {
-		s += p.expectedDelay(now, n, u)
-	} else {
-		slots := float64(max(u.Slots(), 1))
-		ahead := (float64(u.attempts) + u.load.Others(now)) / slots
-		s += ahead + 1/slots + (u.load.SlowDown(now)-1)*(workScore+ahead)
-		if u.entry.Region() != p.region {
-			s += regionScore
-		}
-	}
-	if u.entry.Domain() != p.domain {
-		s += domainScore
-	}
-	if u.BackingOff(now) || p.Suspect(now, u) {
-		s += lastResortScore
-	}
-	return s
+	var s Score
+	p.addScore(now, n, u, &s)
+	return s.Total() + tieBreakNoise*p.random()
 }
--- a/internal/quota/returns.go
+++ b/internal/quota/returns.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Returns holds the times by service at which the latest refused request was told to come
 // back. It is not safe for concurrent use.
@@ -29,3 +32,10 @@
 	r.last[service] = at
 	return at
 }
+
+// Copy returns a copy of r that changes apart from it.
+func (r *Returns) Copy() *Returns {
+	return &Returns{
+		last: maps.Clone(r.last),
+	}
+}
--- a/internal/table/route.go
+++ b/internal/table/route.go
@@ -128,6 +128,27 @@
 // most urgent.
 func (r *Route) Priority() int { return r.spec.Priority }
 
+// Shares returns the services of the route with their weights. The caller must not modify
+// the slice.
+func (r *Route) Shares() []Share { return r.spec.Shares }
+
+// Draw returns a number for which Service returns the share with the given index, and the
+// fraction of requests that the share gets, which is 0 if there is no such number.
+func (r *Route) Draw(index int) (draw, fraction float64) {
+	if r.total == 0 {
+		if index == 0 {
+			return 0, 1
+		}
+		return 0, 0
+	}
+	before := 0
+	for _, s := range r.spec.Shares[:index] {
+		before += s.weight
+	}
+	weight := float64(r.spec.Shares[index].weight)
+	return (float64(before) + weight/2) / float64(r.total), weight / float64(r.total)
+}
+
 // Service returns the name of the service for a random number in [0, 1). If all
 // weights are 0 it returns the first service, and "" if there are no shares.
 func (r *Route) Service(draw float64) string {
