--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -28,20 +28,12 @@
 	// retrySoon is the Retry-After time for a request that did not run and that
 	// another VM can take immediately.
 	retrySoon = 50 * time.Millisecond
-	// minRetryAfter and maxRetryAfter bound the Retry-After time for a request
-	// that can't be served at present. A crashed upstream is back after about a
-	// second.
-	minRetryAfter = 200 * time.Millisecond
-	maxRetryAfter = 1500 * time.Millisecond
 	// maxDrainResume is the time for which a draining VM takes the rests of lost
 	// streams. The load balancer stops sending new connections within 2.5 s.
 	maxDrainResume = 2800 * time.Millisecond
 	// stopMargin is the time before a draining VM stops at which it answers what is
 	// still under way, so that the answers arrive before the connections are cut.
 	stopMargin = 100 * time.Millisecond
-	// retryAfterShare is the fraction of the caller's timeout that is sent as
-	// Retry-After. Callers retry within a third of their timeout.
-	retryAfterShare = 0.3
 )
 
 // Core holds the state of all requests that one VM forwards over HTTP. It is
@@ -50,7 +42,9 @@
 	table    *table.Table
 	pool     *pool.Pool
 	inFlight map[uint64]*exchange
-	alarms   *alarm.Set[uint64]
+	// omitted counts the requests in flight that a copy of a core leaves out.
+	omitted int
+	alarms  *alarm.Set[uint64]
 	// budgets holds the retry budget of each service.
 	budgets *budget.Shares
 	// returns holds the time by service at which the latest request that was refused
@@ -271,25 +265,33 @@
 		c.holdPending(now, q)
 		return
 	}
-	rt := c.table.Match(q.spec.Host, q.spec.Path)
+	if x := c.admit(now, q); x != nil {
+		c.begin(now, x)
+	}
+}
+
+// admit decides about a request before the choice of an upstream, and returns nil if it
+// refuses it.
+func (c *Core) admit(now time.Time, q *Request) *exchange {
+	rt := c.table.Match(q.Spec().Host, q.Spec().Path)
 	if rt == nil {
 		c.reject(q, errs.NotFound, "no such route", 0)
-		return
+		return nil
 	}
 	var w *table.Workspace
 	if c.table.RequiresKeys() && !rt.Public() {
-		if w = c.table.WorkspaceForKey(q.spec.Key); w == nil {
+		if w = c.table.WorkspaceForKey(q.Spec().Key); w == nil {
 			c.reject(q, errs.Unauthorized, "unknown key", 0)
-			return
+			return nil
 		}
 	}
 	if c.draining && !c.fitsBeforeStop(now, rt, q, deadline(now, rt, q)) {
 		c.reject(q, errs.Unavailable, "stopping", retrySoon)
-		return
+		return nil
 	}
-	if len(c.inFlight) >= maxInFlight {
-		c.reject(q, errs.Unavailable, "too many requests in flight", retryAfter(q))
-		return
+	if len(c.inFlight)+c.omitted >= maxInFlight {
+		c.reject(q, errs.Unavailable, "too many requests in flight", q.RetryAfter())
+		return nil
 	}
 	x := &exchange{
 		q:             q,
@@ -297,19 +299,24 @@
 		workspace:     w,
 		arrived:       now,
 		lastDelivered: now,
-		position:      q.spec.Position,
+		position:      q.Spec().Position,
 		deadline:      deadline(now, rt, q),
 	}
 	x.need = c.newNeed(x)
 	if x.stream() {
-		x.fence = c.fenceFor(x.need.Service(), q.spec.Parts)
+		x.fence = c.fenceFor(x.need.Service(), q.Spec().Parts)
 	}
 	if x.fence.closed {
-		c.reject(q, errs.Unavailable, promptCharged, retryAfter(q))
-		return
+		c.reject(q, errs.Unavailable, promptCharged, q.RetryAfter())
+		return nil
 	}
 	c.assignVersion(now, x)
-	c.inFlight[q.Number()] = x
+	return x
+}
+
+// begin starts the first attempt of an admitted request.
+func (c *Core) begin(now time.Time, x *exchange) {
+	c.inFlight[x.q.Number()] = x
 	c.budgets.Of(x.need.Service()).CountFirst(now)
 	c.hedges.CountFirst(now, x.need.Service())
 	c.startAttempt(now, x, "first")
@@ -322,7 +329,7 @@
 // stream is better served by another VM.
 func (c *Core) fitsBeforeStop(now time.Time, rt *table.Route, q *Request, deadline time.Time) bool {
 	if rt.Kind() == table.Stream {
-		return q.spec.Position > 0 && rt.Repeatable() && now.Sub(c.drainSince) <= maxDrainResume
+		return q.Spec().Position > 0 && rt.Repeatable() && now.Sub(c.drainSince) <= maxDrainResume
 	}
 	return !deadline.After(c.stopBy.Add(-stopMargin))
 }
@@ -347,16 +354,16 @@
 	if s == nil || s.Engine() == nil || !x.stream() {
 		return n
 	}
-	x.tokens = x.q.spec.Prompt + x.q.spec.Output
-	return n.WithTokens(x.tokens, s.Engine().Memory()).WithPrompt(x.q.spec.Session)
+	x.tokens = x.q.Spec().Prompt + x.q.Spec().Output
+	return n.WithTokens(x.tokens, s.Engine().Memory()).WithPrompt(x.q.Spec().Session)
 }
 
 // deadline returns the time by which the request must be answered: the earlier
 // one of the route's and the caller's timeout.
 func deadline(now time.Time, rt *table.Route, q *Request) time.Time {
 	wait := rt.Timeout()
-	if wait == 0 || q.spec.Wait > 0 && q.spec.Wait < wait {
-		wait = q.spec.Wait
+	if wait == 0 || q.Spec().Wait > 0 && q.Spec().Wait < wait {
+		wait = q.Spec().Wait
 	}
 	if wait == 0 {
 		wait = defaultWait
@@ -505,11 +512,6 @@
 	}
 }
 
-// retryAfter returns the Retry-After time for a refused request.
-func retryAfter(q *Request) time.Duration {
-	return min(max(time.Duration(retryAfterShare*float64(q.spec.Wait)), minRetryAfter), maxRetryAfter)
-}
-
 // reject refuses a request that has no exchange.
 func (c *Core) reject(q *Request, kind errs.Kind, reason string, retry time.Duration) {
 	c.actions = append(c.actions, Action{
--- a/internal/proxy/fence.go
+++ b/internal/proxy/fence.go
@@ -50,7 +50,7 @@
 		if !x.stream() {
 			continue
 		}
-		x.fence = c.fenceFor(x.need.Service(), x.q.spec.Parts)
+		x.fence = c.fenceFor(x.need.Service(), x.q.Spec().Parts)
 		c.enforceFence(now, x)
 		c.resetAlarm(x)
 	}
@@ -120,7 +120,7 @@
 
 // reportRun reports a run of a prompt that has parts which other requests share.
 func (c *Core) reportRun(now time.Time, x *exchange, a *attempt, kind ActionKind) {
-	if !x.stream() || x.need.Memory() == 0 || len(x.q.spec.Parts) == 0 {
+	if !x.stream() || x.need.Memory() == 0 || len(x.q.Spec().Parts) == 0 {
 		return
 	}
 	e := a.upstream.Entry()
@@ -133,8 +133,8 @@
 			Version: e.Version(),
 			Engine:  e.ID() + "@" + strconv.FormatInt(e.StartedAt(), 10),
 			Domain:  e.Domain(),
-			Session: x.q.spec.Session,
-			Parts:   x.q.spec.Parts,
+			Session: x.q.Spec().Session,
+			Parts:   x.q.Spec().Parts,
 		}),
 	})
 }
--- a/internal/proxy/pending.go
+++ b/internal/proxy/pending.go
@@ -25,10 +25,10 @@
 // holdPending queues a request until the first configuration arrives.
 func (c *Core) holdPending(now time.Time, q *Request) {
 	if len(c.pending) >= maxInFlight {
-		c.reject(q, errs.Unavailable, "no configuration yet", retryAfter(q))
+		c.reject(q, errs.Unavailable, "no configuration yet", q.RetryAfter())
 		return
 	}
-	wait := min(time.Duration(pendingShare*float64(q.spec.Wait)), maxPendingWait)
+	wait := min(time.Duration(pendingShare*float64(q.Spec().Wait)), maxPendingWait)
 	c.pending = append(c.pending, pendingRequest{
 		q:        q,
 		deadline: now.Add(wait),
@@ -56,7 +56,7 @@
 			rest = append(rest, e)
 			continue
 		}
-		c.reject(e.q, errs.Unavailable, "no configuration yet", retryAfter(e.q))
+		c.reject(e.q, errs.Unavailable, "no configuration yet", e.q.RetryAfter())
 	}
 	c.pending = rest
 }
--- a/internal/proxy/placement.go
+++ b/internal/proxy/placement.go
@@ -224,16 +224,12 @@
 // other VMs. A caller that resumes a stream is preferably sent to an engine
 // that has cached its prompt.
 func (c *Core) placeOnEngine(now time.Time, x *exchange, reason string) {
-	resuming := x.q.spec.Position > 0 && x.need.Prompt() != ""
-	size := placementCandidates
-	if resuming {
-		size = resumeCandidates
-	}
+	candidates, resuming := c.candidates(now, x)
 	s := &placement{
 		reason:       reason,
 		isHedge:      len(x.running()) > 0,
 		deadline:     now.Add(placementTimeout),
-		candidates:   c.pool.Candidates(now, x.need, x.excludes, size),
+		candidates:   candidates,
 		outstanding:  make(map[string]int),
 		cachedTokens: make(map[string]int),
 	}
@@ -257,6 +253,17 @@
 	c.decidePlacement(now, x)
 }
 
+// candidates returns the engines that are considered for a run, and whether its caller
+// resumes a stream whose prompt engines may have cached.
+func (c *Core) candidates(now time.Time, x *exchange) (list []*pool.Upstream, resuming bool) {
+	resuming = x.q.Spec().Position > 0 && x.need.Prompt() != ""
+	size := placementCandidates
+	if resuming {
+		size = resumeCandidates
+	}
+	return c.pool.Candidates(now, x.need, x.excludes, size), resuming
+}
+
 // decidePlacement sends the request once all candidates have answered or the
 // placement has timed out.
 func (c *Core) decidePlacement(now time.Time, x *exchange) {
--- a/internal/proxy/plain.go
+++ b/internal/proxy/plain.go
@@ -134,7 +134,7 @@
 	c.reportOutcome(now, x, a, move.Errors)
 	a.upstream.RecordActivity(now)
 	a.upstream.RecordFault(now)
-	if !answer.promisesNotRun() {
+	if !answer.PromisesNotRun() {
 		// The upstream of a complete response has not stated that the request did
 		// not run, so a status that promises it is not passed on.
 		x.reply = answer
--- a/internal/proxy/rest.go
+++ b/internal/proxy/rest.go
@@ -124,7 +124,7 @@
 	}
 	first, resting := c.firstReturn(now, x)
 	if !resting {
-		return retryAfter(x.q)
+		return x.q.RetryAfter()
 	}
 	left := max(first.Sub(now), retrySoon)
 	if c.draining {
