--- a/internal/edge/dispatcher.go
+++ b/internal/edge/dispatcher.go
@@ -40,6 +40,8 @@
 	arrival *arrival
 	// applied is called once the event has taken effect.
 	applied func(now time.Time)
+	// inspect, if set, replaces the event. It must not change the core.
+	inspect func(now time.Time, c *proxy.Core)
 }
 
 // request is the dispatcher's state of a caller's request in flight.
@@ -124,6 +126,13 @@
 	})
 }
 
+// inspect queues a function that reads the core. It blocks like notify.
+func (d *Dispatcher) inspect(ctx context.Context, f func(time.Time, *proxy.Core)) {
+	d.events.Put(ctx, queuedEvent{
+		inspect: f,
+	})
+}
+
 // run processes events and timers until ctx ends.
 func (d *Dispatcher) run(ctx context.Context) {
 	timer := time.NewTimer(statsInterval)
@@ -135,6 +144,10 @@
 			return
 		case s := <-d.events.Out():
 			d.wake(ctx, due)
+			if s.inspect != nil {
+				s.inspect(d.now(), d.core)
+				break
+			}
 			if s.arrival != nil {
 				d.requests[s.event.Number()] = &request{
 					arrival: *s.arrival,
--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -18,12 +18,14 @@
 	"clementinelink.example/clementinelink/internal/mirror"
 	"clementinelink.example/clementinelink/internal/move"
 	"clementinelink.example/clementinelink/internal/origin"
+	"clementinelink.example/clementinelink/internal/pause"
 	"clementinelink.example/clementinelink/internal/pool"
 	"clementinelink.example/clementinelink/internal/proxy"
 	"clementinelink.example/clementinelink/internal/roster"
 	"clementinelink.example/clementinelink/internal/store"
 	"clementinelink.example/clementinelink/internal/table"
 	"clementinelink.example/clementinelink/internal/tree"
+	"clementinelink.example/clementinelink/internal/where"
 	"clementinelink.example/clementinelink/internal/wire"
 	"github.com/cockroachdb/errors"
 	"github.com/go-chi/chi/v5"
@@ -279,13 +281,13 @@
 	v.metrics.Watch("store_age_seconds", "Time since the store, or a VM that it answered lately, confirmed the table and the upstreams.", func() float64 { return v.watcher.age().Seconds() })
 }
 
-// serveReady starts the listeners for the load balancer's checks and for
-// metrics.
+// serveReady starts the listeners for the load balancer's checks and for operators.
 func (v *VM) serveReady() error {
 	rt := chi.NewRouter()
 	rt.Get("/readyz", v.handleReady)
 	rt.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	rt.Handle("/metrics", v.metrics)
+	rt.Get("/where", where.NewHandler(v.settings.Name, v.dispatcher.inspect).ServeHTTP)
 	v.ready = &http.Server{
 		Handler:           rt,
 		ReadHeaderTimeout: time.Second,
@@ -392,22 +394,10 @@
 	v.log.Info().Int64("live", v.dispatcher.inFlight.Load()).Msg("edge: Stopping.")
 	limit, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
-	sleep(limit, drainDelay)
-	for limit.Err() == nil && v.dispatcher.inFlight.Load() > 0 {
-		sleep(limit, drainPollInterval)
-	}
+	pause.Sleep(limit, drainDelay)
+	pause.While(limit, drainPollInterval, func() bool { return v.dispatcher.inFlight.Load() > 0 })
 	err := v.front.shutdown(limit)
 	v.stop()
 	v.log.Info().Int64("live", v.dispatcher.inFlight.Load()).Int64("ms", time.Since(began).Milliseconds()).Msg("edge: Stopped.")
 	return err
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
