--- a/cmd/clementinectl/main.go
+++ b/cmd/clementinectl/main.go
@@ -198,6 +198,13 @@
 				program: p,
 			},
 		},
+		{
+			name:  "where",
+			short: "Show where a VM would send a request, without sending it",
+			data: &whereCommand{
+				program: p,
+			},
+		},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, "", c.data); err != nil {
 			return err
--- a/cmd/clementinectl/main_test.go
+++ b/cmd/clementinectl/main_test.go
@@ -36,6 +36,7 @@
 		Dir: "testdata",
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"exits": checkExitCode,
+			"edge":  startEdge,
 			"serve": func(ts *testscript.TestScript, _ bool, args []string) {
 				v := &fakeVM{
 					values:       make(map[string][]byte),
