--- a/internal/guide/deployment.go
+++ b/internal/guide/deployment.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -55,6 +56,10 @@
 	// shutdownResults holds, by VM name, the channel that receives the result of
 	// each shutdown.
 	shutdownResults map[string]chan error
+	// edges holds the metrics listeners of clementinedge that the page started, and
+	// edgeAddresses their addresses.
+	edges         []*http.Server
+	edgeAddresses []string
 }
 
 // NewDeployment starts a site of two regions with three failure domains in
@@ -87,6 +92,7 @@
 		"load":     d.runLoad,
 		"begin":    d.startLoad,
 		"end":      d.awaitLoad,
+		"edge":     d.startEdge,
 	}
 	return d, site.Start(ctx)
 }
@@ -99,6 +105,9 @@
 	for _, c := range d.shutdownResults {
 		<-c
 	}
+	for _, e := range d.edges {
+		_ = e.Close()
+	}
 	d.site.Close()
 }
 
@@ -123,6 +132,7 @@
 		addresses[entryHosts[i]+":8081"] = n.AdminAddr()
 		addresses[entryHosts[i]+":8082"] = n.PeerAddr()
 	}
+	d.addEdges(addresses)
 	return addresses
 }
 
