--- a/internal/edge/dispatcher.go
+++ b/internal/edge/dispatcher.go
@@ -115,7 +115,7 @@
 		log:         j,
 	}
 	core.WithStopObserver(func(e reap.Ended) { j.logStopEnd(d.now(), e) })
-	j.table = func() (int64, time.Time) { return tableVersion(core.Table()), time.Unix(0, d.tableSince.Load()) }
+	j.table = func() (int64, time.Time) { return core.Table().Version(), time.Unix(0, d.tableSince.Load()) }
 	return d
 }
 
--- a/internal/edge/eventlog.go
+++ b/internal/edge/eventlog.go
@@ -9,7 +9,6 @@
 	"clementinelink.example/clementinelink/internal/proxy"
 	"clementinelink.example/clementinelink/internal/reap"
 	"clementinelink.example/clementinelink/internal/stand"
-	"clementinelink.example/clementinelink/internal/table"
 	"github.com/rs/zerolog"
 )
 
@@ -56,7 +55,7 @@
 			j.log.Info().Str("request", r.id).Int("attempt", e.Attempt()).Int("status", e.Answer().Status()).Msg("proxy: Attempt failed.")
 		}
 	case proxy.Configure:
-		j.log.Info().Int64("version", e.Table().Version()).Int64("before", tableVersion(c.Table())).Msg("config: A version arrived.")
+		j.log.Info().Int64("version", e.Table().Version()).Int64("before", c.Table().Version()).Msg("config: A version arrived.")
 	case proxy.Members:
 		listed, gone := e.Members()
 		for _, l := range listed {
@@ -127,14 +126,6 @@
 	j.log.Info().Str("upstream", upstream).Err(err).Msg("pool: Engine query failed.")
 }
 
-// tableVersion returns the version of a table, or 0 if it is nil.
-func tableVersion(t *table.Table) int64 {
-	if t == nil {
-		return 0
-	}
-	return t.Version()
-}
-
 // logAction logs and counts a decision of the core.
 func (j *eventLog) logAction(now time.Time, a proxy.Action, r *request) {
 	switch a.Kind() {
--- a/internal/edge/vm.go
+++ b/internal/edge/vm.go
@@ -273,7 +273,7 @@
 	}
 	v.metrics.Watch("limited_upstreams", "Listed upstreams that name a limit on requests.", stat(func(c *coreStats) int { return c.limited }))
 	v.metrics.Watch("slow_upstreams", "Listed upstreams whose latest reports say that work takes clearly longer than usual.", stat(func(c *coreStats) int { return c.slow }))
-	v.metrics.Watch("table_version", "Version of the routing table in force, 0 for none.", func() float64 { return float64(tableVersion(d.table.Load())) })
+	v.metrics.Watch("table_version", "Version of the routing table in force, 0 for none.", func() float64 { return float64(d.table.Load().Version()) })
 	v.metrics.Watch("table_age_seconds", "Time since the routing table in force arrived.", func() float64 {
 		return d.now().Sub(time.Unix(0, d.tableSince.Load())).Seconds()
 	})
--- a/internal/fair/fair.go
+++ b/internal/fair/fair.go
@@ -89,6 +89,17 @@
 	return s.active
 }
 
+// copy returns an independent copy.
+func (s *Shares) copy() *Shares {
+	c := *s
+	c.workspaces = make(map[string]*use, len(s.workspaces))
+	for name, w := range s.workspaces {
+		u := *w
+		c.workspaces[name] = &u
+	}
+	return &c
+}
+
 // prune forgets workspaces of whose use nothing is left, once in a half-life.
 func (s *Shares) prune(now time.Time) {
 	if now.Sub(s.prunedAt) < halfLife {
--- a/internal/fair/order.go
+++ b/internal/fair/order.go
@@ -43,6 +43,15 @@
 	return o
 }
 
+// Copy returns an independent copy without an observer.
+func (o *Order) Copy() *Order {
+	c := NewOrder(o.shared)
+	for service, s := range o.shares {
+		c.shares[service] = s.copy()
+	}
+	return c
+}
+
 // Count counts a request of a workspace that takes a number of tokens.
 func (o *Order) Count(now time.Time, service, workspace string, tokens int) {
 	if !o.shared || workspace == "" || tokens == 0 {
--- a/internal/guide/edge.go
+++ b/internal/guide/edge.go
@@ -107,5 +107,5 @@
 		entry("draft-1", "draft", "10.0.2.21:8226", "gab-mill"),
 		entry("draft-2", "draft", "10.0.2.22:8226", "gab-annex"),
 	}, nil))
-	c.Pool().Get("desk-1").ReportLoad(now, proxy.Load{}.WithCounts(12, 2).WithSlots(8).WithSlowDown(250))
+	c.Pool().ReportLoad(now, c.Pool().Get("desk-1"), proxy.Load{}.WithCounts(12, 2).WithSlots(8).WithSlowDown(250))
 }
--- a/internal/pool/bench_test.go
+++ b/internal/pool/bench_test.go
@@ -39,7 +39,7 @@
 			Region:  fmt.Sprintf("r%d", i%2),
 			Address: fmt.Sprintf("h%d", i),
 		}))
-		u.ReportLoad(now, load.Report{}.WithCounts(i%8, 0).WithSlots(6).WithSlowDown(100+i))
+		p.ReportLoad(now, u, load.Report{}.WithCounts(i%8, 0).WithSlots(6).WithSlowDown(100+i))
 	}
 	need := NewNeed("desk")
 	now = now.Add(300 * time.Millisecond)
--- a/internal/pool/copy.go
+++ b/internal/pool/copy.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"maps"
 	"slices"
 
 	"clementinelink.example/clementinelink/internal/stand"
@@ -19,6 +20,8 @@
 		byAddress: make(map[string]*Upstream),
 		failures:  make(map[string]*domainFailures, len(p.failures)),
 		random:    func() float64 { return 0 },
+
+		reportedSlots: maps.Clone(p.reportedSlots),
 	}
 	fleet := *p.book.Fleet()
 	c.book, c.fleet = stand.NewBook(c.random), &fleet
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -41,6 +41,9 @@
 	byAddress map[string]*Upstream
 	// failures holds the recent failures of each failure domain.
 	failures map[string]*domainFailures
+	// reportedSlots holds the largest number of slots that an upstream of a service has
+	// reported.
+	reportedSlots map[string]int
 	// book holds what incarnations have stated, also after their removal.
 	book *stand.Book
 	// fleet holds the VMs that share the limits of upstreams, or is nil before they
@@ -61,14 +64,15 @@
 // seed determines how ties between upstreams are broken.
 func New(region, domain string, seed uint64) *Pool {
 	p := &Pool{
-		region:    region,
-		domain:    domain,
-		byID:      make(map[string]*Upstream),
-		unlisted:  make(map[string]*Upstream),
-		byService: make(map[string][]*Upstream),
-		byAddress: make(map[string]*Upstream),
-		failures:  make(map[string]*domainFailures),
-		random:    rand.New(rand.NewPCG(seed, 0)).Float64,
+		region:        region,
+		domain:        domain,
+		byID:          make(map[string]*Upstream),
+		unlisted:      make(map[string]*Upstream),
+		byService:     make(map[string][]*Upstream),
+		byAddress:     make(map[string]*Upstream),
+		failures:      make(map[string]*domainFailures),
+		reportedSlots: make(map[string]int),
+		random:        rand.New(rand.NewPCG(seed, 0)).Float64,
 	}
 	p.book = stand.NewBook(func() float64 { return p.random() })
 	return p
--- a/internal/pool/score.go
+++ b/internal/pool/score.go
@@ -1,6 +1,9 @@
 package pool
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Score is the score of an upstream for an attempt without the random addition, in its
 // parts; lower is better.
@@ -61,7 +64,9 @@
 	if n.memory > 0 {
 		p.scoreEngine(now, n, u, s)
 	} else {
-		slots := float64(max(u.Slots(), 1))
+		// An upstream whose slots are unknown has as many as others of its service, so that
+		// it gets work before it has reported them.
+		slots := float64(max(cmp.Or(u.Slots(), p.reportedSlots[n.service]), 1))
 		ahead := (float64(u.attempts) + u.load.Others(now)) / slots
 		s.work = ahead + 1/slots
 		s.slow = (u.load.SlowDown(now) - 1) * (workScore + ahead)
--- a/internal/pool/script_test.go
+++ b/internal/pool/script_test.go
@@ -90,7 +90,7 @@
 		if d.HasArg("running") {
 			r = r.WithCounts(number(t, d, "running"), number(t, d, "waiting"))
 		}
-		u.ReportLoad(now, r)
+		p.ReportLoad(now, u, r)
 		return fmt.Sprintf("slots %d, crowded %t\n", u.Slots(), u.Crowded(now))
 	case "crowded":
 		return fmt.Sprintln(u.Crowded(now))
--- a/internal/pool/upstream.go
+++ b/internal/pool/upstream.go
@@ -207,8 +207,12 @@
 	return u.faultRate * load.Decay(now.Sub(u.faultAt), faultHalfLife)
 }
 
-// ReportLoad records the load that the upstream reported, which includes this VM's.
-func (u *Upstream) ReportLoad(now time.Time, r load.Report) { u.load.Update(now, r, u.attempts) }
+// ReportLoad records the load that an upstream reported, which includes this VM's.
+func (p *Pool) ReportLoad(now time.Time, u *Upstream, r load.Report) {
+	u.load.Update(now, r, u.attempts)
+	name := u.entry.Service()
+	p.reportedSlots[name] = max(p.reportedSlots[name], r.Slots())
+}
 
 // Load returns what is known of the upstream's load. The caller must not update it.
 func (u *Upstream) Load() *load.Record { return &u.load }
--- a/internal/proxy/core.go
+++ b/internal/proxy/core.go
@@ -424,7 +424,7 @@
 		x.discount(a, e)
 		return
 	}
-	a.upstream.ReportLoad(now, e.load)
+	c.pool.ReportLoad(now, a.upstream, e.load)
 	switch e.kind {
 	case Head:
 		a.upstream.RecordActivity(now)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -153,14 +153,6 @@
 	return x.headSent && x.need.Memory() > 0 && !x.pace.Permits(u.LastActivity(), x.route.Attempts()-x.possibleRuns)
 }
 
-// workspaceName returns the name of the caller's workspace, or "".
-func (x *exchange) workspaceName() string {
-	if x.workspace == nil {
-		return ""
-	}
-	return x.workspace.Name()
-}
-
 func (x *exchange) stream() bool { return x.route.Kind() == table.Stream }
 
 // mayRepeat reports whether the request may be sent again although an attempt
--- a/internal/proxy/limit.go
+++ b/internal/proxy/limit.go
@@ -41,10 +41,7 @@
 
 // rank returns the rank of a request; 0 is the most urgent.
 func (c *Core) rank(x *exchange) int {
-	if x.workspace != nil {
-		return x.workspace.Rank(x.route)
-	}
-	return x.route.Priority()
+	return x.workspace.Rank(x.route)
 }
 
 // awaitLimit handles a request that no upstream can take at present if one can once
--- a/internal/proxy/send.go
+++ b/internal/proxy/send.go
@@ -102,7 +102,7 @@
 	options.kind, options.attempt, options.upstream, options.holder = Send, a.number, upstream, a.holder
 	options.instance = upstream.ID()
 	options.stream, options.position, options.deadline = x.stream(), x.position, x.deadline
-	options.workspace = x.workspaceName()
+	options.workspace = x.workspace.Name()
 	if a.number == 1 {
 		c.order.Count(now, x.need.Service(), options.workspace, x.tokens)
 	}
--- a/internal/proxy/trial.go
+++ b/internal/proxy/trial.go
@@ -16,7 +16,7 @@
 // that another goroutine may use it. Its random numbers are draw and then 0.
 func (c *Core) Copy(draw float64) *Core {
 	s := *c
-	s.pool, s.returns, s.cancelled, s.actions = c.pool.Copy(), c.returns.Copy(), reap.New(), nil
+	s.pool, s.returns, s.order, s.cancelled, s.actions = c.pool.Copy(), c.returns.Copy(), c.order.Copy(), reap.New(), nil
 	s.inFlight, s.omitted, s.alarms, s.pending = make(map[uint64]*exchange), len(c.inFlight)+c.omitted, alarm.New[uint64](), nil
 	s.budgets, s.hedges = budget.NewShares(budget.Limits{}, c.peers), hedge.New(hedge.Limit{}, move.MinVMs, nil)
 	s.stateQueries, s.paths, s.awaitingID = make(map[string]time.Time), heard.NewPaths(queryTimeout, maxPatience), make(map[string]bool)
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -97,13 +97,18 @@
 	}
 }
 
-// Name returns the workspace's name.
-func (w *Workspace) Name() string { return w.name }
+// Name returns the workspace's name, or "" if w is nil.
+func (w *Workspace) Name() string {
+	if w == nil {
+		return ""
+	}
+	return w.name
+}
 
 // Rank returns the rank of the workspace's requests on a route; 0 is the most
-// urgent.
+// urgent. It is the route's priority if w is nil.
 func (w *Workspace) Rank(r *Route) int {
-	if w.priority >= 0 {
+	if w != nil && w.priority >= 0 {
 		return w.priority
 	}
 	return r.Priority()
@@ -211,8 +216,13 @@
 	}
 }
 
-// Version returns the configuration's version.
-func (t *Table) Version() int64 { return t.version }
+// Version returns the configuration's version, or 0 if t is nil.
+func (t *Table) Version() int64 {
+	if t == nil {
+		return 0
+	}
+	return t.version
+}
 
 // Limits returns the limits on callers.
 func (t *Table) Limits() Limits { return t.limits }
