--- a/internal/proxy/witness.go
+++ b/internal/proxy/witness.go
@@ -29,10 +29,13 @@
 // to be the engine's, if attempts run there. A second witness in another region tells
 // the silence of a region from that of all upstreams.
 func (c *Core) checkAgain(now time.Time, u *pool.Upstream, began time.Time) {
+	if now.Sub(began) < queryTimeout/2 {
+		// A query that fails at once shows no silence, and would be repeated without a
+		// pause. The stream's next check asks again.
+		return
+	}
 	c.paths.Silent(now, u.Entry().Region())
-	if !c.hasAttempts(u) || now.Sub(began) < queryTimeout/2 {
-		// A query that fails at once says nothing about silence, and would be repeated
-		// without a pause. The stream's next check asks again.
+	if !c.hasAttempts(u) {
 		return
 	}
 	if c.queryState(now, u, "", "unheard") {
