--- a/internal/pool/choose.go
+++ b/internal/pool/choose.go
@@ -35,9 +35,9 @@
 	// lastResortScore ranks upstreams that are backing off or suspect after all
 	// others.
 	lastResortScore = 100
-	// tieBreakNoise is the range of a random addition, so that VMs that choose
+	// MaxNoise is the range of a random addition, so that VMs that choose
 	// independently do not all choose the same upstream.
-	tieBreakNoise = 0.08
+	MaxNoise = 0.08
 	// maxCopyUse is the fraction of an engine's memory that may be in use after
 	// a copy is placed on it.
 	maxCopyUse = 0.85
@@ -203,7 +203,7 @@
 		if !u.HasFreshState(now) {
 			used += unknownMemoryUse
 		}
-		if s := used + tieBreakNoise*p.random() + faultScore*u.FaultRate(now); s < least {
+		if s := used + MaxNoise*p.random() + faultScore*u.FaultRate(now); s < least {
 			best, least = u, s
 		}
 	}
@@ -214,9 +214,9 @@
 func (p *Pool) expectedMemory(now time.Time, u *Upstream) float64 {
 	own := float64(u.tokens + u.copyTokens)
 	if u.HasFreshState(now) {
-		st := u.state.spec
-		growth := st.Prefilling*prefillGrowth + (st.Running-st.Prefilling)*decodeGrowth
-		return max(own, float64(st.Used+growth+u.unreportedAttempts()*otherRunTokens))
+		st := &u.state
+		growth := st.Prefilling()*prefillGrowth + (st.Running()-st.Prefilling())*decodeGrowth
+		return max(own, float64(st.Used()+growth+u.unreportedAttempts()*otherRunTokens))
 	}
 	return own + u.load.Others(now)*otherRunTokens
 }
@@ -225,5 +225,14 @@
 func (p *Pool) score(now time.Time, n Need, u *Upstream) float64 {
 	var s Score
 	p.addScore(now, n, u, &s)
-	return s.Total() + tieBreakNoise*p.random()
+	return s.Total() + MaxNoise*p.random()
+}
+
+// HasSpace reports whether an upstream can begin one more request at once: it has a free
+// slot, if the number of its slots is known, and memory, and has not failed lately.
+func (p *Pool) HasSpace(now time.Time, n Need, u *Upstream) bool {
+	if slots := u.Slots(); slots > 0 && float64(u.attempts)+u.load.Others(now) >= float64(slots) {
+		return false
+	}
+	return p.eligible(now, n, u) && !u.BackingOff(now) && !p.Suspect(now, u) && !u.full(now, n)
 }
--- a/internal/pool/copy.go
+++ b/internal/pool/copy.go
@@ -18,7 +18,7 @@
 		unlisted:  make(map[string]*Upstream),
 		byService: make(map[string][]*Upstream, len(p.byService)),
 		byAddress: make(map[string]*Upstream),
-		failures:  make(map[string]*domainFailures, len(p.failures)),
+		failures:  p.failures.Copy(),
 		random:    func() float64 { return 0 },
 
 		reportedSlots: maps.Clone(p.reportedSlots),
@@ -26,11 +26,6 @@
 	fleet := *p.book.Fleet()
 	c.book, c.fleet = stand.NewBook(c.random), &fleet
 	c.book.SetFleet(c.fleet, c.place)
-	for domain, w := range p.failures {
-		copied := *w
-		copied.ids = slices.Clone(w.ids)
-		c.failures[domain] = &copied
-	}
 	for name, list := range p.byService {
 		// One array for all upstreams takes a fraction of the time of one each.
 		upstreams, standings := make([]Upstream, len(list)), make([]stand.Standing, len(list))
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -7,17 +7,12 @@
 	"strings"
 	"time"
 
+	"clementinelink.example/clementinelink/internal/heard"
 	"clementinelink.example/clementinelink/internal/quota"
 	"clementinelink.example/clementinelink/internal/stand"
 )
 
 const (
-	// domainFailureWindow is the longest pause between failures of upstreams of
-	// one failure domain that are attributed to one failure of the domain.
-	domainFailureWindow = 2 * time.Second
-	// domainFailureThreshold is the number of failed upstreams from which the
-	// domain counts as failed.
-	domainFailureThreshold = 2
 	// provisionalTimeout is the time in which the registry must list an
 	// incarnation that was discovered by its answer. Outages of the store last
 	// for seconds, and upstreams are listed again within about 2 s of its
@@ -40,7 +35,7 @@
 	// after its removal, so that it can be linked to its successor.
 	byAddress map[string]*Upstream
 	// failures holds the recent failures of each failure domain.
-	failures map[string]*domainFailures
+	failures *heard.Domains
 	// reportedSlots holds the largest number of slots that an upstream of a service has
 	// reported.
 	reportedSlots map[string]int
@@ -53,13 +48,6 @@
 	random func() float64
 }
 
-// domainFailures holds the recent failures in one failure domain.
-type domainFailures struct {
-	began time.Time
-	last  time.Time
-	ids   []string
-}
-
 // New returns an empty pool of a VM in the given region and failure domain. The
 // seed determines how ties between upstreams are broken.
 func New(region, domain string, seed uint64) *Pool {
@@ -70,7 +58,7 @@
 		unlisted:      make(map[string]*Upstream),
 		byService:     make(map[string][]*Upstream),
 		byAddress:     make(map[string]*Upstream),
-		failures:      make(map[string]*domainFailures),
+		failures:      heard.NewDomains(),
 		reportedSlots: make(map[string]int),
 		random:        rand.New(rand.NewPCG(seed, 0)).Float64,
 	}
@@ -111,7 +99,7 @@
 // is leaving stays so whatever the entry says.
 func (p *Pool) Upsert(now time.Time, e Entry) *Upstream {
 	u := p.byID[e.ID()]
-	if u != nil && (p.restarted(u, e) || u.entry.spec.Service != e.spec.Service || u.entry.spec.Address != e.spec.Address) {
+	if u != nil && (p.restarted(u, e) || u.entry.Service() != e.Service() || u.entry.Address() != e.Address()) {
 		p.Remove(e.ID())
 		u = nil
 	}
@@ -155,7 +143,7 @@
 	if p.byID[id] != nil && id != old.ID() {
 		return
 	}
-	u := p.Upsert(now, old.entry.withIncarnation(id, s.spec.StartedAt))
+	u := p.Upsert(now, old.entry.WithIncarnation(id, s.StartedAt()))
 	u.provisionalUntil = now.Add(provisionalTimeout)
 	p.UpdateState(now, u, s)
 	p.removeUnlisted(now)
@@ -245,22 +233,12 @@
 // time, the other ones of the domain are suspect until they send something.
 func (p *Pool) RecordUnreachable(now time.Time, u *Upstream) {
 	u.BackOff(now)
-	w := p.failures[u.entry.Domain()]
-	if w == nil || now.Sub(w.last) > domainFailureWindow {
-		w = &domainFailures{
-			began: now,
-		}
-		p.failures[u.entry.Domain()] = w
-	}
-	w.last = now
-	if !slices.Contains(w.ids, u.ID()) {
-		w.ids = append(w.ids, u.ID())
-	}
+	p.failures.Fail(now, u.entry.Domain(), u.ID())
 }
 
 // Suspect reports whether the upstream's failure domain has failed recently and
 // the upstream has sent nothing since.
 func (p *Pool) Suspect(now time.Time, u *Upstream) bool {
-	w := p.failures[u.entry.Domain()]
-	return w != nil && len(w.ids) >= domainFailureThreshold && now.Sub(w.last) <= domainFailureWindow && !u.lastActivity.After(w.began)
+	since, failed := p.failures.FailedSince(now, u.entry.Domain())
+	return failed && !u.lastActivity.After(since)
 }
--- a/internal/pool/score.go
+++ b/internal/pool/score.go
@@ -25,9 +25,6 @@
 	last float64
 }
 
-// MaxNoise is the range of the random addition to a score.
-const MaxNoise = tieBreakNoise
-
 // Total returns the sum of the parts.
 func (s *Score) Total() float64 {
 	return s.faults + s.work + s.unknown + s.memory + s.slow + s.region + s.domain + s.last
@@ -85,8 +82,8 @@
 // scoreEngine sets the expected delay of a new run on an engine, in seconds.
 func (p *Pool) scoreEngine(now time.Time, n Need, u *Upstream, s *Score) {
 	if u.HasFreshState(now) {
-		st := u.state.spec
-		s.work = prefillScore*float64(st.Prefilling+st.Waiting+u.unreportedAttempts()) + decodeScore*float64(st.Running-st.Prefilling)
+		st := &u.state
+		s.work = prefillScore*float64(st.Prefilling()+st.Waiting()+u.unreportedAttempts()) + decodeScore*float64(st.Running()-st.Prefilling())
 	} else {
 		s.unknown = unknownScore
 		s.work = prefillScore*float64(u.prefilling) + decodeScore*(float64(u.attempts-u.prefilling)+u.load.Others(now))
@@ -135,7 +132,7 @@
 // Reported returns the runs, waiting requests and used tokens of the state that an engine
 // reported last, which are 0 without one.
 func (u *Upstream) Reported() (running, waiting, used int) {
-	return u.state.spec.Running, u.state.spec.Waiting, u.state.spec.Used
+	return u.state.Running(), u.state.Waiting(), u.state.Used()
 }
 
 // AvailableAt returns the time at which the VM's share of the upstream's limit permits the
--- a/internal/pool/upstream.go
+++ b/internal/pool/upstream.go
@@ -81,10 +81,10 @@
 func (u *Upstream) Entry() Entry { return u.entry }
 
 // ID returns the id of the incarnation.
-func (u *Upstream) ID() string { return u.entry.spec.ID }
+func (u *Upstream) ID() string { return u.entry.ID() }
 
 // Address returns the address as host:port.
-func (u *Upstream) Address() string { return u.entry.spec.Address }
+func (u *Upstream) Address() string { return u.entry.Address() }
 
 // Attempts returns the number of this VM's attempts in flight.
 func (u *Upstream) Attempts() int { return u.attempts }
@@ -219,7 +219,7 @@
 
 // Slots returns the number of slots that the registry states, or else the upstream, or 0
 // if it is unknown.
-func (u *Upstream) Slots() int { return cmp.Or(u.entry.spec.Slots, u.load.Slots()) }
+func (u *Upstream) Slots() int { return cmp.Or(u.entry.Slots(), u.load.Slots()) }
 
 // Crowded reports whether a plain upstream has lately reported that more requests wait
 // there than it can work on at once. It is false if the number of its slots is unknown.
