--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -12,6 +12,10 @@
 // cases holds the cases by name. Each returns the ways in which its rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) ([]string, error){
 	"crashed-stream": crashedStream,
+	"block-events":   blockEvents,
+	"foreign-entry":  foreignEntry,
+	"partial-entry":  partialEntry,
+	"config-storm":   configStorm,
 }
 
 // The services and paths of the deployment.
@@ -23,32 +27,39 @@
 	lookupPath   = "/puxa403/2f"
 )
 
-// configuration returns a configuration of the deployment.
-func configuration(version int) []byte {
-	route := func(prefix, kind, service string, timeout, goal, attempts int, resumable bool) map[string]any {
-		return map[string]any{
-			"name":        "r-" + strings.Trim(prefix, "/"),
-			"host":        host,
-			"path_prefix": prefix,
-			"kind":        kind,
-			"timeout_ms":  timeout,
-			"goal_ms":     goal,
-			"priority":    1,
-			"service":     service,
-			"attempts":    attempts,
-			"public":      false,
-			"sticky":      resumable,
-			"resumable":   resumable,
-			"gap_aim_ms":  700,
-		}
+// route returns a route of a configuration.
+func route(prefix, kind, service string, timeout, goal, attempts int, resumable bool) map[string]any {
+	return map[string]any{
+		"name":        "r-" + strings.Trim(prefix, "/"),
+		"host":        host,
+		"path_prefix": prefix,
+		"kind":        kind,
+		"timeout_ms":  timeout,
+		"goal_ms":     goal,
+		"priority":    1,
+		"service":     service,
+		"attempts":    attempts,
+		"public":      false,
+		"sticky":      resumable,
+		"resumable":   resumable,
+		"gap_aim_ms":  700,
 	}
+}
+
+// lookupRoute returns a route like that of the lookups.
+func lookupRoute(prefix string) map[string]any {
+	return route(prefix, "idempotent", deskService, 1500, 150, 2, false)
+}
+
+// configuration returns a configuration of the deployment with further routes.
+func configuration(version int, more ...any) []byte {
 	value, _ := json.Marshal(map[string]any{
 		"version": version,
-		"routes": []any{
+		"routes": append([]any{
 			route("/pufi791/", "streaming", modelService, 25_000, 4500, 5, true),
 			route("/pule252/", "non_idempotent", deskService, 1500, 150, 1, false),
-			route("/puxa403/", "idempotent", deskService, 1500, 150, 2, false),
-		},
+			lookupRoute("/puxa403/"),
+		}, more...),
 		"services": []any{
 			map[string]any{
 				"name":        modelService,
@@ -60,8 +71,9 @@
 					"kv_capacity":    engineMemory,
 					"token_kv_bytes": 18432,
 					"link_mbps":      88000.0,
-					"moves":          false,
-					"backups":        false,
+					"moves":          true,
+					"backups":        true,
+					"handle_s":       4.0,
 					"stride":         8,
 					"models": []any{map[string]any{
 						"name": "m",
@@ -90,10 +102,15 @@
 	return value
 }
 
-// startDeployment writes the first configuration and starts workers of both services and
-// entry processes.
+// startDeployment starts a deployment with the usual configuration.
 func startDeployment(f *fleet, models, desks, edges int, modelArgs ...string) error {
-	f.store.put(name("config"), configuration(7))
+	return startDeploymentWith(f, configuration(7), models, desks, edges, modelArgs...)
+}
+
+// startDeploymentWith writes the first configuration and starts workers of both services and
+// entry processes.
+func startDeploymentWith(f *fleet, config []byte, models, desks, edges int, modelArgs ...string) error {
+	f.store.put(name("config"), config)
 	for i := range models {
 		if err := f.startModel(i, 0, modelArgs...); err != nil {
 			return err
@@ -109,9 +126,16 @@
 	return f.startEdges(edges)
 }
 
+// stubbornEvery is the number of model workers of which one does not drop a run when its
+// connection closes.
+const stubbornEvery = 3
+
 // startModel starts an incarnation of a model worker.
 func (f *fleet) startModel(i, incarnation int, args ...string) error {
 	all := append([]string{"-id", fmt.Sprintf("i-model%d-%d", i, incarnation), "-service", modelService, "-zone", zones[i%len(zones)]}, args...)
+	if i%stubbornEvery == 0 {
+		all = append(all, "-stubborn")
+	}
 	return f.startWorker(fmt.Sprintf("model-%d", i), all...)
 }
 
@@ -141,31 +165,33 @@
 // streamEvents is the number of events of a stream.
 const streamEvents = 140
 
-// crashedStream crashes the model workers of one zone after the other. One in 20 of their
-// streams has neither a length nor chunks. It checks that no stream ends as complete before
-// its last event.
-func crashedStream(f *fleet, trouble bool) ([]string, error) {
-	const workers = 12
-	args := []string{"-unframed", "20"}
-	if err := startDeployment(f, workers, 1, 3, args...); err != nil {
-		return nil, err
-	}
-	var mutex sync.Mutex
-	var broken []string
-	wait := f.streams(9.4, 34*time.Second, func(q request, r result) {
-		events := strings.Count(string(r.body), "\n\n")
-		if r.status != 200 || !r.complete || events == streamEvents {
-			return
+// findings collects the ways in which a rule was broken.
+type findings struct {
+	mutex sync.Mutex
+	list  []string
+}
+
+func (f *findings) add(format string, a ...any) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.list = append(f.list, fmt.Sprintf(format, a...))
+}
+
+// dayLength is the length of the site's day quiet-1.
+const dayLength = 34 * time.Second
+
+// crashZones crashes the model workers of one zone after the other at the times of the
+// site's day quiet-1, as often as the day is played, and starts others in their place 1.2 s
+// later.
+func (f *fleet) crashZones(workers, days int, args ...string) error {
+	var times []float64
+	for day := range days {
+		for _, at := range []float64{5, 11, 18, 24, 31} {
+			times = append(times, at+float64(day)*dayLength.Seconds())
 		}
-		mutex.Lock()
-		defer mutex.Unlock()
-		broken = append(broken, fmt.Sprintf("stream %s ended as complete after event %d of %d", q.id, events, streamEvents))
-	})
+	}
 	began := time.Now()
-	for k, at := range []float64{5, 11, 18, 24, 31} {
-		if !trouble {
-			break
-		}
+	for k, at := range times {
 		time.Sleep(time.Until(began.Add(time.Duration(at * float64(time.Second)))))
 		for i := k % len(zones); i < workers; i += len(zones) {
 			f.signal(fmt.Sprintf("model-%d", i), syscall.SIGKILL)
@@ -173,10 +199,74 @@
 		time.Sleep(1200 * time.Millisecond)
 		for i := k % len(zones); i < workers; i += len(zones) {
 			if err := f.startModel(i, k+1, args...); err != nil {
-				return nil, err
+				return err
 			}
 		}
 	}
+	return nil
+}
+
+// runStreams plays a number of days: it sends streams while model workers crash, if trouble
+// is true, and passes each result to check.
+func (f *fleet) runStreams(days int, trouble bool, check func(q request, r result), args ...string) error {
+	const workers = 12
+	if err := startDeployment(f, workers, 1, 3, args...); err != nil {
+		return err
+	}
+	wait := f.streams(9.4, time.Duration(days)*dayLength, check)
+	if trouble {
+		if err := f.crashZones(workers, days, args...); err != nil {
+			return err
+		}
+	}
 	wait()
-	return broken, nil
+	return nil
+}
+
+// crashedStream crashes the model workers of one zone after the other. One in 20 of their
+// streams has neither a length nor chunks. It checks that no stream ends as complete before
+// its last event.
+func crashedStream(f *fleet, trouble bool) ([]string, error) {
+	var broken findings
+	err := f.runStreams(2, trouble, func(q request, r result) {
+		if events := strings.Count(string(r.body), "\n\n"); r.status == 200 && r.complete && events < streamEvents {
+			broken.add("stream %s ended as complete after event %d of %d", q.id, events, streamEvents)
+		}
+	}, "-unframed", "20")
+	return broken.list, err
+}
+
+// blockLength is the length of the data line of an event in bytes.
+const blockLength = 4096
+
+// blockEvents crashes the model workers of one zone after the other. The data line of each
+// event but the last one of a stream has 4,096 bytes. It checks that a client gets each event
+// once, in order and with its own data. An event ends with an empty line or with the stream.
+func blockEvents(f *fleet, trouble bool) ([]string, error) {
+	var broken findings
+	err := f.runStreams(1, trouble, func(q request, r result) {
+		if r.status != 200 {
+			return
+		}
+		got := strings.SplitAfter(string(r.body), "\n\n")
+		// What follows the last empty line may have been broken off.
+		for k, event := range got[:len(got)-1] {
+			if want := streamEvent(q.id, k+1, streamEvents, blockLength); event != want {
+				broken.add("stream %s: event %d has %d bytes, %d were sent; its ids are %s", q.id, k+1, len(event), len(want), ids(event))
+				return
+			}
+		}
+	}, "-line", fmt.Sprint(blockLength))
+	return broken.list, err
+}
+
+// ids returns the id lines of an event.
+func ids(event string) string {
+	var list []string
+	for line := range strings.Lines(event) {
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			list = append(list, strings.TrimSpace(id))
+		}
+	}
+	return strings.Join(list, " and ")
 }
--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -23,14 +22,12 @@
 	record *bufio.Writer
 	// processes holds the running processes by name.
 	processes map[string]*exec.Cmd
-	// runs holds the lines that workers wrote about requests, by request.
-	runs map[string][]map[string]any
 	// edges holds the addresses of the entry processes for clients, in order.
 	edges []string
 	ready []string
-	// settings returns further lines of the settings.
-	settings string
-	ended    bool
+	ended bool
+	// observe is called with each line of a worker.
+	observe func(line []byte)
 }
 
 // newFleet starts a store and opens the record.
@@ -52,7 +49,7 @@
 		store:     s,
 		record:    bufio.NewWriter(record),
 		processes: make(map[string]*exec.Cmd),
-		runs:      make(map[string][]map[string]any),
+		observe:   func([]byte) {},
 	}, nil
 }
 
@@ -126,27 +123,16 @@
 		return err
 	}
 	cmd := exec.Command(self, append([]string{"worker", "-store", f.store.address}, args...)...)
-	return f.start(process, cmd, func(r io.Reader) {
-		sc := bufio.NewScanner(r)
-		for sc.Scan() {
-			var line map[string]any
-			if json.Unmarshal(sc.Bytes(), &line) != nil {
-				continue
-			}
-			f.note("worker %s", sc.Text())
-			id, _ := line["id"].(string)
-			f.mutex.Lock()
-			f.runs[id] = append(f.runs[id], line)
-			f.mutex.Unlock()
-		}
-	})
+	return f.start(process, cmd, f.readWorker)
 }
 
-// runsOf returns the lines of workers about the request.
-func (f *fleet) runsOf(id string) []map[string]any {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return append([]map[string]any(nil), f.runs[id]...)
+// readWorker reads the lines of a worker.
+func (f *fleet) readWorker(r io.Reader) {
+	sc := bufio.NewScanner(r)
+	for sc.Scan() {
+		f.note("worker %s", sc.Text())
+		f.observe(sc.Bytes())
+	}
 }
 
 // zones are the zones of the deployment. The first two are of one region.
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -24,6 +24,12 @@
 		}
 		os.Exit(exitNotRun)
 	}
+	if os.Args[1] == "other" {
+		if err := runOther(os.Args[2], os.Args[3], os.Args[4]); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+		os.Exit(exitNotRun)
+	}
 	os.Exit(runCase(os.Args[1], os.Args[2], os.Getenv("TROUBLE") != "0"))
 }
 
--- a/review/stand2/store.go
+++ b/review/stand2/store.go
@@ -15,6 +15,9 @@
 // storeDelay is the usual time of an answer of the store.
 const storeDelay = 4 * time.Millisecond
 
+// historyTime is how long the store keeps its history (history_s).
+const historyTime = 20 * time.Second
+
 // item is an item of the store.
 type item struct {
 	Key     string `json:"key"`
@@ -30,7 +33,9 @@
 	mutex   sync.Mutex
 	items   map[string]item
 	history []item
-	rev     uint64
+	// times holds when each change of the history was made.
+	times []time.Time
+	rev   uint64
 	// kept is the revision from which on the history is complete.
 	kept      uint64
 	leases    map[int64]time.Time
@@ -128,7 +133,11 @@
 	} else {
 		s.items[key] = i
 	}
-	s.history = append(s.history, i)
+	s.history, s.times = append(s.history, i), append(s.times, time.Now())
+	for time.Since(s.times[0]) > historyTime {
+		s.kept = s.history[0].Rev
+		s.history, s.times = s.history[1:], s.times[1:]
+	}
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return s.rev
@@ -150,27 +159,17 @@
 	}
 }
 
-// copyItems returns the present items and the revision.
-func (s *store) copyItems() (map[string]item, uint64) {
+// values returns the values of the keys with a prefix.
+func (s *store) values(prefix string) map[string][]byte {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return maps.Clone(s.items), s.rev
-}
-
-// restore replaces the state by a copy.
-func (s *store) restore(items map[string]item, rev uint64) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.items, s.rev, s.kept = maps.Clone(items), rev, rev
-	s.history = nil
-	for id := range s.leases {
-		if !slices.ContainsFunc(slices.Collect(maps.Values(items)), func(i item) bool { return i.Lease == id }) {
-			delete(s.leases, id)
+	list := make(map[string][]byte)
+	for key, i := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			list[key] = i.Value
 		}
 	}
-	s.era++
-	close(s.changed)
-	s.changed = make(chan struct{})
+	return list
 }
 
 func (s *store) putForeign(w http.ResponseWriter, r *http.Request) {
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -38,9 +39,15 @@
 	// unframed is the number of requests of which one has an answer that ends with its
 	// connection, or 0 for none.
 	unframed uint64
+	// line is the length of the data line of all events but the last one of a stream, or 0
+	// for a short one.
+	line int
+	// stubborn is true if the worker does not drop a run when its connection closes.
+	stubborn bool
 	seq      atomic.Int64
 	running  atomic.Int64
-	leaving  atomic.Bool
+	// stops holds the function that stops each run of a stream, by the request's id.
+	stops    sync.Map
 	logMutex sync.Mutex
 	output   io.Writer
 }
@@ -62,6 +69,8 @@
 	f.DurationVar(&w.work, "work", 15*time.Millisecond, "time that a plain request takes")
 	f.DurationVar(&w.step, "step", 28*time.Millisecond, "time between two events of a stream")
 	f.Uint64Var(&w.unframed, "unframed", 0, "one in so many answers ends with its connection")
+	f.IntVar(&w.line, "line", 0, "length of the data line of all events but the last one")
+	f.BoolVar(&w.stubborn, "stubborn", false, "keep runs whose connection closes")
 	if err := f.Parse(args); err != nil {
 		return err
 	}
@@ -146,15 +155,17 @@
 		answer(rw, map[string]any{
 			"held": []any{},
 		})
-	case strings.HasPrefix(r.URL.Path, "/kv-"):
-		// This worker neither moves runs nor keeps copies.
-		rw.WriteHeader(http.StatusNotFound)
+	case r.URL.Path == name("move"):
+		w.move(rw, r)
+	case strings.HasPrefix(r.URL.Path, name("handle")):
+		rw.WriteHeader(http.StatusOK)
 	case r.Header.Get(name("id")) == "":
 		rw.Header().Set(name("not-run"), "1")
 		rw.WriteHeader(http.StatusBadRequest)
 	case r.Header.Get(name("expect")) != "" && r.Header.Get(name("expect")) != w.id:
 		rw.WriteHeader(http.StatusMisdirectedRequest)
-	case int(running) >= w.slots:
+	case int(running) >= w.slots, r.Header.Get(name("copy")) != "":
+		// This worker has no room for copies.
 		rw.Header().Set(name("not-run"), "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 	default:
@@ -164,6 +175,32 @@
 	}
 }
 
+// move stops a run, or answers that there is no room for a copy of it.
+func (w *worker) move(rw http.ResponseWriter, r *http.Request) {
+	var order struct {
+		ID   string `json:"id"`
+		Last bool   `json:"last"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	stop, ok := w.stops.Load(order.ID)
+	switch {
+	case !ok:
+		rw.WriteHeader(http.StatusNotFound)
+	case !order.Last:
+		rw.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		stop.(context.CancelFunc)()
+		w.log("stopped", order.ID, nil)
+		answer(rw, map[string]any{
+			"handle":          order.ID,
+			"create_revision": 0,
+		})
+	}
+}
+
 // run runs a request.
 func (w *worker) run(rw http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(name("id"))
@@ -228,6 +265,10 @@
 		"from":     position + 1,
 		"events":   events,
 	})
+	run, stop := context.WithCancel(context.Background())
+	defer stop()
+	w.stops.Store(id, stop)
+	defer w.stops.Delete(id)
 	time.Sleep(time.Duration(prompt/prefillRate) * time.Millisecond)
 	var out io.Writer = rw
 	flush := func() { rw.(http.Flusher).Flush() }
@@ -242,19 +283,30 @@
 		rw.Header().Set("Content-Type", "text/event-stream")
 	}
 	for k := position + 1; k <= events; k++ {
-		if _, err := io.WriteString(out, streamEvent(id, k)); err != nil {
-			return
+		if run.Err() != nil {
+			// The stream is closed without its end.
+			panic(http.ErrAbortHandler)
 		}
-		flush()
-		if r.Context().Err() != nil && !unframed {
-			return
+		_, err := io.WriteString(out, streamEvent(id, k, events, w.line))
+		if flush(); err != nil || r.Context().Err() != nil && !unframed {
+			if !w.stubborn {
+				return
+			}
+			w.log("works without a connection", id, map[string]any{
+				"at": k,
+			})
 		}
 		time.Sleep(w.step)
 	}
 	w.log("answered", id, nil)
 }
 
-// streamEvent returns an event of a stream.
-func streamEvent(id string, k int) string {
-	return fmt.Sprintf("id: %d\ndata: %s %d\n\n", k, id, k)
+// streamEvent returns an event of a stream of the given number of events. The data line of
+// all but the last one has length bytes, unless that is 0.
+func streamEvent(id string, k, events, length int) string {
+	data := fmt.Sprintf("data: %s %d", id, k)
+	if k < events && len(data) < length {
+		data += strings.Repeat(".", length-len(data))
+	}
+	return fmt.Sprintf("id: %d\n%s\n\n", k, data)
 }
