--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -12,10 +12,10 @@
 // cases holds the cases by name. Each returns the ways in which its rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) ([]string, error){
 	"crashed-stream": crashedStream,
-	"block-events":   blockEvents,
 	"foreign-entry":  foreignEntry,
 	"partial-entry":  partialEntry,
 	"config-storm":   configStorm,
+	"queued-run":     queuedRun,
 }
 
 // The services and paths of the deployment.
@@ -139,20 +139,20 @@
 	return f.startWorker(fmt.Sprintf("model-%d", i), all...)
 }
 
-// streams sends streams at a rate until a time has passed, and passes each result to
+// streams sends streams of a number of events at a rate until a time has passed, and passes each result to
 // check. The returned function waits for the last one.
-func (f *fleet) streams(rate float64, length time.Duration, check func(q request, r result)) (wait func()) {
+func (f *fleet) streams(rate float64, length time.Duration, events int, check func(q request, r result)) (wait func()) {
 	var group sync.WaitGroup
 	group.Go(func() {
 		for k := range int(rate * length.Seconds()) {
 			group.Go(func() {
 				q := request{
-					id:       fmt.Sprintf("%016x", 1_000_000_000+k),
+					id:       fmt.Sprintf("%016x", 1_000_000_000+f.lastID.Add(1)),
 					method:   "POST",
 					path:     streamPath,
 					body:     []byte("brief"),
 					deadline: 25 * time.Second,
-					tokens:   fmt.Sprintf("1200,%d", streamEvents*eventTokens),
+					tokens:   fmt.Sprintf("1200,%d", events*eventTokens),
 				}
 				check(q, f.send(newClient(), k%len(f.edges), q))
 			})
@@ -213,7 +213,7 @@
 	if err := startDeployment(f, workers, 1, 3, args...); err != nil {
 		return err
 	}
-	wait := f.streams(9.4, time.Duration(days)*dayLength, check)
+	wait := f.streams(9.4, time.Duration(days)*dayLength, streamEvents, check)
 	if trouble {
 		if err := f.crashZones(workers, days, args...); err != nil {
 			return err
@@ -235,38 +235,3 @@
 	}, "-unframed", "20")
 	return broken.list, err
 }
-
-// blockLength is the length of the data line of an event in bytes.
-const blockLength = 4096
-
-// blockEvents crashes the model workers of one zone after the other. The data line of each
-// event but the last one of a stream has 4,096 bytes. It checks that a client gets each event
-// once, in order and with its own data. An event ends with an empty line or with the stream.
-func blockEvents(f *fleet, trouble bool) ([]string, error) {
-	var broken findings
-	err := f.runStreams(1, trouble, func(q request, r result) {
-		if r.status != 200 {
-			return
-		}
-		got := strings.SplitAfter(string(r.body), "\n\n")
-		// What follows the last empty line may have been broken off.
-		for k, event := range got[:len(got)-1] {
-			if want := streamEvent(q.id, k+1, streamEvents, blockLength); event != want {
-				broken.add("stream %s: event %d has %d bytes, %d were sent; its ids are %s", q.id, k+1, len(event), len(want), ids(event))
-				return
-			}
-		}
-	}, "-line", fmt.Sprint(blockLength))
-	return broken.list, err
-}
-
-// ids returns the id lines of an event.
-func ids(event string) string {
-	var list []string
-	for line := range strings.Lines(event) {
-		if id, ok := strings.CutPrefix(line, "id: "); ok {
-			list = append(list, strings.TrimSpace(id))
-		}
-	}
-	return strings.Join(list, " and ")
-}
--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -26,6 +27,8 @@
 	edges []string
 	ready []string
 	ended bool
+	// lastID is the number of the latest stream.
+	lastID atomic.Int64
 	// observe is called with each line of a worker.
 	observe func(line []byte)
 }
--- a/review/stand2/foreign.go
+++ b/review/stand2/foreign.go
@@ -32,7 +32,7 @@
 	if trouble {
 		f.writeForeignEntries()
 	}
-	wait := f.streams(4, 40*time.Second, func(request, result) {})
+	wait := f.streams(4, 40*time.Second, streamEvents, func(request, result) {})
 	for k := range 12 {
 		time.Sleep(2 * time.Second)
 		process := fmt.Sprintf("model-%d", k%workers)
--- a/review/stand2/worker.go
+++ b/review/stand2/worker.go
@@ -39,13 +39,17 @@
 	// unframed is the number of requests of which one has an answer that ends with its
 	// connection, or 0 for none.
 	unframed uint64
-	// line is the length of the data line of all events but the last one of a stream, or 0
-	// for a short one.
-	line int
 	// stubborn is true if the worker does not drop a run when its connection closes.
 	stubborn bool
-	seq      atomic.Int64
-	running  atomic.Int64
+	// queue is the number of streams that may wait for a slot.
+	queue   int
+	waiting atomic.Int64
+	// places holds an element for each stream that runs.
+	places chan struct{}
+	// slow is how long a step takes in percent of the usual time, or 0 for that.
+	slow    atomic.Int64
+	seq     atomic.Int64
+	running atomic.Int64
 	// stops holds the function that stops each run of a stream, by the request's id.
 	stops    sync.Map
 	logMutex sync.Mutex
@@ -69,7 +73,7 @@
 	f.DurationVar(&w.work, "work", 15*time.Millisecond, "time that a plain request takes")
 	f.DurationVar(&w.step, "step", 28*time.Millisecond, "time between two events of a stream")
 	f.Uint64Var(&w.unframed, "unframed", 0, "one in so many answers ends with its connection")
-	f.IntVar(&w.line, "line", 0, "length of the data line of all events but the last one")
+	f.IntVar(&w.queue, "queue", 0, "streams that may wait for a slot")
 	f.BoolVar(&w.stubborn, "stubborn", false, "keep runs whose connection closes")
 	if err := f.Parse(args); err != nil {
 		return err
@@ -79,6 +83,7 @@
 		return err
 	}
 	w.address = l.Addr().String()
+	w.places = make(chan struct{}, w.slots)
 	go w.beat()
 	return http.Serve(l, w)
 }
@@ -134,6 +139,12 @@
 		rw.Header().Set(name("id"), id)
 	}
 	switch {
+	case r.URL.Path == slowPath:
+		x, _ := strconv.ParseInt(r.URL.Query().Get("percent"), 10, 64)
+		w.slow.Store(x)
+		w.log("work takes longer", "", map[string]any{
+			"percent": x,
+		})
 	case r.URL.Path == "/healthz":
 		rw.WriteHeader(http.StatusOK)
 	case r.URL.Path == name("report"):
@@ -143,7 +154,7 @@
 				"name":    "m",
 				"version": 1,
 			}},
-			"waiting":  0,
+			"waiting":  w.waiting.Load(),
 			"running":  running,
 			"kv_used":  running * 2000,
 			"kv_total": engineMemory,
@@ -164,17 +175,34 @@
 		rw.WriteHeader(http.StatusBadRequest)
 	case r.Header.Get(name("expect")) != "" && r.Header.Get(name("expect")) != w.id:
 		rw.WriteHeader(http.StatusMisdirectedRequest)
-	case int(running) >= w.slots, r.Header.Get(name("copy")) != "":
+	case int(running) >= w.slots && int(w.waiting.Load()) >= w.queue, r.Header.Get(name("copy")) != "":
 		// This worker has no room for copies.
 		rw.Header().Set(name("not-run"), "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
 	default:
+		w.waiting.Add(1)
+		w.places <- struct{}{}
+		w.waiting.Add(-1)
 		w.running.Add(1)
-		defer w.running.Add(-1)
+		defer func() {
+			w.running.Add(-1)
+			<-w.places
+		}()
+		if r.Context().Err() != nil && !w.stubborn {
+			return
+		}
 		w.run(rw, r)
 	}
 }
 
+// slowPath is the path at which a case slows a worker down.
+const slowPath = "/stand-in/slow"
+
+// pause waits for a time, longer while the worker is slow.
+func (w *worker) pause(d time.Duration) {
+	time.Sleep(d * time.Duration(max(w.slow.Load(), 100)) / 100)
+}
+
 // move stops a run, or answers that there is no room for a copy of it.
 func (w *worker) move(rw http.ResponseWriter, r *http.Request) {
 	var order struct {
@@ -269,7 +297,7 @@
 	defer stop()
 	w.stops.Store(id, stop)
 	defer w.stops.Delete(id)
-	time.Sleep(time.Duration(prompt/prefillRate) * time.Millisecond)
+	w.pause(time.Duration(prompt/prefillRate) * time.Millisecond)
 	var out io.Writer = rw
 	flush := func() { rw.(http.Flusher).Flush() }
 	if unframed {
@@ -287,26 +315,22 @@
 			// The stream is closed without its end.
 			panic(http.ErrAbortHandler)
 		}
-		_, err := io.WriteString(out, streamEvent(id, k, events, w.line))
+		_, err := io.WriteString(out, streamEvent(id, k))
 		if flush(); err != nil || r.Context().Err() != nil && !unframed {
 			if !w.stubborn {
+				w.log("dropped", id, nil)
 				return
 			}
 			w.log("works without a connection", id, map[string]any{
 				"at": k,
 			})
 		}
-		time.Sleep(w.step)
+		w.pause(w.step)
 	}
 	w.log("answered", id, nil)
 }
 
-// streamEvent returns an event of a stream of the given number of events. The data line of
-// all but the last one has length bytes, unless that is 0.
-func streamEvent(id string, k, events, length int) string {
-	data := fmt.Sprintf("data: %s %d", id, k)
-	if k < events && len(data) < length {
-		data += strings.Repeat(".", length-len(data))
-	}
-	return fmt.Sprintf("id: %d\n%s\n\n", k, data)
+// streamEvent returns an event of a stream.
+func streamEvent(id string, k int) string {
+	return fmt.Sprintf("id: %d\ndata: %s %d\n\n", k, id, k)
 }
