--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -23,6 +23,8 @@
 	record *bufio.Writer
 	// processes holds the running processes by name.
 	processes map[string]*exec.Cmd
+	// group waits for the ends of all processes.
+	group sync.WaitGroup
 	// edges holds the addresses of the entry processes for clients, in order.
 	edges []string
 	ready []string
@@ -74,7 +76,7 @@
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	go func() {
+	f.group.Go(func() {
 		read(out)
 		err := cmd.Wait()
 		f.mutex.Lock()
@@ -83,7 +85,7 @@
 		if !expected {
 			f.note("process %s ended by itself: %v", process, err)
 		}
-	}()
+	})
 	f.mutex.Lock()
 	f.processes[process] = cmd
 	f.mutex.Unlock()
@@ -106,7 +108,7 @@
 	_ = cmd.Process.Signal(s)
 }
 
-// close ends all processes and the record.
+// close ends all processes, waits until they are gone, and ends the record.
 func (f *fleet) close() {
 	f.mutex.Lock()
 	for _, cmd := range f.processes {
@@ -116,6 +118,7 @@
 	f.ended = true
 	_ = f.record.Flush()
 	f.mutex.Unlock()
+	f.group.Wait()
 	_ = os.RemoveAll(f.folder)
 }
 
